--- /dev/null
+++ b/crates/core/src/blackboard.rs
@@ -0,0 +1,113 @@
+//! The tables of a node, which controllers read and write.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use crate::budget::RetryBudget;
+use crate::clock::{Moment, WallTime};
+use crate::counters::Counters;
+use crate::document::AcceptedDocument;
+use crate::harmful::HarmfulTable;
+use crate::members::MemberTable;
+use crate::message::NodeState;
+use crate::names::{AttemptId, DcName, InstanceId, NodeName, Nonce};
+use crate::permits::PermitTable;
+use crate::queue::QueueTable;
+use crate::requests::RequestTable;
+use crate::store_table::StoreTable;
+use crate::targets::TargetTable;
+use crate::tuning::Tuning;
+use crate::versions::VersionTable;
+
+/// Who this node is, from its settings.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Identity {
+    /// Its name.
+    pub node: NodeName,
+    /// This run of it.
+    pub instance: InstanceId,
+    /// Its data centre.
+    pub dc: DcName,
+    /// Address for callers.
+    pub caller_address: SocketAddr,
+    /// Address for peers.
+    pub peer_address: SocketAddr,
+}
+
+/// All that a node knows.
+#[derive(Debug)]
+pub struct Blackboard {
+    /// Time of the event being handled.
+    pub now: Moment,
+    /// Wall time of the event being handled, for records.
+    pub wall: WallTime,
+    /// Who this node is.
+    pub identity: Identity,
+    /// Times and bounds.
+    pub tuning: Tuning,
+    /// Seeded randomness.
+    pub random: fastrand::Rng,
+    /// Whether this node takes new work.
+    pub state: NodeState,
+    /// The document in force here; revision 0 until there is one.
+    pub document: Arc<AcceptedDocument>,
+    /// Peers.
+    pub members: MemberTable,
+    /// Targets and what is known of their load.
+    pub targets: TargetTable,
+    /// Rights to call targets.
+    pub permits: PermitTable,
+    /// Requests at this node.
+    pub requests: RequestTable,
+    /// Requests that wait for a target.
+    pub queues: QueueTable,
+    /// What retries and hedges may spend.
+    pub budget: RetryBudget,
+    /// Content that brings down targets.
+    pub harmful: HarmfulTable,
+    /// Candidate versions.
+    pub versions: VersionTable,
+    /// Open operations at the table service, and its health.
+    pub store: StoreTable,
+    /// Counts for metrics.
+    pub counters: Counters,
+    last_attempt: u64,
+}
+
+impl Blackboard {
+    /// A board with nothing on it yet.
+    #[must_use]
+    pub fn new(identity: Identity, tuning: Tuning, seed: u64) -> Self {
+        Self {
+            now: Moment::default(),
+            wall: WallTime::default(),
+            identity,
+            random: fastrand::Rng::with_seed(seed),
+            state: NodeState::Starting,
+            document: Arc::default(),
+            members: MemberTable::default(),
+            targets: TargetTable::default(),
+            permits: PermitTable::default(),
+            requests: RequestTable::default(),
+            queues: QueueTable::default(),
+            budget: RetryBudget::new(tuning.retry_share, tuning.retry_burst),
+            harmful: HarmfulTable::default(),
+            versions: VersionTable::default(),
+            store: StoreTable::default(),
+            counters: Counters::default(),
+            last_attempt: 0,
+            tuning,
+        }
+    }
+
+    /// An attempt id that this instance has not used.
+    pub fn next_attempt(&mut self) -> AttemptId {
+        self.last_attempt += 1;
+        AttemptId(self.last_attempt)
+    }
+
+    /// A random number to mark a claim with.
+    pub fn nonce(&mut self) -> Nonce {
+        Nonce(self.random.u64(1..))
+    }
+}
--- /dev/null
+++ b/crates/core/src/clock.rs
@@ -0,0 +1,43 @@
+//! Time as the core sees it: an argument, never read from the machine.
+
+use std::ops::{Add, Sub};
+use std::time::Duration;
+
+/// A point on a node's monotonic clock, in milliseconds since an arbitrary start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Moment(pub u64);
+
+impl Moment {
+    /// Time from `earlier` to this moment; zero if `earlier` is later.
+    #[must_use]
+    pub fn since(self, earlier: Self) -> Duration {
+        Duration::from_millis(self.0.saturating_sub(earlier.0))
+    }
+
+    /// Time from this moment until `later`; zero if it has passed.
+    #[must_use]
+    pub fn until(self, later: Self) -> Duration {
+        later.since(self)
+    }
+}
+
+impl Add<Duration> for Moment {
+    type Output = Self;
+
+    fn add(self, rhs: Duration) -> Self {
+        Self(self.0.saturating_add(rhs.as_millis() as u64))
+    }
+}
+
+impl Sub<Duration> for Moment {
+    type Output = Self;
+
+    fn sub(self, rhs: Duration) -> Self {
+        Self(self.0.saturating_sub(rhs.as_millis() as u64))
+    }
+}
+
+/// Milliseconds since the Unix epoch; used in records for people, never in decisions that must hold
+/// under clock skew.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct WallTime(pub u64);
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,50 @@
+//! Every decision of a wasabipier node, without I/O.
+//!
+//! Events and time come in, actions go out: see [`node::NodeCore`]. Modules are named here in the
+//! order in which a request meets them.
+
+pub mod node;
+pub mod prelude;
+
+pub mod action;
+pub mod event;
+pub mod message;
+pub mod store;
+
+pub mod blackboard;
+pub mod controller;
+pub mod counters;
+pub mod tuning;
+
+pub mod clock;
+pub mod document;
+pub mod names;
+pub mod outcome;
+
+pub mod readiness;
+
+pub mod intake;
+pub mod requests;
+
+pub mod claims;
+pub mod store_table;
+
+pub mod dispatch;
+pub mod queue;
+
+pub mod picker;
+pub mod targets;
+pub mod versions;
+
+pub mod lending;
+pub mod permits;
+pub mod seats;
+
+pub mod budget;
+pub mod conclude;
+pub mod harmful;
+pub mod stages;
+
+pub mod documents;
+pub mod members;
+pub mod membership;
--- /dev/null
+++ b/crates/core/src/node.rs
@@ -0,0 +1,110 @@
+//! A node: the blackboard and its controllers, driven by events, answering with actions.
+
+use crate::action::Action;
+use crate::blackboard::{Blackboard, Identity};
+use crate::claims::ClaimController;
+use crate::clock::{Moment, WallTime};
+use crate::controller::Controller;
+use crate::dispatch::DispatchController;
+use crate::documents::DocumentController;
+use crate::event::Event;
+use crate::intake::IntakeController;
+use crate::lending::LendingController;
+use crate::membership::MemberController;
+use crate::message::NodeState;
+use crate::names::NodeName;
+use crate::readiness::ReadinessController;
+use crate::seats::SeatController;
+use crate::stages::StageController;
+use crate::tuning::Tuning;
+
+/// What a node starts with.
+#[derive(Clone, Debug)]
+pub struct NodeConfig {
+    /// Who it is.
+    pub identity: Identity,
+    /// Times and bounds.
+    pub tuning: Tuning,
+    /// Seed of its randomness.
+    pub seed: u64,
+    /// Peers to start with.
+    pub peers: Vec<PeerSpec>,
+}
+
+/// A peer known from the settings.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PeerSpec {
+    /// Its name.
+    pub node: NodeName,
+    /// Its address for peers, by IP number.
+    pub address: std::net::SocketAddr,
+}
+
+/// The decisions of one node, without I/O.
+#[derive(Debug)]
+pub struct NodeCore {
+    board: Blackboard,
+    controllers: Vec<Box<dyn Controller>>,
+}
+
+impl NodeCore {
+    /// A node that has seen nothing yet, and the connections that it wants.
+    #[must_use]
+    pub fn new(config: NodeConfig) -> (Self, Vec<Action>) {
+        let mut board = Blackboard::new(config.identity, config.tuning, config.seed);
+        let mut actions = Vec::new();
+        for peer in config.peers.iter().filter(|peer| peer.node != board.identity.node) {
+            board.members.introduce(&peer.node, peer.address);
+            actions.push(Action::Connect(peer.node.clone(), peer.address));
+        }
+        // In the order in which a request meets them; the node's own state is judged first.
+        let controllers: Vec<Box<dyn Controller>> = vec![
+            Box::<ReadinessController>::default(),
+            Box::<DocumentController>::default(),
+            Box::<SeatController>::default(),
+            Box::<IntakeController>::default(),
+            Box::<StageController>::default(),
+            Box::<ClaimController>::default(),
+            Box::<LendingController>::default(),
+            Box::<DispatchController>::default(),
+            Box::<MemberController>::default(),
+        ];
+        (Self { board, controllers }, actions)
+    }
+
+    /// Handles an event that happened at `now`.
+    pub fn handle(&mut self, now: Moment, wall: WallTime, event: &Event) -> Vec<Action> {
+        // A clock that steps back must not undo what was decided.
+        self.board.now = self.board.now.max(now);
+        self.board.wall = wall;
+        let mut out = Vec::new();
+        if let Event::Store(ticket, reply) = event {
+            let jitter = self.board.random.f64();
+            let now = self.board.now;
+            self.board.store.learn(reply, now, jitter);
+            if let Some(purpose) = self.board.store.close(*ticket) {
+                for controller in &mut self.controllers {
+                    controller.on_store(&mut self.board, &purpose, reply, &mut out);
+                }
+            }
+        }
+        for controller in &mut self.controllers {
+            controller.on_event(&mut self.board, event, &mut out);
+        }
+        out
+    }
+
+    /// What the node knows.
+    #[must_use]
+    pub fn board(&self) -> &Blackboard {
+        &self.board
+    }
+
+    /// Addresses for callers: nodes that take new work, this one included.
+    #[must_use]
+    pub fn addresses(&self) -> Vec<std::net::SocketAddr> {
+        let own = (self.board.state == NodeState::Serving).then_some(self.board.identity.caller_address);
+        let peers = self.board.members.serving().map(|(_, beat)| beat.caller_address);
+        own.into_iter().chain(peers).collect()
+    }
+}
--- /dev/null
+++ b/crates/core/src/queue.rs
@@ -0,0 +1,136 @@
+//! Requests that wait for a target: by urgency, fair between organisations, earliest deadline first.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::clock::Moment;
+use crate::event::Priority;
+use crate::names::{OrgName, RequestKey, ServiceName};
+
+/// A request in a queue.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Waiting {
+    /// When its deadline is.
+    pub deadline: Moment,
+    /// Which it is.
+    pub key: RequestKey,
+}
+
+/// One organisation's place in a level: virtual time in millionths of a call at weight 1.
+#[derive(Clone, Debug, Default)]
+struct OrgLane {
+    time: u64,
+    waiting: BTreeSet<Waiting>,
+}
+
+/// Requests of one urgency, served by start-time fair queuing over organisations.
+#[derive(Clone, Debug, Default)]
+struct Level {
+    time: u64,
+    lanes: BTreeMap<OrgName, OrgLane>,
+    order: BTreeSet<(u64, OrgName)>,
+}
+
+impl Level {
+    const CALL: f64 = 1_000_000.0;
+
+    fn push(&mut self, waiting: Waiting) {
+        let org = waiting.key.org.clone();
+        let lane = self.lanes.entry(org.clone()).or_default();
+        if lane.waiting.is_empty() {
+            lane.time = lane.time.max(self.time);
+            self.order.insert((lane.time, org));
+        }
+        lane.waiting.insert(waiting);
+    }
+
+    fn pop(&mut self, weight: impl Fn(&OrgName) -> f64) -> Option<Waiting> {
+        let (time, org) = self.order.pop_first()?;
+        let lane = self.lanes.get_mut(&org)?;
+        let waiting = lane.waiting.pop_first();
+        self.time = time;
+        lane.time = time + (Self::CALL / weight(&org).max(0.001)) as u64;
+        if lane.waiting.is_empty() {
+            // A lane is kept until its virtual time has passed, so that leaving and coming back gains nothing.
+            self.drop_passed_lanes();
+        } else {
+            self.order.insert((lane.time, org));
+        }
+        waiting
+    }
+
+    fn drop_passed_lanes(&mut self) {
+        let time = self.time;
+        if self.lanes.len() > 2 * self.order.len() + 16 {
+            self.lanes.retain(|_, lane| !lane.waiting.is_empty() || lane.time > time);
+        }
+    }
+
+    fn remove(&mut self, waiting: &Waiting) -> bool {
+        let Some(lane) = self.lanes.get_mut(&waiting.key.org) else { return false };
+        let removed = lane.waiting.remove(waiting);
+        if removed && lane.waiting.is_empty() {
+            self.order.remove(&(lane.time, waiting.key.org.clone()));
+        }
+        removed
+    }
+}
+
+/// The queue of one service.
+#[derive(Clone, Debug, Default)]
+pub struct ServiceQueue {
+    levels: [Level; 3],
+    len: usize,
+}
+
+impl ServiceQueue {
+    /// Adds a request.
+    pub fn push(&mut self, priority: Priority, waiting: Waiting) {
+        self.levels[priority as usize].push(waiting);
+        self.len += 1;
+    }
+
+    /// Takes the next request; `weight` gives an organisation's share.
+    pub fn pop(&mut self, weight: impl Fn(&OrgName) -> f64) -> Option<Waiting> {
+        let waiting = self.levels.iter_mut().find_map(|level| level.pop(&weight))?;
+        self.len -= 1;
+        Some(waiting)
+    }
+
+    /// Removes a request that need not wait any more.
+    pub fn remove(&mut self, priority: Priority, waiting: &Waiting) {
+        if self.levels[priority as usize].remove(waiting) {
+            self.len -= 1;
+        }
+    }
+
+    /// Requests that wait.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Whether none waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+}
+
+/// Queues by service.
+#[derive(Clone, Debug, Default)]
+pub struct QueueTable {
+    queues: BTreeMap<ServiceName, ServiceQueue>,
+}
+
+impl QueueTable {
+    /// The queue of a service.
+    pub fn of(&mut self, service: &ServiceName) -> &mut ServiceQueue {
+        self.queues.entry(service.clone()).or_default()
+    }
+
+    /// Services with requests that wait.
+    #[must_use]
+    pub fn busy(&self) -> Vec<ServiceName> {
+        self.queues.iter().filter(|(_, queue)| !queue.is_empty()).map(|(service, _)| service.clone()).collect()
+    }
+}
--- /dev/null
+++ b/crates/core/src/requests.rs
@@ -0,0 +1,281 @@
+//! Requests at this node: one record each, with its attempts, callers and charges.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::clock::Moment;
+use crate::event::Priority;
+use crate::names::{AttemptId, CallId, Fingerprint, Nonce, RequestKey, ServiceName, TargetName, VersionName};
+use crate::outcome::{ChargeLine, FinalAnswer};
+use crate::permits::Permit;
+use crate::queue::Waiting;
+use crate::store::RowVersion;
+
+/// Where a request stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestState {
+    /// Its claim is being written.
+    Claiming,
+    /// It waits for a target.
+    Queued,
+    /// An attempt runs.
+    Running,
+    /// Another node runs it; this one waits for the outcome.
+    Following,
+}
+
+/// A claim that this node holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClaimHold {
+    /// Marks the claim.
+    pub nonce: Nonce,
+    /// Version of its row, once known.
+    pub version: Option<RowVersion>,
+}
+
+/// One request.
+#[derive(Clone, Debug)]
+pub struct RequestRecord {
+    /// Organisation and id.
+    pub key: RequestKey,
+    /// Hash of goal and body.
+    pub content: Fingerprint,
+    /// Pipeline or service that it was asked for.
+    pub route: Arc<str>,
+    /// Callers that wait for it.
+    pub callers: Vec<CallId>,
+    /// The caller's body.
+    pub body: Arc<str>,
+    /// Stages in order.
+    pub stages: Vec<ServiceName>,
+    /// Position of the stage that it is at.
+    pub stage: u32,
+    /// Answer of the stage before.
+    pub previous: Arc<str>,
+    /// Tokens of the running stage, accepted in order.
+    pub tokens: Vec<Arc<str>>,
+    /// When it arrived.
+    pub arrived: Moment,
+    /// When it must be answered.
+    pub deadline: Moment,
+    /// Urgency.
+    pub priority: Priority,
+    /// Where it stands.
+    pub state: RequestState,
+    /// Attempts so far, over all stages.
+    pub attempts: u32,
+    /// Attempts of this stage so far.
+    pub stage_attempts: u32,
+    /// Targets whose attempts of this stage failed.
+    pub failed_at: BTreeSet<TargetName>,
+    /// Attempts that run.
+    pub running: Vec<AttemptId>,
+    /// Whether a byte of a non-repeatable order can have left.
+    pub sent: bool,
+    /// Its claim, if it needs one.
+    pub claim: Option<ClaimHold>,
+    /// Charges so far.
+    pub charges: Vec<ChargeLine>,
+}
+
+impl RequestRecord {
+    /// Service of the stage that it is at.
+    #[must_use]
+    pub fn service(&self) -> &ServiceName {
+        &self.stages[self.stage as usize]
+    }
+
+    /// Whether it is at its last stage.
+    #[must_use]
+    pub fn at_last_stage(&self) -> bool {
+        self.stage as usize + 1 == self.stages.len()
+    }
+
+    /// Its entry in a queue.
+    #[must_use]
+    pub fn waiting(&self) -> Waiting {
+        Waiting { deadline: self.deadline, key: self.key.clone() }
+    }
+}
+
+/// One attempt that runs.
+#[derive(Clone, Debug)]
+pub struct AttemptRecord {
+    /// The request.
+    pub key: RequestKey,
+    /// The stage that waits for it.
+    pub stage: u32,
+    /// Number within the request, from 1.
+    pub number: u32,
+    /// Service.
+    pub service: ServiceName,
+    /// Target.
+    pub target: TargetName,
+    /// Version.
+    pub version: VersionName,
+    /// The right that it runs under.
+    pub permit: Permit,
+    /// When it was sent.
+    pub started: Moment,
+    /// When it must have ended.
+    pub ends: Moment,
+}
+
+/// A request that ended, kept for callers that ask again.
+#[derive(Clone, Debug)]
+pub struct EndedRecord {
+    /// Hash of goal and body.
+    pub content: Fingerprint,
+    /// How it ended.
+    pub answer: FinalAnswer,
+    /// When.
+    pub ended: Moment,
+}
+
+/// The end of a claimed request that is not yet known to be recorded.
+#[derive(Clone, Debug)]
+pub struct Settlement {
+    /// The claim; without a version the row is read first.
+    pub claim: ClaimHold,
+    /// Hash of goal and body.
+    pub content: Fingerprint,
+    /// How it ended.
+    pub answer: FinalAnswer,
+    /// Until when it is worth trying.
+    pub until: Moment,
+}
+
+/// Requests, attempts and ends, by their keys.
+#[derive(Clone, Debug, Default)]
+pub struct RequestTable {
+    records: BTreeMap<RequestKey, RequestRecord>,
+    attempts: BTreeMap<AttemptId, AttemptRecord>,
+    calls: BTreeMap<CallId, RequestKey>,
+    ended: BTreeMap<RequestKey, EndedRecord>,
+    ended_order: BTreeSet<(Moment, RequestKey)>,
+    deadlines: BTreeSet<(Moment, RequestKey)>,
+    /// Ends that are still to be recorded.
+    pub settlements: BTreeMap<RequestKey, Settlement>,
+}
+
+impl RequestTable {
+    /// Adds a request.
+    pub fn insert(&mut self, record: RequestRecord) {
+        for call in &record.callers {
+            self.calls.insert(*call, record.key.clone());
+        }
+        self.deadlines.insert((record.deadline, record.key.clone()));
+        self.records.insert(record.key.clone(), record);
+    }
+
+    /// One request.
+    #[must_use]
+    pub fn get(&self, key: &RequestKey) -> Option<&RequestRecord> {
+        self.records.get(key)
+    }
+
+    /// One request, to change; its callers and deadline are changed by methods of the table.
+    pub fn get_mut(&mut self, key: &RequestKey) -> Option<&mut RequestRecord> {
+        self.records.get_mut(key)
+    }
+
+    /// Requests that have not ended.
+    pub fn iter(&self) -> impl Iterator<Item = &RequestRecord> {
+        self.records.values()
+    }
+
+    /// Number of requests that have not ended.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Whether all have ended.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Adds a caller to a request.
+    pub fn join(&mut self, key: &RequestKey, call: CallId) {
+        if let Some(record) = self.records.get_mut(key) {
+            record.callers.push(call);
+            self.calls.insert(call, key.clone());
+        }
+    }
+
+    /// Removes a caller; tells which request it waited for, if no caller waits for that any more.
+    pub fn leave(&mut self, call: CallId) -> Option<RequestKey> {
+        let key = self.calls.remove(&call)?;
+        let record = self.records.get_mut(&key)?;
+        record.callers.retain(|other| *other != call);
+        record.callers.is_empty().then_some(key)
+    }
+
+    /// Removes a request that ends and remembers how; gives back its record.
+    pub fn end(&mut self, key: &RequestKey, answer: &FinalAnswer, now: Moment) -> Option<RequestRecord> {
+        let record = self.records.remove(key)?;
+        self.deadlines.remove(&(record.deadline, key.clone()));
+        for call in &record.callers {
+            self.calls.remove(call);
+        }
+        let ended = EndedRecord { content: record.content, answer: answer.clone(), ended: now };
+        if let Some(old) = self.ended.insert(key.clone(), ended) {
+            self.ended_order.remove(&(old.ended, key.clone()));
+        }
+        self.ended_order.insert((now, key.clone()));
+        Some(record)
+    }
+
+    /// How a request ended, if it is still remembered.
+    #[must_use]
+    pub fn ended(&self, key: &RequestKey) -> Option<&EndedRecord> {
+        self.ended.get(key)
+    }
+
+    /// Forgets ends older than `keep`.
+    pub fn forget_ended(&mut self, keep: Duration, now: Moment) {
+        while let Some((ended, key)) = self.ended_order.first().cloned() {
+            if now.since(ended) < keep {
+                break;
+            }
+            self.ended_order.pop_first();
+            self.ended.remove(&key);
+        }
+    }
+
+    /// Requests whose deadline has passed.
+    #[must_use]
+    pub fn overdue(&self, now: Moment) -> Vec<RequestKey> {
+        self.deadlines.iter().take_while(|(deadline, _)| *deadline <= now).map(|(_, key)| key.clone()).collect()
+    }
+
+    /// Adds an attempt.
+    pub fn start_attempt(&mut self, id: AttemptId, attempt: AttemptRecord) {
+        if let Some(record) = self.records.get_mut(&attempt.key) {
+            record.running.push(id);
+        }
+        self.attempts.insert(id, attempt);
+    }
+
+    /// One attempt.
+    #[must_use]
+    pub fn attempt(&self, id: AttemptId) -> Option<&AttemptRecord> {
+        self.attempts.get(&id)
+    }
+
+    /// Removes an attempt that ended.
+    pub fn end_attempt(&mut self, id: AttemptId) -> Option<AttemptRecord> {
+        let attempt = self.attempts.remove(&id)?;
+        if let Some(record) = self.records.get_mut(&attempt.key) {
+            record.running.retain(|other| *other != id);
+        }
+        Some(attempt)
+    }
+
+    /// Attempts that run, by id.
+    pub fn attempts(&self) -> impl Iterator<Item = (AttemptId, &AttemptRecord)> {
+        self.attempts.iter().map(|(id, attempt)| (*id, attempt))
+    }
+}
--- /dev/null
+++ b/crates/core/src/seats.rs
@@ -0,0 +1,248 @@
+//! Holds seats in the table service: takes free ones, yields to peers without, takes over those of VMs that are gone.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::action::Action;
+use crate::blackboard::Blackboard;
+use crate::clock::Moment;
+use crate::controller::Controller;
+use crate::event::Event;
+use crate::message::{Heartbeat, NodeState, PeerMessage, SeatClaim};
+use crate::names::NodeName;
+use crate::store::{Row, RowKey, RowValue, RowVersion, SeatRow, StoreOp, StoreReply};
+use crate::store_table::StorePurpose;
+
+/// A seat on its way to or from this node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum SeatState {
+    /// Written, and used from this moment on, when calls of the last holder have ended.
+    Settling(Moment),
+    /// In use.
+    Held,
+    /// Not used any more; free from this moment on, when calls under it have ended.
+    Yielding(Moment),
+}
+
+/// A seat of which this node's row stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct OwnSeat {
+    epoch: u64,
+    version: RowVersion,
+    state: SeatState,
+}
+
+/// Takes and yields seats.
+#[derive(Debug, Default)]
+pub struct SeatController {
+    own: BTreeMap<u32, OwnSeat>,
+    /// Nodes that the platform's list does not name, and since when.
+    gone: BTreeMap<NodeName, Moment>,
+    listed: Vec<NodeName>,
+    look_at: Moment,
+    last_tick: Moment,
+    next_seat: u32,
+    yield_after: Moment,
+}
+
+impl SeatController {
+    /// Interval between looks at seats that nobody announces.
+    const LOOK_EVERY: Duration = Duration::from_millis(500);
+    /// Time that a VM must be missing from the platform's list before its seat is taken over.
+    const GONE_FOR: Duration = Duration::from_secs(10);
+    /// Time beyond the longest call until calls of a seat's last holder have surely ended.
+    const SETTLE_MARGIN: Duration = Duration::from_secs(2);
+
+    fn settle_span(board: &Blackboard) -> Duration {
+        board.tuning.longest_call + board.tuning.lend_for + Self::SETTLE_MARGIN
+    }
+
+    /// Seats that this node should hold at most, so that each live node can have one and none stays free.
+    fn fair_count(board: &Blackboard) -> u32 {
+        let nodes = 1 + board.members.alive().filter(|(_, beat)| beat.state != NodeState::Leaving).count() as u32;
+        board.document.content.seats.div_ceil(nodes)
+    }
+
+    fn on_tick(&mut self, board: &mut Blackboard, out: &mut Vec<Action>) {
+        let paused = board.now.since(self.last_tick) > Self::GONE_FOR;
+        if paused && self.last_tick != Moment::default() {
+            // Others may have taken the seats meanwhile: each is looked at again before use.
+            self.own.clear();
+        }
+        self.last_tick = board.now;
+        self.advance(board, out);
+        if board.state == NodeState::Leaving {
+            return;
+        }
+        self.yield_surplus(board);
+        self.look(board, out);
+    }
+
+    /// Moves settling and yielding seats on, and publishes the ones in use.
+    fn advance(&mut self, board: &mut Blackboard, out: &mut Vec<Action>) {
+        let now = board.now;
+        for own in self.own.values_mut() {
+            if matches!(own.state, SeatState::Settling(from) if from <= now) {
+                own.state = SeatState::Held;
+            }
+        }
+        let done: Vec<u32> = self
+            .own
+            .iter()
+            .filter(|(_, own)| matches!(own.state, SeatState::Yielding(from) if from <= now))
+            .map(|(seat, _)| *seat)
+            .collect();
+        for seat in done {
+            self.free(board, seat, out);
+        }
+        self.publish(board);
+    }
+
+    fn publish(&self, board: &mut Blackboard) {
+        let held = self.own.iter().filter(|(_, own)| own.state == SeatState::Held);
+        let seats = held.map(|(seat, own)| SeatClaim { seat: *seat, epoch: own.epoch }).collect();
+        board.permits.set_seats(board.document.content.seats, seats);
+    }
+
+    /// Writes a seat as free: its row names nobody.
+    fn free(&mut self, board: &mut Blackboard, seat: u32, out: &mut Vec<Action>) {
+        let Some(own) = self.own.remove(&seat) else { return };
+        let row = SeatRow { owner: NodeName::new(""), instance: board.identity.instance, epoch: own.epoch };
+        write(board, seat, Some(own.version), row, out);
+    }
+
+    fn yield_surplus(&mut self, board: &Blackboard) {
+        let held = self.own.values().filter(|own| !matches!(own.state, SeatState::Yielding(_))).count() as u32;
+        let starved = board.members.alive().any(|(_, beat)| beat.seats.is_empty() && beat.state == NodeState::Serving);
+        let surplus = held > Self::fair_count(board) || (starved && held > 1);
+        if !surplus || board.now < self.yield_after {
+            return;
+        }
+        let span = Self::settle_span(board);
+        self.yield_after = board.now + span;
+        let held = self.own.iter_mut().rev().find(|(_, own)| own.state == SeatState::Held);
+        if let Some((_, own)) = held {
+            own.state = SeatState::Yielding(board.now + span);
+        }
+    }
+
+    /// Looks at one seat that nobody is known to hold.
+    fn look(&mut self, board: &mut Blackboard, out: &mut Vec<Action>) {
+        let total = board.document.content.seats;
+        let enough = self.own.len() as u32 >= Self::fair_count(board);
+        if total == 0 || enough || board.now < self.look_at || !board.store.may_ask(board.now) {
+            return;
+        }
+        let first = self.next_seat;
+        let seat = (0..total).map(|step| (first + step) % total).find(|seat| !self.is_taken(board, *seat));
+        let Some(seat) = seat else { return };
+        // Without any seat the next is looked at without delay.
+        self.look_at = board.now + if self.own.is_empty() { Duration::ZERO } else { Self::LOOK_EVERY };
+        self.next_seat = seat + 1;
+        let op = StoreOp::Read { key: RowKey::Seat(seat) };
+        board.store.send(StorePurpose::ReadSeat(seat), op, &mut board.counters, out);
+    }
+
+    fn is_taken(&self, board: &Blackboard, seat: u32) -> bool {
+        let announces = |beat: &Heartbeat| beat.seats.iter().any(|claim| claim.seat == seat);
+        self.own.contains_key(&seat)
+            || board.members.alive().any(|(_, beat)| announces(beat))
+            || board.store.is_open(&StorePurpose::ReadSeat(seat))
+            || board.store.is_open(&StorePurpose::WriteSeat(seat))
+    }
+
+    fn on_row(&mut self, board: &mut Blackboard, seat: u32, row: Option<&Row>, out: &mut Vec<Action>) {
+        let own = SeatRow { owner: board.identity.node.clone(), instance: board.identity.instance, epoch: 1 };
+        let Some(row) = row else { return write(board, seat, None, own, out) };
+        let RowValue::Seat(standing) = &row.value else { return };
+        let is_mine = standing.owner == own.owner && standing.instance == own.instance;
+        if is_mine {
+            self.hold(board, seat, standing.epoch, row.version);
+            return;
+        }
+        if self.may_take_over(board, standing) {
+            write(board, seat, Some(row.version), SeatRow { epoch: standing.epoch + 1, ..own }, out);
+        }
+    }
+
+    fn may_take_over(&self, board: &Blackboard, standing: &SeatRow) -> bool {
+        let free = standing.owner.as_str().is_empty();
+        let replaced = standing.owner == board.identity.node;
+        let known = board.members.get(&standing.owner);
+        let restarted = known
+            .and_then(|member| member.heartbeat.as_ref())
+            .is_some_and(|beat| beat.instance != standing.instance && beat.seats.is_empty());
+        let gone = self.gone.get(&standing.owner).is_some_and(|since| board.now.since(*since) >= Self::GONE_FOR);
+        let silent = known.is_none_or(|member| !member.alive);
+        free || replaced || restarted || (gone && silent)
+    }
+
+    fn hold(&mut self, board: &Blackboard, seat: u32, epoch: u64, version: RowVersion) {
+        // The first epoch of a seat had no holder before whose calls could still run.
+        let span = if epoch == 1 { Duration::ZERO } else { Self::settle_span(board) };
+        let state = SeatState::Settling(board.now + span);
+        self.own.insert(seat, OwnSeat { epoch, version, state });
+    }
+
+    fn on_heartbeat(&mut self, beat: &Heartbeat) {
+        for claim in &beat.seats {
+            let lost = self.own.get(&claim.seat).is_some_and(|own| own.epoch < claim.epoch);
+            if lost {
+                self.own.remove(&claim.seat);
+            }
+        }
+    }
+
+    fn on_list(&mut self, board: &Blackboard, names: Vec<NodeName>) {
+        let now = board.now;
+        for name in &names {
+            self.gone.remove(name);
+        }
+        for name in self.listed.iter().filter(|name| !names.contains(name)) {
+            self.gone.entry(name.clone()).or_insert(now);
+        }
+        for (name, member) in board.members.iter() {
+            if !names.contains(name) && !member.alive {
+                self.gone.entry(name.clone()).or_insert(now);
+            }
+        }
+        self.listed = names;
+    }
+}
+
+impl Controller for SeatController {
+    fn on_event(&mut self, board: &mut Blackboard, event: &Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Tick => self.on_tick(board, out),
+            Event::Peer(_, message) => {
+                if let PeerMessage::Heartbeat(beat) = &**message {
+                    self.on_heartbeat(beat);
+                    self.publish(board);
+                }
+            }
+            Event::VmsListed(entries) => {
+                let names = entries.iter().map(|entry| entry.node.clone()).collect();
+                self.on_list(board, names);
+            }
+            _ => {}
+        }
+    }
+
+    fn on_store(&mut self, board: &mut Blackboard, purpose: &StorePurpose, reply: &StoreReply, out: &mut Vec<Action>) {
+        match (purpose, reply) {
+            (StorePurpose::ReadSeat(seat), StoreReply::Read(row)) => self.on_row(board, *seat, row.as_ref(), out),
+            // Written, lost or beaten: the row itself tells who holds the seat.
+            (StorePurpose::WriteSeat(seat), StoreReply::Written(_) | StoreReply::Lost) => {
+                let op = StoreOp::Read { key: RowKey::Seat(*seat) };
+                board.store.send(StorePurpose::ReadSeat(*seat), op, &mut board.counters, out);
+            }
+            _ => {}
+        }
+        self.publish(board);
+    }
+}
+
+fn write(board: &mut Blackboard, seat: u32, expected: Option<RowVersion>, row: SeatRow, out: &mut Vec<Action>) {
+    let op = StoreOp::Write { key: RowKey::Seat(seat), expected, value: RowValue::Seat(row) };
+    board.store.send(StorePurpose::WriteSeat(seat), op, &mut board.counters, out);
+}
--- /dev/null
+++ b/crates/core/src/stages.rs
@@ -0,0 +1,244 @@
+//! Stages of a request: what attempts bring is accepted once, in order, and moves the request on.
+
+use std::sync::Arc;
+
+use crate::action::{Action, AnswerPart};
+use crate::blackboard::Blackboard;
+use crate::conclude;
+use crate::controller::Controller;
+use crate::event::{AttemptEvent, Event, FailureKind};
+use crate::intake::is_stream;
+use crate::message::PeerMessage;
+use crate::names::{AttemptId, Fingerprint, NodeName, RequestKey, TargetName, VersionKey};
+use crate::outcome::{ChargeLine, FinalAnswer, LoadReport, Outcome, RefusalKind, Usage};
+use crate::requests::{AttemptRecord, RequestState};
+
+/// Moves requests from stage to stage.
+#[derive(Debug, Default)]
+pub struct StageController;
+
+impl Controller for StageController {
+    fn on_event(&mut self, board: &mut Blackboard, event: &Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Attempt(id, AttemptEvent::Token { index, text }) => on_token(board, *id, *index, text, out),
+            Event::Attempt(id, AttemptEvent::Finished { body, usage, report }) => {
+                on_finished(board, *id, body, *usage, report, out);
+            }
+            Event::Attempt(id, AttemptEvent::Failed { kind, sent }) => on_failed(board, *id, *kind, *sent, out),
+            Event::Reported(target, report) => on_report(board, target, report, out),
+            Event::Peer(from, message) => on_peer(board, from, message),
+            Event::Tick => board.targets.cool_idle(&board.tuning, board.now),
+            _ => {}
+        }
+    }
+}
+
+fn on_token(board: &mut Blackboard, id: AttemptId, index: u32, text: &Arc<str>, out: &mut Vec<Action>) {
+    let Some(attempt) = board.requests.attempt(id) else {
+        board.counters.stray_results += 1;
+        return;
+    };
+    let key = attempt.key.clone();
+    let Some(record) = board.requests.get_mut(&key) else { return };
+    let expected = record.tokens.len() as u32;
+    if index < expected {
+        board.counters.stray_results += 1;
+        return;
+    }
+    if index > expected {
+        out.push(Action::Cancel(id));
+        on_failed(board, id, FailureKind::Malformed, true, out);
+        return;
+    }
+    record.tokens.push(text.clone());
+    if record.at_last_stage() {
+        for call in &record.callers {
+            out.push(Action::Answer(*call, AnswerPart::Token { index, text: text.clone() }));
+        }
+    }
+}
+
+fn on_finished(
+    board: &mut Blackboard,
+    id: AttemptId,
+    body: &Arc<str>,
+    usage: Usage,
+    report: &LoadReport,
+    out: &mut Vec<Action>,
+) {
+    let Some(attempt) = conclude::end_attempt(board, id, out) else {
+        board.counters.stray_results += 1;
+        return;
+    };
+    learn_success(board, &attempt, report, out);
+    let charge = charge_of(&attempt, usage);
+    board.counters.charges += 1;
+    out.push(Action::Charge(Box::new(charge.clone())));
+    let document = board.document.clone();
+    let Some(record) = board.requests.get_mut(&attempt.key) else { return };
+    record.charges.push(charge);
+    let stream = is_stream(&document.content, record.service());
+    let whole = if stream { Arc::from(record.tokens.concat()) } else { body.clone() };
+    if record.at_last_stage() {
+        let charges = record.charges.clone();
+        let answer = FinalAnswer { outcome: Outcome::Done, refusal: None, body: whole, charges };
+        conclude::conclude(board, &attempt.key, &answer, out);
+        return;
+    }
+    record.previous = whole;
+    record.stage += 1;
+    record.stage_attempts = 0;
+    record.tokens.clear();
+    record.failed_at.clear();
+    record.sent = true;
+    requeue(board, &attempt.key);
+}
+
+fn charge_of(attempt: &AttemptRecord, usage: Usage) -> ChargeLine {
+    ChargeLine {
+        key: attempt.key.clone(),
+        stage: attempt.stage,
+        attempt: attempt.number,
+        service: attempt.service.clone(),
+        target: attempt.target.clone(),
+        version: attempt.version.clone(),
+        usage,
+    }
+}
+
+fn requeue(board: &mut Blackboard, key: &RequestKey) {
+    let Some(record) = board.requests.get_mut(key) else { return };
+    record.state = RequestState::Queued;
+    let (service, priority, waiting) = (record.service().clone(), record.priority, record.waiting());
+    board.queues.of(&service).push(priority, waiting);
+}
+
+fn learn_success(board: &mut Blackboard, attempt: &AttemptRecord, report: &LoadReport, out: &mut Vec<Action>) {
+    let now = board.now;
+    on_report(board, &attempt.target, report, out);
+    if let Some(view) = board.targets.get_mut(&attempt.target) {
+        view.learn_success(now.since(attempt.started), &board.tuning, now);
+    }
+    count_version(board, attempt, false);
+}
+
+fn count_version(board: &mut Blackboard, attempt: &AttemptRecord, fault: bool) {
+    let Some(record) = board.requests.get(&attempt.key) else { return };
+    let key = VersionKey { service: attempt.service.clone(), version: attempt.version.clone() };
+    let route = record.route.clone();
+    let counts = board.versions.count(&key, &route);
+    counts.calls += 1;
+    counts.faults += u64::from(fault);
+}
+
+fn on_failed(board: &mut Blackboard, id: AttemptId, kind: FailureKind, sent: bool, out: &mut Vec<Action>) {
+    let Some(attempt) = conclude::end_attempt(board, id, out) else {
+        board.counters.stray_results += 1;
+        return;
+    };
+    learn_failure(board, &attempt, kind, sent, out);
+    let Some(record) = board.requests.get_mut(&attempt.key) else { return };
+    let ran = sent && !matches!(kind, FailureKind::Full | FailureKind::Rejected);
+    record.sent |= ran;
+    record.failed_at.insert(attempt.target.clone());
+    if kind == FailureKind::Rejected {
+        conclude::fail(board, &attempt.key, RefusalKind::Rejected, out);
+        return;
+    }
+    if record.claim.is_some() && record.sent {
+        conclude::fail(board, &attempt.key, RefusalKind::Unsettled, out);
+        return;
+    }
+    retry(board, &attempt.key, record_content(board, &attempt.key), ran, out);
+}
+
+fn record_content(board: &Blackboard, key: &RequestKey) -> Option<Fingerprint> {
+    board.requests.get(key).map(|record| record.content)
+}
+
+fn retry(board: &mut Blackboard, key: &RequestKey, content: Option<Fingerprint>, costs: bool, out: &mut Vec<Action>) {
+    let Some(record) = board.requests.get(key) else { return };
+    if content.is_some_and(|content| board.harmful.downed(content) >= board.tuning.harmful_after) {
+        board.counters.harmful_refused += 1;
+        conclude::fail(board, key, RefusalKind::Harmful, out);
+        return;
+    }
+    if record.stage_attempts >= board.tuning.most_attempts {
+        conclude::fail(board, key, RefusalKind::AttemptsFailed, out);
+        return;
+    }
+    if costs && !board.budget.spend() {
+        board.counters.retries_denied += 1;
+        conclude::fail(board, key, RefusalKind::AttemptsFailed, out);
+        return;
+    }
+    board.counters.retries += 1;
+    requeue(board, key);
+}
+
+fn learn_failure(
+    board: &mut Blackboard,
+    attempt: &AttemptRecord,
+    kind: FailureKind,
+    sent: bool,
+    out: &mut Vec<Action>,
+) {
+    let now = board.now;
+    let turned_cold = board.targets.get_mut(&attempt.target).is_some_and(|view| view.learn_failure(kind, now));
+    if turned_cold {
+        tell_cold(board, &attempt.target, out);
+    }
+    if sent && kind == FailureKind::Broken {
+        note_downed(board, attempt, out);
+    } else if matches!(kind, FailureKind::Faulted | FailureKind::Malformed | FailureKind::Silent) {
+        count_version(board, attempt, true);
+    }
+}
+
+/// A target broke off while it ran this content: that may be the content's doing.
+fn note_downed(board: &mut Blackboard, attempt: &AttemptRecord, out: &mut Vec<Action>) {
+    let Some(content) = record_content(board, &attempt.key) else { return };
+    if !board.harmful.note(content, attempt.target.clone()) {
+        return;
+    }
+    let targets = board.harmful.targets(content);
+    let peers: Vec<NodeName> = board.members.alive().map(|(node, _)| node.clone()).collect();
+    for node in peers {
+        let message = PeerMessage::Harmful { content, targets: targets.clone() };
+        out.push(Action::Tell(node, Box::new(message)));
+    }
+}
+
+fn on_report(board: &mut Blackboard, target: &TargetName, report: &LoadReport, out: &mut Vec<Action>) {
+    let now = board.now;
+    let restarted = board.targets.get_mut(target).is_some_and(|view| view.learn_report(report, now));
+    if restarted {
+        tell_cold(board, target, out);
+    }
+}
+
+fn tell_cold(board: &Blackboard, target: &TargetName, out: &mut Vec<Action>) {
+    let Some(view) = board.targets.get(target) else { return };
+    for (node, _) in board.members.alive() {
+        let message = PeerMessage::TargetCold { target: target.clone(), instance: view.instance };
+        out.push(Action::Tell(node.clone(), Box::new(message)));
+    }
+}
+
+fn on_peer(board: &mut Blackboard, _from: &NodeName, message: &PeerMessage) {
+    let now = board.now;
+    match message {
+        PeerMessage::TargetCold { target, instance } => {
+            if let Some(view) = board.targets.get_mut(target) {
+                view.instance = *instance;
+                view.turn_cold(now);
+            }
+        }
+        PeerMessage::Harmful { content, targets } => {
+            for target in targets {
+                board.harmful.note(*content, target.clone());
+            }
+        }
+        _ => {}
+    }
+}
--- /dev/null
+++ b/crates/core/src/tuning.rs
@@ -0,0 +1,69 @@
+//! Times and bounds that the decisions use; each has a default and a unit.
+
+use std::time::Duration;
+
+/// Times and bounds of the core's decisions.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Tuning {
+    /// Interval of heartbeats to peers.
+    pub heartbeat_every: Duration,
+    /// Silence after which a peer is taken for dead.
+    pub peer_dead_after: Duration,
+    /// Interval at which one node of a data centre reads the document's row.
+    pub document_read_every: Duration,
+    /// Time without store and without peers after which a node takes no new work.
+    pub isolated_after: Duration,
+    /// Longest time that one call at a target may last.
+    pub longest_call: Duration,
+    /// Most attempts of one stage.
+    pub most_attempts: u32,
+    /// Most requests queued for one service.
+    pub queue_bound: usize,
+    /// Retries and hedges allowed as a share of recent requests.
+    pub retry_share: f64,
+    /// Retries that may be saved up.
+    pub retry_burst: f64,
+    /// Time that a target must serve at one step of its ramp before the next.
+    pub ramp_step: Duration,
+    /// Idleness after which a target is taken for cold.
+    pub idle_cold_after: Duration,
+    /// Targets that are looked at for one choice.
+    pub choices: usize,
+    /// Time within which a borrowed permit must be used.
+    pub lend_for: Duration,
+    /// Targets that one content may bring down before it is refused.
+    pub harmful_after: usize,
+    /// Time that ended requests are kept for callers that ask again.
+    pub keep_ended: Duration,
+    /// Time that callers may keep an answer with addresses.
+    pub addresses_kept: Duration,
+    /// Length of a controller's lease.
+    pub lease_length: Duration,
+    /// Longest pause between two ticks before a node takes itself for having been paused.
+    pub pause_bound: Duration,
+}
+
+impl Default for Tuning {
+    fn default() -> Self {
+        Self {
+            heartbeat_every: Duration::from_millis(500),
+            peer_dead_after: Duration::from_secs(5),
+            document_read_every: Duration::from_secs(1),
+            isolated_after: Duration::from_secs(5),
+            longest_call: Duration::from_secs(6),
+            most_attempts: 3,
+            queue_bound: 400,
+            retry_share: 0.1,
+            retry_burst: 10.0,
+            ramp_step: Duration::from_secs(1),
+            idle_cold_after: Duration::from_mins(1),
+            choices: 4,
+            lend_for: Duration::from_millis(500),
+            harmful_after: 2,
+            keep_ended: Duration::from_mins(1),
+            addresses_kept: Duration::from_secs(3),
+            lease_length: Duration::from_secs(10),
+            pause_bound: Duration::from_secs(2),
+        }
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/exit.rs
@@ -0,0 +1,104 @@
+//! Exit codes and errors as types.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use wasabipier_wire::fault::FaultList;
+
+/// How the program ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ExitKind {
+    /// Done.
+    Success,
+    /// Something failed; try again.
+    Failure,
+    /// The input has faults.
+    Input,
+    /// Another operator was first.
+    Conflict,
+    /// It is not known whether it was done.
+    Unknown,
+}
+
+impl From<ExitKind> for ExitCode {
+    fn from(kind: ExitKind) -> Self {
+        Self::from(match kind {
+            ExitKind::Success => 0,
+            ExitKind::Failure => 1,
+            ExitKind::Input => 2,
+            ExitKind::Conflict => 3,
+            ExitKind::Unknown => 4,
+        })
+    }
+}
+
+/// Why a command failed.
+#[derive(Debug, thiserror::Error)]
+pub enum CtlError {
+    /// A file cannot be read.
+    #[error("cannot read {path}: {source}; check the path")]
+    Unreadable {
+        /// The file.
+        path: PathBuf,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// A document has faults.
+    #[error("{0}")]
+    Faulty(FaultList),
+    /// A document was refused by the node.
+    #[error("{0}")]
+    Invalid(String),
+    /// No answer.
+    #[error("no answer from {place}: {detail}; try another node with --node")]
+    NoAnswer {
+        /// Where.
+        place: String,
+        /// Why.
+        detail: String,
+    },
+    /// The key is wrong.
+    #[error("the node refused the key: name the file with the operators' key with --key-file")]
+    NoKey,
+    /// Another operator was first.
+    #[error("revision {revision} by {author} was accepted before; look at it with `status`, then promote again")]
+    Conflict {
+        /// The winner's revision.
+        revision: u64,
+        /// The winner.
+        author: String,
+    },
+    /// Nothing was written.
+    #[error("not accepted: the table service is out; promote again later")]
+    NotAccepted,
+    /// Not known.
+    #[error("it is not known whether the document was accepted: look with `status` before promoting again")]
+    Unknown,
+    /// A name is not in the document.
+    #[error("the document has no section `[{0}]`: check the name with `status`")]
+    NoSection(String),
+    /// It was accepted, but not seen in force everywhere.
+    #[error("revision {revision} was accepted, but is not in force everywhere yet: {behind}; look with `status`")]
+    Slow {
+        /// The revision.
+        revision: u64,
+        /// Nodes that are behind.
+        behind: String,
+    },
+}
+
+/// Prints an error under the program's name and tells the exit code.
+#[must_use]
+pub fn report(error: &CtlError) -> ExitKind {
+    for line in error.to_string().lines() {
+        eprintln!("wasabipierctl: {line}");
+    }
+    match error {
+        CtlError::Faulty(_) | CtlError::Invalid(_) | CtlError::Unreadable { .. } | CtlError::NoSection(_) => {
+            ExitKind::Input
+        }
+        CtlError::Conflict { .. } => ExitKind::Conflict,
+        CtlError::Unknown => ExitKind::Unknown,
+        _ => ExitKind::Failure,
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/lib.rs
@@ -0,0 +1,14 @@
+//! Small stand-ins for what surrounds wasabipier, with faults to switch on. Not shipped.
+//!
+//! Each stand-in is an HTTP server behind a [`link::FaultyLink`], which can cut, freeze or refuse
+//! connections. `POST /faults` sets the faults of one stand-in, `GET /stats` tells what it saw.
+
+pub mod engine;
+pub mod faults;
+pub mod link;
+pub mod platform;
+pub mod server;
+pub mod service;
+pub mod table;
+pub mod target;
+pub mod test_env;
--- /dev/null
+++ b/crates/fakes/src/service.rs
@@ -0,0 +1,78 @@
+//! Stand-ins for pools (encoders, retrievers, rerankers) and plain services.
+
+use std::thread;
+
+use tiny_http::Request;
+use wasabipier_wire::target::{StageCall, StageReply, WireUsage};
+
+use crate::faults::FaultSwitch;
+use crate::link::FaultyLink;
+use crate::server::{FakeHandler, header, read_json, reply};
+use crate::target::{TargetSettings, TargetState};
+
+/// A pool or a plain service.
+#[derive(Debug)]
+pub struct FakeService {
+    /// Its state.
+    pub state: TargetState,
+}
+
+impl FakeService {
+    /// A cold service.
+    #[must_use]
+    pub fn new(settings: TargetSettings, link: FaultyLink) -> Self {
+        Self { state: TargetState::new(settings, link) }
+    }
+}
+
+impl FakeHandler for FakeService {
+    fn handle(&self, mut request: Request) {
+        let path = request.url().to_owned();
+        if path == "/v1/load" {
+            return reply(request, 200, &self.state.load());
+        }
+        let call: StageCall = match read_json(&mut request) {
+            Ok(call) => call,
+            Err(error) => return reply(request, 400, &serde_json::json!({ "error": error })),
+        };
+        let content = call.request.to_string();
+        let Some(request) = self.state.begin(request, &content) else { return };
+        thread::sleep(self.state.work());
+        self.state.record_run(&request);
+        let answer = StageReply {
+            result: result(&path, &call, &request),
+            usage: WireUsage { prompt_tokens: content.len() as u64 / 4, completion_tokens: 1 },
+            load: self.state.load(),
+        };
+        self.state.end();
+        if self.state.faults.get().lose_answers {
+            std::mem::forget(request.into_writer());
+            return;
+        }
+        reply(request, 200, &answer);
+    }
+
+    fn stats(&self) -> serde_json::Value {
+        self.state.stats()
+    }
+
+    fn faults(&self) -> &FaultSwitch {
+        &self.state.faults
+    }
+}
+
+fn result(path: &str, call: &StageCall, request: &Request) -> serde_json::Value {
+    match path {
+        "/v1/encode" => {
+            let sum: u64 = call.request.to_string().bytes().map(u64::from).sum();
+            serde_json::json!({ "vector": [sum % 97, sum % 89, sum % 83] })
+        }
+        "/v1/retrieve" => serde_json::json!({ "passages": ["opening hours", "coaches", "lanes at dusk"] }),
+        "/v1/rerank" => {
+            let mut passages = call.previous["passages"].as_array().cloned().unwrap_or_default();
+            passages.reverse();
+            serde_json::json!({ "passages": passages })
+        }
+        _ => serde_json::json!({ "accepted": call.request, "reference": header(request, "x-request-id") }),
+    }
+}
--- /dev/null
+++ b/crates/node/src/metering.rs
@@ -0,0 +1,47 @@
+//! Metrics: the core's counts, published through `metrics` as Prometheus text.
+
+use metrics::{counter, gauge};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use wasabipier_core::prelude::Blackboard;
+
+/// Installs the recorder of this process.
+#[must_use]
+pub fn install() -> PrometheusHandle {
+    let recorder = PrometheusBuilder::new().build_recorder();
+    let handle = recorder.handle();
+    // Only the first recorder of a process counts; a node has one.
+    let _ = metrics::set_global_recorder(recorder);
+    handle
+}
+
+/// Brings the metrics up to date.
+pub fn publish(board: &Blackboard) {
+    let counts = board.counters;
+    let totals = [
+        ("wasabipier_requests_accepted_total", counts.accepted),
+        ("wasabipier_requests_refused_total", counts.refused),
+        ("wasabipier_requests_done_total", counts.done),
+        ("wasabipier_requests_not_run_total", counts.not_run),
+        ("wasabipier_requests_unknown_total", counts.unknown),
+        ("wasabipier_requests_in_time_total", counts.in_time),
+        ("wasabipier_requests_harmful_total", counts.harmful_refused),
+        ("wasabipier_attempts_total", counts.attempts),
+        ("wasabipier_retries_total", counts.retries),
+        ("wasabipier_retries_denied_total", counts.retries_denied),
+        ("wasabipier_stray_results_total", counts.stray_results),
+        ("wasabipier_permits_borrowed_total", counts.borrowed),
+        ("wasabipier_store_writes_total", counts.store_writes),
+        ("wasabipier_store_reads_total", counts.store_reads),
+        ("wasabipier_charges_total", counts.charges),
+    ];
+    for (name, value) in totals {
+        counter!(name).absolute(value);
+    }
+    gauge!("wasabipier_requests_open").set(board.requests.len() as f64);
+    gauge!("wasabipier_document_revision").set(board.document.revision.0 as f64);
+    gauge!("wasabipier_peers_alive").set(board.members.alive().count() as f64);
+    gauge!("wasabipier_seats_held").set(board.permits.seats().len() as f64);
+    for (target, view) in board.targets.iter() {
+        gauge!("wasabipier_target_limit", "target" => target.to_string()).set(f64::from(view.limit));
+    }
+}
--- /dev/null
+++ b/crates/node/src/run.rs
@@ -0,0 +1,278 @@
+//! The decision thread: a `stakker` loop around the core, fed by the edges through one channel.
+
+use std::collections::BTreeMap;
+use std::sync::mpsc::{self, Receiver, RecvTimeoutError, Sender};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use spdlog::info;
+use stakker::{ActorOwn, CX, Stakker, StopCause, actor, after, call, ret_nop};
+use wasabipier_core::prelude::*;
+use wasabipier_wire::caller::{AddressesReply, DocumentReply, NodeStatus, RolloutStatus, StatusReply};
+
+use crate::callers::CallerEdge;
+use crate::exit::ExitKind;
+use crate::input::{NodeInput, Question};
+use crate::ledger::LedgerEdge;
+use crate::metering;
+use crate::part::NODE;
+use crate::peers::PeerEdge;
+use crate::platform;
+use crate::ports::{LedgerPort, PeerPort, StorePort, TargetPort};
+use crate::settings::NodeSettings;
+use crate::signals;
+use crate::store::StoreEdge;
+use crate::targets::TargetEdge;
+
+/// Why a node could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// An address is taken or not this machine's.
+    #[error("cannot listen at {address}: {detail}; choose a free address of this VM in the settings")]
+    Listen {
+        /// The address.
+        address: std::net::SocketAddr,
+        /// Why.
+        detail: String,
+    },
+    /// The machine refuses something else.
+    #[error("cannot start: {0}; check the VM's limits on threads and files")]
+    System(#[from] std::io::Error),
+}
+
+/// Time between ticks of the core.
+const TICK: Duration = Duration::from_millis(20);
+/// Longest sleep of the decision thread.
+const LONGEST_WAIT: Duration = Duration::from_millis(100);
+/// Inputs handled before timers are looked at again.
+const INPUTS_PER_TURN: usize = 256;
+
+/// The borders of the decision thread.
+struct NodePorts {
+    targets: Box<dyn TargetPort>,
+    peers: Box<dyn PeerPort>,
+    store: Box<dyn StorePort>,
+    ledger: Box<dyn LedgerPort>,
+}
+
+/// Drives the core and hands its actions to the edges.
+struct NodeActor {
+    core: NodeCore,
+    ports: NodePorts,
+    started: Instant,
+    last_call: u64,
+    callers: BTreeMap<CallId, Sender<AnswerPart>>,
+    operators: BTreeMap<CallId, Sender<PromoteAnswer>>,
+}
+
+impl NodeActor {
+    #[expect(clippy::unnecessary_wraps, reason = "the signature that stakker asks for")]
+    fn init(cx: CX![], config: NodeConfig, ports: NodePorts, started: Instant) -> Option<Self> {
+        let (core, actions) = NodeCore::new(config);
+        let mut actor =
+            Self { core, ports, started, last_call: 0, callers: BTreeMap::new(), operators: BTreeMap::new() };
+        actor.act(cx, actions);
+        actor.tick(cx);
+        Some(actor)
+    }
+
+    fn tick(&mut self, cx: CX![]) {
+        self.handle(cx, &Event::Tick);
+        after!(TICK, [cx], tick());
+    }
+
+    fn input(&mut self, cx: CX![], input: NodeInput) {
+        match input {
+            NodeInput::Core(event) => self.handle(cx, &event),
+            NodeInput::Ask(mut ask, sender) => {
+                ask.call = self.next_call();
+                self.callers.insert(ask.call, sender);
+                self.handle(cx, &Event::Asked(ask));
+            }
+            NodeInput::Promote(document, sender) => {
+                let call = self.next_call();
+                self.operators.insert(call, sender);
+                self.handle(cx, &Event::PromoteAsked(call, document));
+            }
+            NodeInput::Look(question) => self.answer(question),
+            NodeInput::Hurry => self.hurry(cx),
+        }
+    }
+
+    fn next_call(&mut self) -> CallId {
+        self.last_call += 1;
+        CallId(self.last_call)
+    }
+
+    fn hurry(&mut self, cx: CX![]) {
+        let requests = self.core.board().requests.len();
+        info!("{NODE} stopping at once on a second signal; {requests} requests are cut.");
+        let cause = if requests == 0 { StopCause::Stopped } else { StopCause::Failed("cut".into()) };
+        cx.shutdown(cause);
+    }
+
+    fn handle(&mut self, cx: CX![], event: &Event) {
+        let now = Moment(self.started.elapsed().as_millis() as u64);
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let actions = self.core.handle(now, WallTime(wall.as_millis() as u64), event);
+        self.act(cx, actions);
+    }
+
+    fn act(&mut self, cx: CX![], actions: Vec<Action>) {
+        let mut gone = Vec::new();
+        for action in actions {
+            match action {
+                Action::Send(order) => self.ports.targets.send(*order),
+                Action::Cancel(attempt) => self.ports.targets.cancel(attempt),
+                Action::Answer(call, part) => {
+                    if !self.tell_caller(call, part) {
+                        gone.push(call);
+                    }
+                }
+                Action::Tell(node, message) => self.ports.peers.tell(&node, *message),
+                Action::Connect(node, address) => self.ports.peers.connect(node, address),
+                Action::Disconnect(node) => self.ports.peers.disconnect(&node),
+                Action::Store(ticket, op) => self.ports.store.send(ticket, *op),
+                Action::Charge(line) => self.ports.ledger.keep(*line),
+                Action::Promoted(call, answer) => {
+                    if let Some(sender) = self.operators.remove(&call) {
+                        let _ = sender.send(answer);
+                    }
+                }
+                Action::Stopped => {
+                    self.ports.ledger.flush();
+                    info!("{NODE} all work has ended; stopping.");
+                    cx.shutdown(StopCause::Stopped);
+                }
+            }
+        }
+        for call in gone {
+            call!([cx], input(NodeInput::Core(Event::CallerGone(call))));
+        }
+    }
+
+    /// Passes a part of an answer on; tells whether its caller was still there.
+    fn tell_caller(&mut self, call: CallId, part: AnswerPart) -> bool {
+        let last = matches!(part, AnswerPart::Final(_));
+        let Some(sender) = self.callers.get(&call) else { return true };
+        let sent = sender.send(part).is_ok();
+        if last || !sent {
+            self.callers.remove(&call);
+        }
+        sent || last
+    }
+
+    fn answer(&self, question: Question) {
+        let board = self.core.board();
+        // An asker that is gone needs no answer.
+        match question {
+            Question::Addresses(sender) => {
+                let _ = sender.send(self.addresses());
+            }
+            Question::Status(sender) => {
+                let _ = sender.send(status(board));
+            }
+            Question::Document(sender) => {
+                let document = &board.document;
+                let _ = sender.send(DocumentReply {
+                    revision: document.revision.0,
+                    author: document.author.to_string(),
+                    text: document.text.to_string(),
+                });
+            }
+            Question::Ready(sender) => {
+                let _ = sender.send(self.core.addresses().contains(&board.identity.caller_address));
+            }
+            Question::Gauges(sender) => {
+                metering::publish(board);
+                let _ = sender.send(());
+            }
+        }
+    }
+
+    fn addresses(&self) -> AddressesReply {
+        AddressesReply {
+            addresses: self.core.addresses().iter().map(ToString::to_string).collect(),
+            keep_for_ms: self.core.board().tuning.addresses_kept.as_millis() as u64,
+        }
+    }
+}
+
+fn status(board: &Blackboard) -> StatusReply {
+    let own = NodeStatus {
+        node: board.identity.node.to_string(),
+        data_centre: board.identity.dc.to_string(),
+        state: board.state.to_string(),
+        revision: board.document.revision.0,
+        seats: board.permits.seats().iter().map(|claim| claim.seat).collect(),
+    };
+    let peers = board.members.alive().map(|(node, beat)| NodeStatus {
+        node: node.to_string(),
+        data_centre: beat.dc.to_string(),
+        state: beat.state.to_string(),
+        revision: beat.revision.0,
+        seats: beat.seats.iter().map(|claim| claim.seat).collect(),
+    });
+    let rollouts = board.versions.rollouts.values().map(|row| RolloutStatus {
+        service: row.version.service.to_string(),
+        version: row.version.version.to_string(),
+        state: row.state.to_string(),
+        step: row.step,
+        reason: row.reason.to_string(),
+    });
+    StatusReply {
+        revision: board.document.revision.0,
+        nodes: std::iter::once(own).chain(peers).collect(),
+        rollouts: rollouts.collect(),
+    }
+}
+
+/// Runs a node until it is stopped.
+///
+/// # Errors
+///
+/// An address cannot be bound, or the machine refuses threads.
+pub fn run(settings: &NodeSettings) -> Result<ExitKind, StartError> {
+    let (sender, receiver) = mpsc::channel();
+    let config = NodeConfig {
+        identity: settings.identity.clone(),
+        tuning: settings.tuning.clone(),
+        seed: settings.identity.instance.0,
+        peers: settings.peers.clone(),
+    };
+    let metrics = metering::install();
+    let ports = NodePorts {
+        targets: Box::new(TargetEdge::new(&settings.edges, sender.clone())),
+        peers: Box::new(PeerEdge::start(settings, sender.clone())?),
+        store: Box::new(StoreEdge::start(settings, &sender)?),
+        ledger: Box::new(LedgerEdge::start(settings)?),
+    };
+    platform::start(settings, sender.clone())?;
+    CallerEdge::start(settings, metrics, sender.clone())?;
+    signals::start(sender)?;
+    let identity = &settings.identity;
+    info!("{NODE} {} started in {} for callers at {}.", identity.node, identity.dc, identity.caller_address);
+    Ok(turn(config, ports, &receiver))
+}
+
+fn turn(config: NodeConfig, ports: NodePorts, receiver: &Receiver<NodeInput>) -> ExitKind {
+    let started = Instant::now();
+    let mut stakker = Stakker::new(started);
+    let actor: ActorOwn<NodeActor> = actor!(&mut stakker, NodeActor::init(config, ports, started), ret_nop!());
+    stakker.run(Instant::now(), false);
+    while stakker.not_shutdown() {
+        let wait = stakker.next_wait_max(Instant::now(), LONGEST_WAIT, false);
+        match receiver.recv_timeout(wait) {
+            Ok(input) => call!([actor], input(input)),
+            Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Disconnected) => break,
+        }
+        for input in receiver.try_iter().take(INPUTS_PER_TURN) {
+            call!([actor], input(input));
+        }
+        stakker.run(Instant::now(), false);
+    }
+    match stakker.shutdown_reason() {
+        Some(StopCause::Failed(_)) => ExitKind::Cut,
+        _ => ExitKind::Success,
+    }
+}
--- /dev/null
+++ b/crates/node/src/store.rs
@@ -0,0 +1,151 @@
+//! The table service's edge: operations gathered into batches while one is under way.
+
+use std::sync::mpsc::{self, Receiver, Sender};
+use std::thread;
+
+use spdlog::warn;
+use wasabipier_core::prelude::*;
+use wasabipier_wire::platform::{BatchCall, BatchReply, TableOp, TableResult, TableRow};
+use wasabipier_wire::row::{key_text, row_from_json, value_to_json};
+
+use crate::input::{InputSender, NodeInput};
+use crate::part::STORE;
+use crate::ports::StorePort;
+use crate::settings::NodeSettings;
+
+/// Most operations of one batch.
+const MOST_PER_BATCH: usize = 128;
+/// Connections that writes and reads are spread over, so that a slow batch holds up only its own.
+const WORKERS: usize = 2;
+
+/// One operation on its way.
+#[derive(Debug)]
+struct PendingOp {
+    ticket: StoreTicket,
+    op: StoreOp,
+}
+
+/// Sends operations to the worker of their kind.
+#[derive(Debug)]
+pub struct StoreEdge {
+    workers: Vec<Sender<PendingOp>>,
+}
+
+impl StoreEdge {
+    /// Starts the workers.
+    ///
+    /// # Errors
+    ///
+    /// The machine refuses a thread.
+    pub fn start(settings: &NodeSettings, inputs: &InputSender) -> std::io::Result<Self> {
+        let mut workers = Vec::new();
+        for number in 0..WORKERS {
+            let (sender, receiver) = mpsc::channel();
+            let worker = StoreWorker::new(settings, inputs.clone());
+            thread::Builder::new().name(format!("store-{number}")).spawn(move || worker.run(&receiver))?;
+            workers.push(sender);
+        }
+        Ok(Self { workers })
+    }
+}
+
+impl StorePort for StoreEdge {
+    fn send(&mut self, ticket: StoreTicket, op: StoreOp) {
+        let worker = usize::from(matches!(op, StoreOp::Read { .. }));
+        let _ = self.workers[worker].send(PendingOp { ticket, op });
+    }
+}
+
+struct StoreWorker {
+    environment: String,
+    url: String,
+    agent: ureq::Agent,
+    inputs: InputSender,
+}
+
+impl StoreWorker {
+    fn new(settings: &NodeSettings, inputs: InputSender) -> Self {
+        let config = ureq::Agent::config_builder()
+            .timeout_global(Some(settings.edges.store_within))
+            .timeout_connect(Some(settings.edges.connect_within))
+            .http_status_as_error(true)
+            .build();
+        Self {
+            environment: settings.environment.clone(),
+            url: format!("http://{}/v1/batch", settings.platform_address),
+            agent: config.new_agent(),
+            inputs,
+        }
+    }
+
+    fn run(&self, receiver: &Receiver<PendingOp>) {
+        while let Ok(first) = receiver.recv() {
+            let mut batch = vec![first];
+            batch.extend(receiver.try_iter().take(MOST_PER_BATCH - 1));
+            let replies = self.exchange(&batch);
+            for (pending, reply) in batch.iter().zip(replies) {
+                let event = Event::Store(pending.ticket, Box::new(reply));
+                if self.inputs.send(NodeInput::Core(event)).is_err() {
+                    return;
+                }
+            }
+        }
+    }
+
+    fn exchange(&self, batch: &[PendingOp]) -> Vec<StoreReply> {
+        let operations = batch.iter().map(|pending| self.table_op(&pending.op)).collect();
+        let call = BatchCall { operations, atomic: false };
+        let answer = self
+            .agent
+            .post(&self.url)
+            .send_json(&call)
+            .and_then(|mut response| response.body_mut().read_json::<BatchReply>());
+        match answer {
+            Ok(reply) if reply.results.len() == batch.len() => {
+                batch.iter().zip(reply.results).map(|(pending, result)| self.reply(&pending.op, result)).collect()
+            }
+            Ok(_) => vec![StoreReply::Lost; batch.len()],
+            Err(error) => {
+                warn!("{STORE} a batch of {} operations failed: {error}.", batch.len());
+                vec![failed(&error); batch.len()]
+            }
+        }
+    }
+
+    fn table_op(&self, op: &StoreOp) -> TableOp {
+        match op {
+            StoreOp::Read { key } => TableOp::Read { key: key_text(&self.environment, key) },
+            StoreOp::Write { key, expected, value } => TableOp::Write {
+                key: key_text(&self.environment, key),
+                expected: expected.map(|version| version.0),
+                value: value_to_json(value),
+            },
+        }
+    }
+
+    fn reply(&self, op: &StoreOp, result: TableResult) -> StoreReply {
+        let (StoreOp::Read { key } | StoreOp::Write { key, .. }) = op;
+        let key = key_text(&self.environment, key);
+        let row = |row: Option<TableRow>| row.map(|row| row_from_json(&key, row)).transpose();
+        let reply = match result {
+            TableResult::Written { version } => Ok(StoreReply::Written(RowVersion(version))),
+            TableResult::Conflict { row: standing } => row(standing).map(StoreReply::Conflict),
+            TableResult::Read { row: standing } => row(standing).map(StoreReply::Read),
+        };
+        reply.unwrap_or_else(|error| {
+            warn!("{STORE} {error}.");
+            StoreReply::Lost
+        })
+    }
+}
+
+/// Only a refused connect and the service's own word that it is out say that nothing was done.
+fn failed(error: &ureq::Error) -> StoreReply {
+    match error {
+        ureq::Error::Io(error) if error.kind() == std::io::ErrorKind::ConnectionRefused => StoreReply::NotSent,
+        ureq::Error::ConnectionFailed
+        | ureq::Error::StatusCode(503)
+        | ureq::Error::Timeout(ureq::Timeout::Connect | ureq::Timeout::Resolve) => StoreReply::NotSent,
+        _ => StoreReply::Lost,
+    }
+}
--- /dev/null
+++ b/crates/wire/src/document.rs
@@ -0,0 +1,195 @@
+//! The INI document of an environment: parsed, checked as a whole, turned into the core's type.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use wasabipier_core::document::{
+    Admission, CandidateSpec, DcSpec, Document, OrgSpec, PipelineSpec, ServiceKind, ServiceSpec, TargetSpec,
+};
+use wasabipier_core::names::{DcName, ServiceName, TargetName, VersionName};
+
+use crate::fault::FaultList;
+use crate::ini::IniReader;
+
+const KINDS: [&str; 5] = ["data-centre", "organisation", "service", "target", "pipeline"];
+const LONGEST_DEADLINE_MS: u64 = 600_000;
+const MOST_CALLS: u32 = 100_000;
+const MOST_SEATS: u32 = 4_096;
+
+/// Parses and checks a document.
+///
+/// # Errors
+///
+/// Every fault of the text, each with its section, key and remedy.
+pub fn parse_document(text: &str) -> Result<Document, FaultList> {
+    let mut reader = IniReader::parse(text)?;
+    reader.check_sections(&["environment"], &KINDS);
+    reader.check_keys("environment", &["name", "seats"]);
+    let environment = reader.required_text("environment", "name", "production");
+    let seats = reader.bounded("environment", "seats", 9, 1..=MOST_SEATS);
+    let document = Document {
+        environment: Arc::from(environment),
+        seats,
+        dcs: read_all(&mut reader, "data-centre", read_dc),
+        orgs: read_all(&mut reader, "organisation", read_org),
+        services: read_all(&mut reader, "service", read_service),
+        targets: read_all(&mut reader, "target", read_target),
+        pipelines: read_all(&mut reader, "pipeline", read_pipeline),
+    };
+    check_references(&document, &mut reader.faults);
+    check_addresses(&document, &mut reader.faults);
+    reader.faults.or(document)
+}
+
+fn read_all<K: Ord + for<'a> From<&'a str>, V>(
+    reader: &mut IniReader,
+    kind: &str,
+    read: impl Fn(&mut IniReader, &str) -> V,
+) -> BTreeMap<K, V> {
+    let names = reader.names(kind);
+    names.iter().map(|text| (K::from(text), read(reader, &format!("{kind} {text}")))).collect()
+}
+
+fn read_dc(reader: &mut IniReader, section: &str) -> DcSpec {
+    reader.check_keys(section, &["region", "admission"]);
+    DcSpec {
+        region: Arc::from(reader.required_text(section, "region", "khomas")),
+        admission: reader.value(section, "admission", Admission::Open, "`open` or `out`"),
+    }
+}
+
+fn read_org(reader: &mut IniReader, section: &str) -> OrgSpec {
+    reader.check_keys(section, &["weight"]);
+    OrgSpec { weight: reader.bounded(section, "weight", 1.0, 0.01..=1000.0) }
+}
+
+fn read_service(reader: &mut IniReader, section: &str) -> ServiceSpec {
+    let known = [
+        "kind",
+        "repeatable",
+        "deadline_ms",
+        "cold_limit",
+        "warm_limit",
+        "objective",
+        "stable",
+        "candidate",
+        "finish_within_s",
+        "first_share",
+        "trial_only",
+    ];
+    reader.check_keys(section, &known);
+    let defaults = ServiceSpec::default();
+    let kind = reader.required(section, "kind", defaults.kind, "`encode`, `retrieve`, `rerank`, `generate` or `plain`");
+    let cold_limit = reader.bounded(section, "cold_limit", defaults.cold_limit, 1..=MOST_CALLS);
+    let warm_limit = reader.bounded(section, "warm_limit", defaults.warm_limit, 1..=MOST_CALLS);
+    if warm_limit < cold_limit {
+        let problem = format!("{warm_limit} is less than cold_limit, {cold_limit}");
+        reader.faults.add(section, "warm_limit", problem, "raise warm_limit or lower cold_limit");
+    }
+    let repeatable = reader.yes(section, "repeatable", kind != ServiceKind::Plain);
+    if !repeatable && kind != ServiceKind::Plain {
+        reader.faults.add(section, "repeatable", "only plain services can be `no`", "remove the key");
+    }
+    ServiceSpec {
+        kind,
+        repeatable,
+        deadline: reader.millis(section, "deadline_ms", defaults.deadline, 1..=LONGEST_DEADLINE_MS),
+        cold_limit,
+        warm_limit,
+        objective: reader.bounded(section, "objective", defaults.objective, 0.0..=0.99999),
+        stable: VersionName::new(reader.required_text(section, "stable", "v1")),
+        candidate: read_candidate(reader, section),
+    }
+}
+
+fn read_candidate(reader: &mut IniReader, section: &str) -> Option<CandidateSpec> {
+    let version = reader.text(section, "candidate")?;
+    let finish_within = reader.bounded(section, "finish_within_s", 600, 10..=604_800);
+    Some(CandidateSpec {
+        version: VersionName::new(version),
+        finish_within: Duration::from_secs(finish_within),
+        first_share: reader.bounded(section, "first_share", 0.01, 0.0..=0.2),
+        trial_only: reader.yes(section, "trial_only", false),
+    })
+}
+
+fn read_target(reader: &mut IniReader, section: &str) -> TargetSpec {
+    reader.check_keys(section, &["service", "version", "data_centre", "address", "admission", "checks_fencing"]);
+    let unset = SocketAddr::from(([0, 0, 0, 0], 0));
+    TargetSpec {
+        service: ServiceName::new(reader.required_text(section, "service", "bookings")),
+        version: VersionName::new(reader.required_text(section, "version", "v1")),
+        dc: DcName::new(reader.required_text(section, "data_centre", "khomas-a")),
+        address: reader.required(section, "address", unset, "an IP number and port, such as 10.0.0.7:8000"),
+        admission: reader.value(section, "admission", Admission::Open, "`open` or `out`"),
+        checks_fencing: reader.yes(section, "checks_fencing", false),
+    }
+}
+
+fn read_pipeline(reader: &mut IniReader, section: &str) -> PipelineSpec {
+    reader.check_keys(section, &["stages", "deadline_ms", "objective"]);
+    let stages = reader.required_text(section, "stages", "encoder retriever reranker coachmodel");
+    PipelineSpec {
+        stages: stages.split_whitespace().map(ServiceName::new).collect(),
+        deadline: reader.millis(section, "deadline_ms", Duration::from_secs(6), 1..=LONGEST_DEADLINE_MS),
+        objective: reader.bounded(section, "objective", 0.99, 0.0..=0.99999),
+    }
+}
+
+fn check_references(document: &Document, faults: &mut FaultList) {
+    for (name, spec) in &document.targets {
+        let section = format!("target {name}");
+        if !document.services.contains_key(&spec.service) && !spec.service.as_str().is_empty() {
+            let remedy = format!("add `[service {}]` or correct the name", spec.service);
+            faults.add(&section, "service", format!("no service `{}`", spec.service), remedy);
+        }
+        if !document.dcs.contains_key(&spec.dc) && !spec.dc.as_str().is_empty() {
+            let remedy = format!("add `[data-centre {}]` or correct the name", spec.dc);
+            faults.add(&section, "data_centre", format!("no data centre `{}`", spec.dc), remedy);
+        }
+    }
+    for (name, spec) in &document.pipelines {
+        let section = format!("pipeline {name}");
+        for stage in spec.stages.iter().filter(|stage| !document.services.contains_key(*stage)) {
+            let remedy = format!("add `[service {stage}]` or correct the name");
+            faults.add(&section, "stages", format!("no service `{stage}`"), remedy);
+        }
+    }
+    for (name, spec) in &document.services {
+        let section = format!("service {name}");
+        check_version(document, name, &spec.stable, &section, "stable", faults);
+        if let Some(candidate) = &spec.candidate {
+            check_version(document, name, &candidate.version, &section, "candidate", faults);
+            if candidate.version == spec.stable {
+                faults.add(&section, "candidate", "same as `stable`", "name another version or remove the key");
+            }
+        }
+    }
+}
+
+fn check_version(
+    document: &Document,
+    service: &ServiceName,
+    version: &VersionName,
+    section: &str,
+    key: &str,
+    faults: &mut FaultList,
+) {
+    let carried = document.targets.values().any(|spec| spec.service == *service && spec.version == *version);
+    if !carried && !version.as_str().is_empty() {
+        let remedy = format!("add a `[target …]` with `service = {service}` and `version = {version}`");
+        faults.add(section, key, format!("no target runs version `{version}`"), remedy);
+    }
+}
+
+fn check_addresses(document: &Document, faults: &mut FaultList) {
+    let mut owners: BTreeMap<SocketAddr, &TargetName> = BTreeMap::new();
+    for (name, spec) in &document.targets {
+        if let Some(other) = owners.insert(spec.address, name) {
+            let problem = format!("{} is the address of `{other}` too", spec.address);
+            faults.add(&format!("target {name}"), "address", problem, "give each target its own address");
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,19 @@
+//! What goes over wires and into documents, and its conversion to and from the core's types.
+//!
+//! * [`caller`]: JSON towards callers and operators,
+//! * [`target`]: JSON towards targets,
+//! * [`platform`] and [`row`]: JSON towards the platform's services,
+//! * [`frame`]: `bincode` frames between nodes,
+//! * [`document`]: the INI document of an environment, and [`ini`], its checked reading.
+
+pub mod prelude;
+
+pub mod answer;
+pub mod caller;
+pub mod document;
+pub mod fault;
+pub mod frame;
+pub mod ini;
+pub mod platform;
+pub mod row;
+pub mod target;
