Measure what each request costs the core in time and allocations

Cause: choosing, admitting, settling and relaying had no figures. Change: a plain bench with a counting allocator, over a node with an in-memory table service.

--- /dev/null
+++ b/crates/core/benches/requests.rs
@@ -0,0 +1,124 @@
+//! Time and allocations of the decisions that each request needs.
+//!
+//! `cargo bench -p wasabipier-core --bench requests`
+
+use std::alloc::System;
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant};
+
+use stats_alloc::{INSTRUMENTED_SYSTEM, Region, StatsAlloc};
+use wasabipier_core::document::ServiceKind;
+use wasabipier_core::message::SeatClaim;
+use wasabipier_core::picker;
+use wasabipier_core::prelude::*;
+
+#[path = "../tests/support/fixture.rs"]
+mod fixture;
+
+use fixture::{NodeFixture, PoolSpec, document, identity};
+
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
+const SEATS: u32 = 132;
+const OWN_SEATS: u32 = 3;
+
+/// Runs `operation` and prints its mean time and allocations.
+fn measure(name: &str, rounds: usize, mut operation: impl FnMut(usize)) {
+    let region = Region::new(ALLOCATOR);
+    let started = Instant::now();
+    for round in 0..rounds {
+        operation(round);
+    }
+    let elapsed = started.elapsed();
+    let allocations = region.change().allocations + region.change().reallocations;
+    let micros = elapsed.as_secs_f64() * 1e6 / rounds as f64;
+    println!("{name:<44} {micros:>9.2} us {:>8.1} allocations", allocations as f64 / rounds as f64);
+}
+
+fn board_with(targets: usize, free: usize) -> Blackboard {
+    let pool = PoolSpec { targets, limits: (64, 64), ..PoolSpec::default() };
+    let content = document(&[pool], SEATS);
+    let mut board = Blackboard::new(identity("entry-1"), Tuning::default(), 7);
+    board.now = Moment(10_000);
+    let accepted = AcceptedDocument { revision: Revision(1), content, ..AcceptedDocument::default() };
+    wasabipier_core::documents::install(&mut board, accepted.into());
+    let seats = (0..OWN_SEATS).map(|seat| SeatClaim { seat, epoch: 1 }).collect();
+    board.permits.set_seats(SEATS, seats);
+    let names: Vec<TargetName> = board.targets.iter().map(|(name, _)| name.clone()).collect();
+    for name in &names[free.min(targets)..] {
+        while board.permits.take(name, 64, board.now).is_some() {}
+    }
+    board
+}
+
+fn bench_choose() {
+    let none = BTreeSet::new();
+    let service = ServiceName::new("clubs");
+    for targets in [30, 300, 3_000] {
+        for (label, free) in [("idle", targets), ("one in ten free", targets / 10)] {
+            let mut board = board_with(targets, free);
+            measure(&format!("choose of {targets} targets, {label}"), 2_000, |_| {
+                std::hint::black_box(picker::choose(&mut board, &service, &none));
+            });
+        }
+    }
+}
+
+fn node_with(targets: usize, kind: ServiceKind, repeatable: bool) -> NodeFixture {
+    let pool = PoolSpec { targets, kind, repeatable, limits: (64, 64), ..PoolSpec::default() };
+    NodeFixture::serving(document(&[pool], 9), Tuning { queue_bound: 10_000, ..Tuning::default() })
+}
+
+fn fill(node: &mut NodeFixture, count: usize) {
+    for number in 0..count {
+        node.ask(&format!("held-{number}"), "clubs", Duration::from_secs(6), Priority::Normal);
+    }
+}
+
+fn bench_requests(repeatable: bool) {
+    let label = if repeatable { "repeatable" } else { "claimed" };
+    for held in [10, 100, 1_000] {
+        let mut node = node_with(300, ServiceKind::Plain, repeatable);
+        fill(&mut node, held);
+        node.orders.clear();
+        let asks: Vec<String> = (0..1_000).map(|number| format!("ask-{number}")).collect();
+        measure(&format!("admit and send ({label}), {held} in flight"), 1_000, |round| {
+            node.ask(&asks[round], "clubs", Duration::from_secs(6), Priority::Normal);
+        });
+        let attempts: Vec<AttemptId> = node.orders.iter().map(|order| order.attempt).collect();
+        measure(&format!("settle an outcome ({label}), {held} in flight"), attempts.len(), |round| {
+            node.finish(attempts[round]);
+        });
+    }
+}
+
+fn bench_tokens() {
+    for held in [10, 100, 1_000] {
+        let mut node = node_with(300, ServiceKind::Generate, true);
+        fill(&mut node, held);
+        let attempt = node.orders[held / 2].attempt;
+        node.answers.reserve(20_000);
+        measure(&format!("relay a token, {held} in flight"), 10_000, |round| {
+            node.token(attempt, round as u32);
+        });
+    }
+}
+
+fn bench_ticks() {
+    for targets in [30, 300] {
+        let mut node = node_with(targets, ServiceKind::Plain, true);
+        fill(&mut node, 200);
+        measure(&format!("tick, {targets} targets, 200 in flight"), 200, |_| {
+            node.advance(fixture::TICK);
+        });
+    }
+}
+
+fn main() {
+    bench_choose();
+    bench_requests(true);
+    bench_requests(false);
+    bench_tokens();
+    bench_ticks();
+}
--- /dev/null
+++ b/crates/core/tests/support/fixture.rs
@@ -0,0 +1,195 @@
+//! One node over an in-memory table service, for tests, benches and examples.
+#![allow(dead_code, reason = "each user takes the part that it needs")]
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use wasabipier_core::document::{Admission, DcSpec, OrgSpec, PipelineSpec, ServiceKind, ServiceSpec, TargetSpec};
+use wasabipier_core::prelude::*;
+
+/// Interval between ticks.
+pub const TICK: Duration = Duration::from_millis(20);
+
+/// A node, the rows that it wrote, and what it asked its edges to do.
+pub struct NodeFixture {
+    pub core: NodeCore,
+    pub now: Moment,
+    pub orders: Vec<SendOrder>,
+    pub cancelled: Vec<AttemptId>,
+    pub answers: Vec<(CallId, AnswerPart)>,
+    pub charges: Vec<ChargeLine>,
+    pub told: Vec<(NodeName, PeerMessage)>,
+    rows: BTreeMap<RowKey, Row>,
+    last_call: u64,
+}
+
+/// Specification of one service of a fixture's document.
+pub struct PoolSpec {
+    pub service: &'static str,
+    pub kind: ServiceKind,
+    pub repeatable: bool,
+    pub targets: usize,
+    pub limits: (u32, u32),
+}
+
+impl Default for PoolSpec {
+    fn default() -> Self {
+        Self { service: "clubs", kind: ServiceKind::Plain, repeatable: true, targets: 2, limits: (8, 8) }
+    }
+}
+
+/// A document with these services, one pipeline `plan` over all of them, and two organisations.
+pub fn document(pools: &[PoolSpec], seats: u32) -> Document {
+    let mut content = Document { environment: Arc::from("test"), seats, ..Document::default() };
+    content.dcs.insert("khomas-a".into(), DcSpec::default());
+    content.orgs.insert("lions".into(), OrgSpec::default());
+    content.orgs.insert("swallows".into(), OrgSpec::default());
+    for pool in pools {
+        let spec = ServiceSpec {
+            kind: pool.kind,
+            repeatable: pool.repeatable,
+            cold_limit: pool.limits.0,
+            warm_limit: pool.limits.1,
+            ..ServiceSpec::default()
+        };
+        content.services.insert(pool.service.into(), spec);
+        for number in 0..pool.targets {
+            let target = TargetSpec {
+                service: pool.service.into(),
+                version: "v1".into(),
+                dc: "khomas-a".into(),
+                address: ([127, 0, 0, 1], 9000).into(),
+                admission: Admission::Open,
+                checks_fencing: false,
+            };
+            content.targets.insert(TargetName::new(format!("{}-{number:04}", pool.service)), target);
+        }
+    }
+    let stages = pools.iter().filter(|pool| pool.repeatable).map(|pool| pool.service.into()).collect();
+    let plan = PipelineSpec { stages, deadline: Duration::from_secs(6), objective: 0.99 };
+    content.pipelines.insert("plan".into(), plan);
+    content
+}
+
+/// The identity of a node of a test.
+pub fn identity(node: &str) -> Identity {
+    Identity {
+        node: node.into(),
+        instance: InstanceId(1),
+        dc: "khomas-a".into(),
+        caller_address: ([127, 0, 0, 1], 8001).into(),
+        peer_address: ([127, 0, 0, 1], 7001).into(),
+    }
+}
+
+impl NodeFixture {
+    /// A node that serves `content` and holds all of its seats.
+    pub fn serving(content: Document, tuning: Tuning) -> Self {
+        let config = NodeConfig { identity: identity("entry-1"), tuning, seed: 7, peers: Vec::new() };
+        let (core, _) = NodeCore::new(config);
+        let seats = content.seats as usize;
+        let mut fixture = Self {
+            core,
+            now: Moment(1_000),
+            orders: Vec::new(),
+            cancelled: Vec::new(),
+            answers: Vec::new(),
+            charges: Vec::new(),
+            told: Vec::new(),
+            rows: BTreeMap::new(),
+            last_call: 0,
+        };
+        let accepted = AcceptedDocument { revision: Revision(1), content, ..AcceptedDocument::default() };
+        let row = Row { version: RowVersion(1), value: RowValue::Document(Arc::new(accepted)) };
+        fixture.rows.insert(RowKey::Document, row);
+        while fixture.core.board().permits.seats().len() < seats {
+            fixture.advance(TICK);
+        }
+        fixture
+    }
+
+    /// Lets time pass, tick by tick.
+    pub fn advance(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now = self.now + TICK;
+            self.handle(&Event::Tick);
+        }
+    }
+
+    /// Handles an event, and what the table service replies to it.
+    pub fn handle(&mut self, event: &Event) {
+        let mut actions = self.core.handle(self.now, WallTime(self.now.0), event);
+        while let Some(action) = actions.pop() {
+            match action {
+                Action::Store(ticket, op) => {
+                    let reply = self.reply(*op);
+                    let replied = Event::Store(ticket, Box::new(reply));
+                    actions.extend(self.core.handle(self.now, WallTime(self.now.0), &replied));
+                }
+                Action::Send(order) => self.orders.push(*order),
+                Action::Cancel(attempt) => self.cancelled.push(attempt),
+                Action::Answer(call, part) => self.answers.push((call, part)),
+                Action::Charge(line) => self.charges.push(*line),
+                Action::Tell(node, message) => self.told.push((node, *message)),
+                _ => {}
+            }
+        }
+    }
+
+    fn reply(&mut self, op: StoreOp) -> StoreReply {
+        match op {
+            StoreOp::Read { key } => StoreReply::Read(self.rows.get(&key).cloned()),
+            StoreOp::Write { key, expected, value } => {
+                let standing = self.rows.get(&key);
+                if standing.map(|row| row.version) != expected {
+                    return StoreReply::Conflict(standing.cloned());
+                }
+                let version = RowVersion(expected.map_or(1, |version| version.0 + 1));
+                self.rows.insert(key, Row { version, value });
+                StoreReply::Written(version)
+            }
+        }
+    }
+
+    /// Asks for the pipeline `plan`, or for the service `goal`; gives the call.
+    pub fn ask(&mut self, request: &str, goal: &str, deadline: Duration, priority: Priority) -> CallId {
+        self.last_call += 1;
+        let call = CallId(self.last_call);
+        let goal = if goal == "plan" { Goal::Pipeline(goal.into()) } else { Goal::Service(goal.into()) };
+        let key = RequestKey { org: "lions".into(), request: request.into() };
+        let body = Arc::from(format!("\"{request}\""));
+        self.handle(&Event::Asked(Box::new(Ask { call, key, goal, body, deadline, priority })));
+        call
+    }
+
+    /// Tells of a token of an attempt.
+    pub fn token(&mut self, attempt: AttemptId, index: u32) {
+        let text = Arc::from(format!("t{index} "));
+        self.handle(&Event::Attempt(attempt, AttemptEvent::Token { index, text }));
+    }
+
+    /// Tells that an attempt finished.
+    pub fn finish(&mut self, attempt: AttemptId) {
+        let finished = AttemptEvent::Finished {
+            body: Arc::from("\"ok\""),
+            usage: Usage::default(),
+            report: LoadReport::default(),
+        };
+        self.handle(&Event::Attempt(attempt, finished));
+    }
+
+    /// Tells that an attempt failed.
+    pub fn fail(&mut self, attempt: AttemptId, kind: FailureKind, sent: bool) {
+        self.handle(&Event::Attempt(attempt, AttemptEvent::Failed { kind, sent }));
+    }
+
+    /// The final answer to a call, if it has one.
+    pub fn answer(&self, call: CallId) -> Option<&FinalAnswer> {
+        self.answers.iter().find_map(|(to, part)| match part {
+            AnswerPart::Final(answer) if *to == call => Some(answer.as_ref()),
+            _ => None,
+        })
+    }
+}
