Give up attempts without progress and choose targets from an index

Cause: a target behind a silent connection kept its request until the deadline, and a permit given back at cancellation let a second call run beside one that had not ended. The choice looked at every target of a service, hashed all seats for each look, and ran twice for a request. Ruled out: a timer moved by each token (a tree update per token); scanning all attempts each tick; callers of the permit table telling the index (a forgotten call would hide a target for good). Change: attempts carry their last progress, and a look that came too early is put off; the permit of an attempt that was given up drains until the edge names its end or it must have ended. A pool of targets per version that may hold too many, never too few; seat orders computed once per document; one choice per request; open store operations counted by purpose; settlements tried once when fresh. The test of a silent stream was first red: the look came by the longer bound of the first token.

--- a/crates/core/src/blackboard.rs
+++ b/crates/core/src/blackboard.rs
@@ -13,11 +13,13 @@
 use crate::names::{AttemptId, DcName, InstanceId, NodeName, Nonce};
 use crate::permits::PermitTable;
 use crate::queue::QueueTable;
+use crate::ready::ReadyTable;
 use crate::requests::RequestTable;
 use crate::store_table::StoreTable;
 use crate::targets::TargetTable;
 use crate::tuning::Tuning;
 use crate::versions::VersionTable;
+use crate::watches::WatchTable;
 
 /// Who this node is, from its settings.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -55,12 +57,16 @@
     pub members: MemberTable,
     /// Targets and what is known of their load.
     pub targets: TargetTable,
+    /// Index of targets that may take a call.
+    pub ready: ReadyTable,
     /// Rights to call targets.
     pub permits: PermitTable,
     /// Requests at this node.
     pub requests: RequestTable,
     /// Requests that wait for a target.
     pub queues: QueueTable,
+    /// When to look at running attempts again.
+    pub watches: WatchTable,
     /// What retries and hedges may spend.
     pub budget: RetryBudget,
     /// Content that brings down targets.
@@ -87,9 +93,11 @@
             document: Arc::default(),
             members: MemberTable::default(),
             targets: TargetTable::default(),
+            ready: ReadyTable::default(),
             permits: PermitTable::default(),
             requests: RequestTable::default(),
             queues: QueueTable::default(),
+            watches: WatchTable::default(),
             budget: RetryBudget::new(tuning.retry_share, tuning.retry_burst),
             harmful: HarmfulTable::default(),
             versions: VersionTable::default(),
--- a/crates/core/src/claims.rs
+++ b/crates/core/src/claims.rs
@@ -25,7 +25,7 @@
                 follow(board, out);
                 settle(board, out);
             }
-            Event::Attempt(..) => settle(board, out),
+            Event::Attempt(..) => settle_fresh(board, out),
             _ => {}
         }
     }
@@ -192,30 +192,41 @@
     if !board.store.may_ask(now) {
         return;
     }
+    board.requests.fresh_settlements.clear();
     let keys: Vec<RequestKey> = board.requests.settlements.keys().cloned().collect();
     for key in keys {
-        let purpose = StorePurpose::Settle(key.clone());
-        if board.store.is_open(&purpose) || board.store.is_open(&StorePurpose::Claim(key.clone())) {
-            continue;
-        }
-        let Some(settlement) = board.requests.settlements.get(&key) else { continue };
-        let Some(version) = settlement.claim.version else {
-            read_claim(board, &key, out);
-            continue;
-        };
-        let row = ClaimRow {
-            nonce: settlement.claim.nonce,
-            owner: board.identity.node.clone(),
-            instance: board.identity.instance,
-            content: settlement.content,
-            state: ClaimState::Ended(Box::new(settlement.answer.clone())),
-        };
-        let op =
-            StoreOp::Write { key: RowKey::Claim(key.clone()), expected: Some(version), value: RowValue::Claim(row) };
-        board.store.send(purpose, op, &mut board.counters, out);
+        settle_one(board, &key, out);
+    }
+}
+
+/// Records the ends of requests that ended just now, without a look at the others.
+fn settle_fresh(board: &mut Blackboard, out: &mut Vec<Action>) {
+    if !board.store.may_ask(board.now) {
+        return;
+    }
+    while let Some(key) = board.requests.fresh_settlements.pop() {
+        settle_one(board, &key, out);
     }
 }
 
+fn settle_one(board: &mut Blackboard, key: &RequestKey, out: &mut Vec<Action>) {
+    let purpose = StorePurpose::Settle(key.clone());
+    if board.store.is_open(&purpose) || board.store.is_open(&StorePurpose::Claim(key.clone())) {
+        return;
+    }
+    let Some(settlement) = board.requests.settlements.get(key) else { return };
+    let Some(version) = settlement.claim.version else { return read_claim(board, key, out) };
+    let row = ClaimRow {
+        nonce: settlement.claim.nonce,
+        owner: board.identity.node.clone(),
+        instance: board.identity.instance,
+        content: settlement.content,
+        state: ClaimState::Ended(Box::new(settlement.answer.clone())),
+    };
+    let op = StoreOp::Write { key: RowKey::Claim(key.clone()), expected: Some(version), value: RowValue::Claim(row) };
+    board.store.send(purpose, op, &mut board.counters, out);
+}
+
 fn found_for_settlement(board: &mut Blackboard, key: &RequestKey, row: &Row) {
     let RowValue::Claim(claim) = &row.value else { return };
     let Some(settlement) = board.requests.settlements.get_mut(key) else { return };
--- a/crates/core/src/conclude.rs
+++ b/crates/core/src/conclude.rs
@@ -3,7 +3,7 @@
 use crate::action::{Action, AnswerPart};
 use crate::blackboard::Blackboard;
 use crate::message::PeerMessage;
-use crate::names::{AttemptId, RequestKey};
+use crate::names::{AttemptId, RequestKey, TargetName};
 use crate::outcome::{FinalAnswer, Outcome, RefusalKind};
 use crate::permits::Permit;
 use crate::requests::{AttemptRecord, Settlement};
@@ -12,8 +12,7 @@
 pub fn conclude(board: &mut Blackboard, key: &RequestKey, answer: &FinalAnswer, out: &mut Vec<Action>) {
     let running = board.requests.get(key).map(|record| record.running.clone()).unwrap_or_default();
     for attempt in running {
-        out.push(Action::Cancel(attempt));
-        end_attempt(board, attempt, out);
+        cancel_attempt(board, attempt, out);
     }
     let Some(record) = board.requests.end(key, answer, board.now) else { return };
     board.queues.of(record.service()).remove(record.priority, &record.waiting());
@@ -22,6 +21,7 @@
         let until = board.now + board.tuning.keep_ended;
         let settlement = Settlement { claim, content: record.content, answer: answer.clone(), until };
         board.requests.settlements.insert(key.clone(), settlement);
+        board.requests.fresh_settlements.push(key.clone());
     }
     for call in record.callers {
         out.push(Action::Answer(call, AnswerPart::Final(Box::new(answer.clone()))));
@@ -40,12 +40,45 @@
 /// Ends an attempt and gives its permit back.
 pub fn end_attempt(board: &mut Blackboard, id: AttemptId, out: &mut Vec<Action>) -> Option<AttemptRecord> {
     let attempt = board.requests.end_attempt(id)?;
-    board.permits.give_back(&attempt.target, &attempt.permit);
-    if let Permit::Borrowed { lender, ticket } = &attempt.permit {
-        let message = PeerMessage::PermitReturned { ticket: *ticket, target: attempt.target.clone() };
+    give_back(board, &attempt.target, &attempt.permit, out);
+    Some(attempt)
+}
+
+/// Stops an attempt. Its permit stays in use until the edge says that it ended, or it must have:
+/// before that its target may still be running it.
+pub fn cancel_attempt(board: &mut Blackboard, id: AttemptId, out: &mut Vec<Action>) -> Option<AttemptRecord> {
+    let attempt = drain_attempt(board, id)?;
+    out.push(Action::Cancel(id));
+    Some(attempt)
+}
+
+/// Ends an attempt of which nothing more is heard, but that its target may still be running.
+pub fn drain_attempt(board: &mut Blackboard, id: AttemptId) -> Option<AttemptRecord> {
+    let attempt = board.requests.end_attempt(id)?;
+    board.requests.drain(id, &attempt);
+    Some(attempt)
+}
+
+/// Gives the permit of a draining attempt back; tells whether there was one.
+pub fn end_draining(board: &mut Blackboard, id: AttemptId, out: &mut Vec<Action>) -> bool {
+    let Some(draining) = board.requests.end_draining(id) else { return false };
+    give_back(board, &draining.target, &draining.permit, out);
+    true
+}
+
+/// Gives back the permits of draining attempts that must have ended.
+pub fn end_drained(board: &mut Blackboard, out: &mut Vec<Action>) {
+    while let Some(id) = board.requests.drained(board.now) {
+        end_draining(board, id, out);
+    }
+}
+
+fn give_back(board: &mut Blackboard, target: &TargetName, permit: &Permit, out: &mut Vec<Action>) {
+    board.permits.give_back(target, permit);
+    if let Permit::Borrowed { lender, ticket } = permit {
+        let message = PeerMessage::PermitReturned { ticket: *ticket, target: target.clone() };
         out.push(Action::Tell(lender.clone(), Box::new(message)));
     }
-    Some(attempt)
 }
 
 fn count(board: &mut Blackboard, answer: &FinalAnswer, in_time: bool) {
--- a/crates/core/src/counters.rs
+++ b/crates/core/src/counters.rs
@@ -33,6 +33,8 @@
     pub messages: u64,
     /// Done requests that the caller got within its deadline.
     pub in_time: u64,
+    /// Attempts that were given up because nothing came from them.
+    pub silent_attempts: u64,
     /// Requests whose content was refused as harmful.
     pub harmful_refused: u64,
 }
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -4,11 +4,15 @@
 use crate::blackboard::Blackboard;
 use crate::conclude;
 use crate::controller::Controller;
-use crate::event::Event;
+use crate::document::ServiceKind;
+use crate::event::{AttemptEvent, Event};
 use crate::names::{OrgName, RequestKey, ServiceName};
 use crate::outcome::RefusalKind;
 use crate::picker::{self, Choice};
 use crate::requests::{AttemptRecord, RequestState};
+use crate::store::StoreReply;
+use crate::store_table::StorePurpose;
+use crate::watches;
 
 /// Sends queued requests.
 #[derive(Debug, Default)]
@@ -16,49 +20,56 @@
 
 impl Controller for DispatchController {
     fn on_event(&mut self, board: &mut Blackboard, event: &Event, out: &mut Vec<Action>) {
-        if matches!(event, Event::Attempt(_, crate::event::AttemptEvent::Token { .. })) {
+        if matches!(event, Event::Attempt(_, AttemptEvent::Token { .. })) {
             return;
         }
-        for service in board.queues.busy() {
-            serve(board, &service, out);
-        }
+        serve_all(board, out);
     }
 
     fn on_store(
         &mut self,
         board: &mut Blackboard,
-        _purpose: &crate::store_table::StorePurpose,
-        _reply: &crate::store::StoreReply,
+        _purpose: &StorePurpose,
+        _reply: &StoreReply,
         out: &mut Vec<Action>,
     ) {
-        for service in board.queues.busy() {
-            serve(board, &service, out);
-        }
+        serve_all(board, out);
+    }
+}
+
+fn serve_all(board: &mut Blackboard, out: &mut Vec<Action>) {
+    let mut previous = None;
+    while let Some(service) = board.queues.next_busy(previous.as_ref()) {
+        serve(board, &service, out);
+        previous = Some(service);
     }
 }
 
+/// Sends requests of one service in their order, until one finds no target.
 fn serve(board: &mut Blackboard, service: &ServiceName, out: &mut Vec<Action>) {
+    picker::refresh(board);
     let document = board.document.clone();
     let weight = |org: &OrgName| document.content.orgs.get(org).map_or(1.0, |spec| spec.weight);
-    // A choice made for the head of the queue; most requests have nothing to avoid.
-    while picker::choose(board, service, &std::collections::BTreeSet::new()).is_some() {
-        let Some(waiting) = board.queues.of(service).pop(weight) else { return };
-        if waiting.deadline <= board.now {
+    while board.ready.any(service) {
+        let Some(waiting) = board.queues.of(service).peek().cloned() else { return };
+        if waiting.deadline <= board.now || board.requests.get(&waiting.key).is_none() {
+            board.queues.of(service).pop(weight);
             conclude::fail(board, &waiting.key, RefusalKind::TooLate, out);
             continue;
         }
-        let Some(record) = board.requests.get(&waiting.key) else { continue };
-        let avoid = record.failed_at.clone();
-        if let Some(choice) = picker::choose(board, service, &avoid) {
-            send(board, &waiting.key, &choice, out);
-        } else {
-            let priority = board.requests.get(&waiting.key).map(|record| record.priority);
-            board.queues.of(service).push(priority.unwrap_or_default(), waiting);
-            return;
-        }
+        let Some(choice) = choose_for(board, service, &waiting.key) else { return };
+        board.queues.of(service).pop(weight);
+        send(board, &waiting.key, &choice, out);
     }
 }
 
+fn choose_for(board: &mut Blackboard, service: &ServiceName, key: &RequestKey) -> Option<Choice> {
+    let avoid = std::mem::take(&mut board.requests.get_mut(key)?.failed_at);
+    let choice = picker::choose(board, service, &avoid);
+    board.requests.get_mut(key)?.failed_at = avoid;
+    choice
+}
+
 fn send(board: &mut Blackboard, key: &RequestKey, choice: &Choice, out: &mut Vec<Action>) {
     let limit = board.targets.get(&choice.target).map_or(0, |view| view.limit);
     let Some(permit) = board.permits.take(&choice.target, limit, board.now) else { return };
@@ -96,8 +107,13 @@
         permit,
         started: board.now,
         ends: board.now + time_left,
+        streams: spec.kind == ServiceKind::Generate,
+        claimed: record.claim.is_some(),
+        progress: board.now,
+        tokens: 0,
     };
     board.counters.attempts += 1;
+    board.watches.set(id, watches::silent_at(board, &attempt));
     board.requests.start_attempt(id, attempt);
     out.push(Action::Send(Box::new(order)));
 }
--- a/crates/core/src/documents.rs
+++ b/crates/core/src/documents.rs
@@ -176,6 +176,8 @@
         return;
     }
     board.targets.install(&document.content, board.now);
+    board.ready.install(&document.content);
+    board.permits.install(&document.content);
     board.versions.install(&document.content);
     board.document = document;
 }
--- a/crates/core/src/lending.rs
+++ b/crates/core/src/lending.rs
@@ -10,7 +10,6 @@
 use crate::event::Event;
 use crate::message::{Heartbeat, PeerMessage};
 use crate::names::{NodeName, ServiceName, TargetName};
-use crate::permits::seat_share;
 use crate::picker;
 
 /// A question for a permit that was not answered yet.
@@ -37,12 +36,14 @@
     fn ask(&mut self, board: &mut Blackboard, out: &mut Vec<Action>) {
         let (now, lend_for) = (board.now, board.tuning.lend_for);
         self.questions.retain(|_, question| now.since(question.asked) < lend_for);
-        for service in board.queues.busy() {
+        let mut previous = None;
+        while let Some(service) = board.queues.next_busy(previous.as_ref()) {
             let open = self.questions.values().filter(|question| question.service == service).count();
             let waiting = board.queues.of(&service).len();
             for _ in open..waiting.min(Self::OPEN_PER_SERVICE) {
                 self.ask_one(board, &service, out);
             }
+            previous = Some(service);
         }
     }
 
@@ -51,11 +52,12 @@
         let versions = board.versions.order(&board.document.content, service, draw);
         let Some(version) = versions.first() else { return };
         let targets = board.targets.of(service, version);
-        let open: Vec<&TargetName> = targets.iter().filter(|target| picker::is_open(board, target)).collect();
-        if open.is_empty() {
+        if targets.is_empty() {
             return;
         }
-        let target = open[board.random.clone().usize(0..open.len())].clone();
+        let start = board.random.clone().usize(0..targets.len());
+        let mut rotated = targets[start..].iter().chain(&targets[..start]);
+        let Some(target) = rotated.find(|target| picker::is_open(board, target)).cloned() else { return };
         let holders: Vec<NodeName> = holders(board, &target);
         if holders.is_empty() {
             return;
@@ -103,9 +105,7 @@
 /// Peers whose seats carry a share of the target's limit.
 fn holders(board: &Blackboard, target: &TargetName) -> Vec<NodeName> {
     let Some(view) = board.targets.get(target) else { return Vec::new() };
-    let seats = board.document.content.seats;
-    let carries =
-        |beat: &Heartbeat| beat.seats.iter().any(|claim| seat_share(target, claim.seat, seats, view.limit) > 0);
+    let carries = |beat: &Heartbeat| board.permits.share_of(target, &beat.seats, view.limit) > 0;
     board.members.alive().filter(|(_, beat)| carries(beat)).map(|(node, _)| node.clone()).collect()
 }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod queue;
 
 pub mod picker;
+pub mod ready;
 pub mod targets;
 pub mod versions;
 
@@ -44,6 +45,7 @@
 pub mod conclude;
 pub mod harmful;
 pub mod stages;
+pub mod watches;
 
 pub mod documents;
 pub mod members;
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -17,6 +17,7 @@
 use crate::seats::SeatController;
 use crate::stages::StageController;
 use crate::tuning::Tuning;
+use crate::watches::WatchController;
 
 /// What a node starts with.
 #[derive(Clone, Debug)]
@@ -64,6 +65,7 @@
             Box::<SeatController>::default(),
             Box::<IntakeController>::default(),
             Box::<StageController>::default(),
+            Box::<WatchController>::default(),
             Box::<ClaimController>::default(),
             Box::<LendingController>::default(),
             Box::<DispatchController>::default(),
--- a/crates/core/src/permits.rs
+++ b/crates/core/src/permits.rs
@@ -6,10 +6,11 @@
 //! lends, it does not use until it is returned or must have ended. So the sum holds whatever nodes
 //! believe of each other, and needs no agreement while the seats stay where they are.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use crate::clock::Moment;
+use crate::document::Document;
 use crate::message::SeatClaim;
 use crate::names::{NodeName, TargetName, stable_hash};
 
@@ -49,6 +50,8 @@
     borrowed_in_flight: u32,
     loans: Vec<Loan>,
     credits: Vec<Credit>,
+    /// Place of each seat in this target's order of seats: the first ones get the remainder.
+    ranks: Vec<u32>,
 }
 
 /// Permits by target, and the seats that this node holds.
@@ -57,11 +60,39 @@
     seats: Vec<SeatClaim>,
     seats_total: u32,
     targets: BTreeMap<TargetName, TargetPermits>,
+    /// Targets of which something may have become free since the index of ready targets looked.
+    changed: BTreeSet<TargetName>,
+    all_changed: bool,
 }
 
 impl PermitTable {
+    /// Works out the order of seats at each target of a new document.
+    pub fn install(&mut self, document: &Document) {
+        for target in document.targets.keys() {
+            let permits = self.targets.entry(target.clone()).or_default();
+            if permits.ranks.len() != document.seats as usize {
+                permits.ranks = seat_ranks(target, document.seats);
+            }
+        }
+        self.all_changed = true;
+    }
+
+    /// Whether something changed for all targets since the last question.
+    pub fn take_all_changed(&mut self) -> bool {
+        std::mem::take(&mut self.all_changed)
+    }
+
+    /// A target of which something may have become free since it was last named here.
+    pub fn pop_changed(&mut self) -> Option<TargetName> {
+        self.changed.pop_first()
+    }
+
     /// Says how many seats there are and which ones this node holds.
     pub fn set_seats(&mut self, total: u32, seats: Vec<SeatClaim>) {
+        if total == self.seats_total && seats == self.seats {
+            return;
+        }
+        self.all_changed = true;
         self.seats_total = total;
         self.seats = seats;
     }
@@ -75,7 +106,14 @@
     /// Share of `limit` at `target` that this node's seats carry.
     #[must_use]
     pub fn share(&self, target: &TargetName, limit: u32) -> u32 {
-        self.seats.iter().map(|claim| seat_share(target, claim.seat, self.seats_total, limit)).sum()
+        self.share_of(target, &self.seats, limit)
+    }
+
+    /// Share of `limit` at `target` that the seats of any node carry.
+    #[must_use]
+    pub fn share_of(&self, target: &TargetName, seats: &[SeatClaim], limit: u32) -> u32 {
+        let ranks = self.targets.get(target).map_or(&[][..], |permits| &permits.ranks);
+        seats_share(target, ranks, seats, self.seats_total, limit)
     }
 
     /// Calls of this node that run at `target`.
@@ -87,8 +125,8 @@
     /// Own permits that are free.
     #[must_use]
     pub fn free(&self, target: &TargetName, limit: u32) -> u32 {
-        let share = self.share(target, limit);
-        let Some(permits) = self.targets.get(target) else { return share };
+        let Some(permits) = self.targets.get(target) else { return self.share(target, limit) };
+        let share = seats_share(target, &permits.ranks, &self.seats, self.seats_total, limit);
         share.saturating_sub(permits.own_in_flight + permits.loans.len() as u32)
     }
 
@@ -117,6 +155,7 @@
 
     /// Gives a permit back after its call has ended.
     pub fn give_back(&mut self, target: &TargetName, permit: &Permit) {
+        self.changed.insert(target.clone());
         let permits = self.targets.entry(target.clone()).or_default();
         match permit {
             Permit::Own => permits.own_in_flight = permits.own_in_flight.saturating_sub(1),
@@ -141,6 +180,7 @@
     pub fn end_loan(&mut self, target: &TargetName, borrower: &NodeName, ticket: u64) {
         if let Some(permits) = self.targets.get_mut(target) {
             permits.loans.retain(|loan| loan.ticket != ticket || loan.borrower != *borrower);
+            self.changed.insert(target.clone());
         }
     }
 
@@ -155,13 +195,18 @@
     ) {
         let credit = Credit { lender: lender.clone(), ticket, start_until: asked + start_within };
         self.targets.entry(target.clone()).or_default().credits.push(credit);
+        self.changed.insert(target.clone());
     }
 
     /// Ends loans that have run out, and gives back the unused permits whose time to start has passed.
     pub fn expire(&mut self, now: Moment) -> Vec<UnusedPermit> {
         let mut unused = Vec::new();
         for (target, permits) in &mut self.targets {
+            let loans = permits.loans.len();
             permits.loans.retain(|loan| loan.ends > now);
+            if permits.loans.len() < loans {
+                self.changed.insert(target.clone());
+            }
             for credit in permits.credits.extract_if(.., |credit| credit.start_until <= now) {
                 unused.push(UnusedPermit { target: target.clone(), lender: credit.lender, ticket: credit.ticket });
             }
@@ -181,6 +226,29 @@
     pub ticket: u64,
 }
 
+fn seats_share(target: &TargetName, ranks: &[u32], seats: &[SeatClaim], total: u32, limit: u32) -> u32 {
+    let share = |seat: u32| match ranks.get(seat as usize) {
+        Some(rank) if ranks.len() == total as usize => limit / total + u32::from(*rank < limit % total),
+        _ => seat_share(target, seat, total, limit),
+    };
+    seats.iter().map(|claim| share(claim.seat)).sum()
+}
+
+/// Place of each of `total` seats in the order of seats at `target`.
+fn seat_ranks(target: &TargetName, total: u32) -> Vec<u32> {
+    let mut seats: Vec<(u64, u32)> = (0..total).map(|seat| (seat_hash(target, seat), seat)).collect();
+    seats.sort_unstable();
+    let mut ranks = vec![0; total as usize];
+    for (rank, (_, seat)) in seats.into_iter().enumerate() {
+        ranks[seat as usize] = rank as u32;
+    }
+    ranks
+}
+
+fn seat_hash(target: &TargetName, seat: u32) -> u64 {
+    stable_hash(&[target.as_str().as_bytes(), &seat.to_le_bytes()])
+}
+
 /// Share of `limit` at `target` that belongs to `seat` of `total`.
 #[must_use]
 pub fn seat_share(target: &TargetName, seat: u32, total: u32, limit: u32) -> u32 {
@@ -188,7 +256,7 @@
         return 0;
     }
     let rest = limit % total;
-    let order = |seat: u32| (stable_hash(&[target.as_str().as_bytes(), &seat.to_le_bytes()]), seat);
+    let order = |seat: u32| (seat_hash(target, seat), seat);
     let rank = (0..total).filter(|other| order(*other) < order(seat)).count() as u32;
     limit / total + u32::from(rank < rest)
 }
--- a/crates/core/src/picker.rs
+++ b/crates/core/src/picker.rs
@@ -14,8 +14,27 @@
     pub version: VersionName,
 }
 
+/// How a target compares: lower is better.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+struct Rating {
+    avoided: bool,
+    load: f64,
+}
+
+/// Brings the index of ready targets up to date with what changed since the last choice.
+pub fn refresh(board: &mut Blackboard) {
+    board.ready.wake_rested(board.now);
+    if board.permits.take_all_changed() {
+        board.ready.wake_all();
+    }
+    while let Some(target) = board.permits.pop_changed() {
+        board.ready.wake(&target);
+    }
+}
+
 /// Chooses a target of `service`, if one may take a call now; targets in `avoid` only if no other may.
 pub fn choose(board: &mut Blackboard, service: &ServiceName, avoid: &BTreeSet<TargetName>) -> Option<Choice> {
+    refresh(board);
     let draw = board.random.f64();
     let versions = board.versions.order(&board.document.content, service, draw);
     versions.into_iter().find_map(|version| {
@@ -30,35 +49,70 @@
     version: &VersionName,
     avoid: &BTreeSet<TargetName>,
 ) -> Option<TargetName> {
-    let mut random = board.random.fork();
-    let targets = board.targets.of(service, version);
-    if targets.is_empty() {
-        return None;
-    }
-    let start = random.usize(0..targets.len());
-    let rotated = targets[start..].iter().chain(&targets[..start]);
-    let mut best: Option<(bool, f64, &TargetName)> = None;
-    for target in rotated.filter(|target| may_take(board, target)).take(board.tuning.choices) {
-        let view = board.targets.get(target)?;
-        let load = view.load(board.permits.in_flight(target), board.now);
-        let rated = (avoid.contains(target), load, target);
-        if best.is_none_or(|best| (rated.0, rated.1) < (best.0, best.1)) {
-            best = Some(rated);
+    let pool = board.ready.pool(service, version)?;
+    let mut best: Option<(Rating, TargetName)> = None;
+    let mut looks = 0;
+    while looks < board.tuning.choices {
+        let ready = board.ready.targets(pool);
+        if ready.is_empty() {
+            break;
+        }
+        // Of few targets each is looked at once, of many some are drawn.
+        let few = ready.len() <= board.tuning.choices;
+        let place = if few { looks } else { board.random.usize(0..ready.len()) };
+        let Some(target) = ready.get(place).cloned() else { break };
+        if !check(board, &target) {
+            continue;
+        }
+        looks += 1;
+        let rating = rate(board, &target, avoid);
+        if best.as_ref().is_none_or(|(standing, _)| rating < *standing) {
+            best = Some((rating, target));
         }
     }
-    best.map(|(_, _, target)| target.clone())
+    match best {
+        Some((rating, target)) if rating.avoided => choose_other(board, pool, avoid).or(Some(target)),
+        best => best.map(|(_, target)| target),
+    }
+}
+
+/// Looks at all ready targets for one that is not avoided; needed only when a draw met none.
+fn choose_other(board: &mut Blackboard, pool: usize, avoid: &BTreeSet<TargetName>) -> Option<TargetName> {
+    let others: Vec<TargetName> =
+        board.ready.targets(pool).iter().filter(|target| !avoid.contains(*target)).cloned().collect();
+    let rated = others.into_iter().filter(|target| may_take(board, target));
+    let best = rated.map(|target| (rate(board, &target, avoid), target));
+    best.min_by(|one, other| one.0.load.total_cmp(&other.0.load)).map(|(_, target)| target)
+}
+
+/// Whether a target may take a call; if not, it leaves the index.
+fn check(board: &mut Blackboard, target: &TargetName) -> bool {
+    if may_take(board, target) {
+        return true;
+    }
+    let resting = board.targets.get(target).map(|view| view.resting_until).filter(|until| *until > board.now);
+    board.ready.sleep(target, resting);
+    false
+}
+
+fn rate(board: &Blackboard, target: &TargetName, avoid: &BTreeSet<TargetName>) -> Rating {
+    let own = board.permits.in_flight(target);
+    let load = board.targets.get(target).map_or(f64::MAX, |view| view.load(own, board.now));
+    Rating { avoided: avoid.contains(target), load }
 }
 
 /// Whether a call may go to `target` from here now.
 #[must_use]
 pub fn may_take(board: &Blackboard, target: &TargetName) -> bool {
-    is_open(board, target)
-        && board.targets.get(target).is_some_and(|view| board.permits.has(target, view.limit, board.now))
+    board.ready.admits(target)
+        && board
+            .targets
+            .get(target)
+            .is_some_and(|view| view.resting_until <= board.now && board.permits.has(target, view.limit, board.now))
 }
 
 /// Whether `target` may get new work, permits aside.
 #[must_use]
 pub fn is_open(board: &Blackboard, target: &TargetName) -> bool {
-    let admitted = board.document.content.targets.get(target).is_some_and(|spec| board.document.content.admits(spec));
-    admitted && board.targets.get(target).is_some_and(|view| view.resting_until <= board.now)
+    board.ready.admits(target) && board.targets.get(target).is_some_and(|view| view.resting_until <= board.now)
 }
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -1,6 +1,7 @@
 //! Requests that wait for a target: by urgency, fair between organisations, earliest deadline first.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound;
 
 use crate::clock::Moment;
 use crate::event::Priority;
@@ -43,6 +44,11 @@
         lane.waiting.insert(waiting);
     }
 
+    fn peek(&self) -> Option<&Waiting> {
+        let (_, org) = self.order.first()?;
+        self.lanes.get(org)?.waiting.first()
+    }
+
     fn pop(&mut self, weight: impl Fn(&OrgName) -> f64) -> Option<Waiting> {
         let (time, org) = self.order.pop_first()?;
         let lane = self.lanes.get_mut(&org)?;
@@ -89,6 +95,12 @@
         self.len += 1;
     }
 
+    /// The request that would be taken next.
+    #[must_use]
+    pub fn peek(&self) -> Option<&Waiting> {
+        self.levels.iter().find_map(Level::peek)
+    }
+
     /// Takes the next request; `weight` gives an organisation's share.
     pub fn pop(&mut self, weight: impl Fn(&OrgName) -> f64) -> Option<Waiting> {
         let waiting = self.levels.iter_mut().find_map(|level| level.pop(&weight))?;
@@ -128,9 +140,11 @@
         self.queues.entry(service.clone()).or_default()
     }
 
-    /// Services with requests that wait.
+    /// The first service after `previous` with requests that wait.
     #[must_use]
-    pub fn busy(&self) -> Vec<ServiceName> {
-        self.queues.iter().filter(|(_, queue)| !queue.is_empty()).map(|(service, _)| service.clone()).collect()
+    pub fn next_busy(&self, previous: Option<&ServiceName>) -> Option<ServiceName> {
+        let start = previous.map_or(Bound::Unbounded, Bound::Excluded);
+        let mut later = self.queues.range((start, Bound::Unbounded));
+        later.find(|(_, queue)| !queue.is_empty()).map(|(service, _)| service.clone())
     }
 }
--- a/crates/core/src/readiness.rs
+++ b/crates/core/src/readiness.rs
@@ -43,6 +43,10 @@
 
 impl Controller for ReadinessController {
     fn on_event(&mut self, board: &mut Blackboard, event: &Event, out: &mut Vec<Action>) {
+        // An attempt says nothing of the node, and comes with each token.
+        if matches!(event, Event::Attempt(..)) {
+            return;
+        }
         if matches!(event, Event::StopAsked) && self.closes.is_none() {
             self.closes = Some(board.now + Self::TOLD_WITHIN + board.tuning.addresses_kept);
             board.state = NodeState::Leaving;
--- a/crates/core/src/requests.rs
+++ b/crates/core/src/requests.rs
@@ -120,6 +120,34 @@
     pub started: Moment,
     /// When it must have ended.
     pub ends: Moment,
+    /// Whether it brings a stream of tokens.
+    pub streams: bool,
+    /// Whether its request must not be repeated.
+    pub claimed: bool,
+    /// When it was sent or last brought something.
+    pub progress: Moment,
+    /// Tokens that it brought.
+    pub tokens: u32,
+}
+
+/// A token that came, as its request sees it.
+#[derive(Debug)]
+pub struct StreamProgress<'a> {
+    /// Whether it is the attempt's first.
+    pub is_first: bool,
+    /// The request.
+    pub record: &'a mut RequestRecord,
+}
+
+/// An attempt that was given up, whose target may still run it: its permit stays in use until then.
+#[derive(Clone, Debug)]
+pub struct DrainingAttempt {
+    /// Target.
+    pub target: TargetName,
+    /// The right that it runs under.
+    pub permit: Permit,
+    /// When it must have ended.
+    pub ends: Moment,
 }
 
 /// A request that ended, kept for callers that ask again.
@@ -151,10 +179,14 @@
 pub struct RequestTable {
     records: BTreeMap<RequestKey, RequestRecord>,
     attempts: BTreeMap<AttemptId, AttemptRecord>,
+    draining: BTreeMap<AttemptId, DrainingAttempt>,
+    draining_order: BTreeSet<(Moment, AttemptId)>,
     calls: BTreeMap<CallId, RequestKey>,
     ended: BTreeMap<RequestKey, EndedRecord>,
     ended_order: BTreeSet<(Moment, RequestKey)>,
     deadlines: BTreeSet<(Moment, RequestKey)>,
+    /// Claimed requests that ended just now, whose settlements were not tried yet.
+    pub fresh_settlements: Vec<RequestKey>,
     /// Ends that are still to be recorded.
     pub settlements: BTreeMap<RequestKey, Settlement>,
 }
@@ -265,6 +297,35 @@
         self.attempts.get(&id)
     }
 
+    /// Notes a token of an attempt; gives its request.
+    pub fn progress(&mut self, id: AttemptId, now: Moment) -> Option<StreamProgress<'_>> {
+        let attempt = self.attempts.get_mut(&id)?;
+        attempt.progress = now;
+        attempt.tokens += 1;
+        let record = self.records.get_mut(&attempt.key)?;
+        Some(StreamProgress { is_first: attempt.tokens == 1, record })
+    }
+
+    /// Keeps the permit of an attempt that was given up in use, until its end is sure.
+    pub fn drain(&mut self, id: AttemptId, attempt: &AttemptRecord) {
+        let (target, permit, ends) = (attempt.target.clone(), attempt.permit.clone(), attempt.ends);
+        self.draining_order.insert((ends, id));
+        self.draining.insert(id, DrainingAttempt { target, permit, ends });
+    }
+
+    /// Removes a draining attempt whose end is sure.
+    pub fn end_draining(&mut self, id: AttemptId) -> Option<DrainingAttempt> {
+        let draining = self.draining.remove(&id)?;
+        self.draining_order.remove(&(draining.ends, id));
+        Some(draining)
+    }
+
+    /// A draining attempt that must have ended.
+    #[must_use]
+    pub fn drained(&self, now: Moment) -> Option<AttemptId> {
+        self.draining_order.first().filter(|(ends, _)| *ends <= now).map(|(_, id)| *id)
+    }
+
     /// Removes an attempt that ended.
     pub fn end_attempt(&mut self, id: AttemptId) -> Option<AttemptRecord> {
         let attempt = self.attempts.remove(&id)?;
--- a/crates/core/src/stages.rs
+++ b/crates/core/src/stages.rs
@@ -27,27 +27,35 @@
             Event::Attempt(id, AttemptEvent::Failed { kind, sent }) => on_failed(board, *id, *kind, *sent, out),
             Event::Reported(target, report) => on_report(board, target, report, out),
             Event::Peer(from, message) => on_peer(board, from, message),
-            Event::Tick => board.targets.cool_idle(&board.tuning, board.now),
+            Event::Tick => {
+                conclude::end_drained(board, out);
+                board.targets.cool_idle(&board.tuning, board.now);
+            }
             _ => {}
         }
     }
 }
 
 fn on_token(board: &mut Blackboard, id: AttemptId, index: u32, text: &Arc<str>, out: &mut Vec<Action>) {
-    let Some(attempt) = board.requests.attempt(id) else {
+    let now = board.now;
+    let Some(progress) = board.requests.progress(id, now) else {
         board.counters.stray_results += 1;
         return;
     };
-    let key = attempt.key.clone();
-    let Some(record) = board.requests.get_mut(&key) else { return };
+    if progress.is_first {
+        // From here on the shorter bound between tokens holds.
+        board.watches.set(id, now + board.tuning.stream_silence);
+    }
+    let record = progress.record;
     let expected = record.tokens.len() as u32;
     if index < expected {
         board.counters.stray_results += 1;
         return;
     }
     if index > expected {
-        out.push(Action::Cancel(id));
-        on_failed(board, id, FailureKind::Malformed, true, out);
+        if let Some(attempt) = conclude::cancel_attempt(board, id, out) {
+            failed(board, &attempt, FailureKind::Malformed, true, out);
+        }
         return;
     }
     record.tokens.push(text.clone());
@@ -67,6 +75,7 @@
     out: &mut Vec<Action>,
 ) {
     let Some(attempt) = conclude::end_attempt(board, id, out) else {
+        conclude::end_draining(board, id, out);
         board.counters.stray_results += 1;
         return;
     };
@@ -132,11 +141,28 @@
 }
 
 fn on_failed(board: &mut Blackboard, id: AttemptId, kind: FailureKind, sent: bool, out: &mut Vec<Action>) {
-    let Some(attempt) = conclude::end_attempt(board, id, out) else {
-        board.counters.stray_results += 1;
+    // Behind a silent connection the target may be running it still.
+    let silent = kind == FailureKind::Silent && sent;
+    let ended = if silent { conclude::drain_attempt(board, id) } else { conclude::end_attempt(board, id, out) };
+    if let Some(attempt) = ended {
+        failed(board, &attempt, kind, sent, out);
         return;
-    };
-    learn_failure(board, &attempt, kind, sent, out);
+    }
+    // The end of an attempt that was given up before: nobody waits for it, but its permit is free now.
+    if silent || !conclude::end_draining(board, id, out) {
+        board.counters.stray_results += 1;
+    }
+}
+
+/// Gives an attempt up of which nothing comes any more; its request goes on elsewhere.
+pub(crate) fn give_up(board: &mut Blackboard, id: AttemptId, out: &mut Vec<Action>) {
+    if let Some(attempt) = conclude::cancel_attempt(board, id, out) {
+        failed(board, &attempt, FailureKind::Silent, true, out);
+    }
+}
+
+fn failed(board: &mut Blackboard, attempt: &AttemptRecord, kind: FailureKind, sent: bool, out: &mut Vec<Action>) {
+    learn_failure(board, attempt, kind, sent, out);
     let Some(record) = board.requests.get_mut(&attempt.key) else { return };
     let ran = sent && !matches!(kind, FailureKind::Full | FailureKind::Rejected);
     record.sent |= ran;
--- a/crates/core/src/store_table.rs
+++ b/crates/core/src/store_table.rs
@@ -1,6 +1,7 @@
 //! Open operations at the table service, and whether it is worth asking.
 
 use std::collections::BTreeMap;
+use std::collections::btree_map::Entry;
 use std::time::Duration;
 
 use crate::action::Action;
@@ -43,6 +44,8 @@
 pub struct StoreTable {
     last_ticket: u64,
     open: BTreeMap<StoreTicket, StorePurpose>,
+    /// How many operations are open for each purpose.
+    purposes: BTreeMap<StorePurpose, u32>,
     failures: u32,
     retry_at: Moment,
     last_answer: Moment,
@@ -60,19 +63,27 @@
             StoreOp::Write { .. } => counters.store_writes += 1,
             StoreOp::Read { .. } => counters.store_reads += 1,
         }
+        *self.purposes.entry(purpose.clone()).or_default() += 1;
         self.open.insert(ticket, purpose);
         out.push(Action::Store(ticket, Box::new(op)));
     }
 
     /// Takes the purpose of an operation that was replied to; none if it was replied to before.
     pub fn close(&mut self, ticket: StoreTicket) -> Option<StorePurpose> {
-        self.open.remove(&ticket)
+        let purpose = self.open.remove(&ticket)?;
+        if let Entry::Occupied(mut count) = self.purposes.entry(purpose.clone()) {
+            *count.get_mut() -= 1;
+            if *count.get() == 0 {
+                count.remove();
+            }
+        }
+        Some(purpose)
     }
 
     /// Whether an operation for `purpose` is open.
     #[must_use]
     pub fn is_open(&self, purpose: &StorePurpose) -> bool {
-        self.open.values().any(|open| open == purpose)
+        self.purposes.contains_key(purpose)
     }
 
     /// Learns from a reply; `jitter` is 0 to 1.
--- a/crates/core/src/tuning.rs
+++ b/crates/core/src/tuning.rs
@@ -15,6 +15,10 @@
     pub isolated_after: Duration,
     /// Longest time that one call at a target may last.
     pub longest_call: Duration,
+    /// Silence between two tokens of a stream after which its attempt is given up.
+    pub stream_silence: Duration,
+    /// Silence before the first token of a stream after which its attempt is given up.
+    pub first_token_silence: Duration,
     /// Most attempts of one stage.
     pub most_attempts: u32,
     /// Most requests queued for one service.
@@ -51,6 +55,8 @@
             document_read_every: Duration::from_secs(1),
             isolated_after: Duration::from_secs(5),
             longest_call: Duration::from_secs(6),
+            stream_silence: Duration::from_secs(1),
+            first_token_silence: Duration::from_secs(2),
             most_attempts: 3,
             queue_bound: 400,
             retry_share: 0.1,
