Count good and bad events for the service-level report

Operators had counters since the start of a node only: nothing told how fast an error budget is spent, or whose.

Each event brings the budget of its own objective along. Ruled out: one objective per subject, which is wrong for an organisation or a data centre whose routes have different ones, and for an objective that changes; exact timestamps, which have no bound.

GET /v1/operator/burn gives a node's counts, /metrics its gauges, and status names each node's address for callers, from which the command line will ask all of them. At most 256 subjects of a scope are counted apart, the rest as 'other'.

--- a/crates/core/src/blackboard.rs
+++ b/crates/core/src/blackboard.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use crate::budget::RetryBudget;
+use crate::burn::BurnTable;
 use crate::clock::{Moment, WallTime};
 use crate::counters::Counters;
 use crate::document::AcceptedDocument;
@@ -75,6 +76,8 @@
     pub versions: VersionTable,
     /// Open operations at the table service, and its health.
     pub store: StoreTable,
+    /// Good and bad events for the service-level report.
+    pub burn: BurnTable,
     /// Counts for metrics.
     pub counters: Counters,
     last_attempt: u64,
@@ -102,6 +105,7 @@
             harmful: HarmfulTable::default(),
             versions: VersionTable::default(),
             store: StoreTable::default(),
+            burn: BurnTable::default(),
             counters: Counters::default(),
             last_attempt: 0,
             tuning,
--- a/crates/core/src/conclude.rs
+++ b/crates/core/src/conclude.rs
@@ -2,6 +2,7 @@
 
 use crate::action::{Action, AnswerPart};
 use crate::blackboard::Blackboard;
+use crate::burn::judge;
 use crate::message::PeerMessage;
 use crate::names::{AttemptId, RequestKey, TargetName};
 use crate::outcome::{FinalAnswer, Outcome, RefusalKind};
@@ -12,11 +13,16 @@
 pub fn conclude(board: &mut Blackboard, key: &RequestKey, answer: &FinalAnswer, out: &mut Vec<Action>) {
     let running = board.requests.get(key).map(|record| record.running.clone()).unwrap_or_default();
     for attempt in running {
-        cancel_attempt(board, attempt, out);
+        let late = board.requests.get(key).is_some_and(|record| board.now >= record.deadline);
+        let cancelled = cancel_attempt(board, attempt, out);
+        if let Some(attempt) = cancelled.filter(|_| late) {
+            judge::count_attempt(board, &attempt, false);
+        }
     }
     let Some(record) = board.requests.end(key, answer, board.now) else { return };
     board.queues.of(record.service()).remove(record.priority, &record.waiting());
     count(board, answer, board.now <= record.deadline);
+    judge::count_request(board, &record, answer);
     if let Some(claim) = record.claim {
         let until = board.now + board.tuning.keep_ended;
         let settlement = Settlement { claim, content: record.content, answer: answer.clone(), until };
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod seats;
 
 pub mod budget;
+pub mod burn;
 pub mod conclude;
 pub mod harmful;
 pub mod stages;
--- a/crates/core/src/names.rs
+++ b/crates/core/src/names.rs
@@ -23,6 +23,12 @@
             pub fn as_str(&self) -> &str {
                 &self.0
             }
+
+            /// The text of the name, shared.
+            #[must_use]
+            pub fn shared(&self) -> Arc<str> {
+                self.0.clone()
+            }
         }
 
         impl From<&str> for $name {
--- a/crates/node/src/input.rs
+++ b/crates/node/src/input.rs
@@ -4,6 +4,7 @@
 use std::sync::mpsc::Sender;
 
 use wasabipier_core::prelude::*;
+use wasabipier_wire::burn::BurnReply;
 use wasabipier_wire::caller::{AddressesReply, DocumentReply, StatusReply};
 
 /// One message to the decision thread.
@@ -30,6 +31,8 @@
     Status(Sender<StatusReply>),
     /// The document in force.
     Document(Sender<DocumentReply>),
+    /// What was counted for the service-level report.
+    Burn(Sender<BurnReply>),
     /// Whether new work is taken.
     Ready(Sender<bool>),
     /// Gauges brought up to date.
--- a/crates/node/src/metering.rs
+++ b/crates/node/src/metering.rs
@@ -2,6 +2,8 @@
 
 use metrics::{counter, gauge};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use strum::IntoEnumIterator;
+use wasabipier_core::burn::BurnWindow;
 use wasabipier_core::prelude::Blackboard;
 
 /// Installs the recorder of this process.
@@ -44,4 +46,19 @@
     for (target, view) in board.targets.iter() {
         gauge!("wasabipier_target_limit", "target" => target.to_string()).set(f64::from(view.limit));
     }
+    publish_burn(board);
+}
+
+/// This node's part of the service-level report; its subjects are bounded by scope.
+fn publish_burn(board: &Blackboard) {
+    for row in board.burn.rows(board.now) {
+        let (scope, name) = (row.subject.scope.to_string(), row.subject.name.to_string());
+        let labels = [("scope", scope), ("name", name)];
+        gauge!("wasabipier_error_budget_left", &labels).set(row.counts(BurnWindow::Days30).budget_left());
+        for window in BurnWindow::iter().filter(|window| *window != BurnWindow::Days30) {
+            let [scope, name] = labels.clone();
+            let labels = [scope, name, ("window", window.to_string())];
+            gauge!("wasabipier_burn_rate", &labels).set(row.counts(window).burn_rate());
+        }
+    }
 }
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -26,6 +26,7 @@
     }
     match (request.method(), action) {
         (Method::Get, "status") => edge.look(request, Question::Status),
+        (Method::Get, "burn") => edge.look(request, Question::Burn),
         (Method::Get, "document") => edge.look(request, Question::Document),
         (Method::Post, "promote") => promote(edge, request),
         _ => refuse(request, &CallError::NoSuchPath),
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -7,6 +7,7 @@
 use spdlog::info;
 use stakker::{ActorOwn, CX, Stakker, StopCause, actor, after, call, ret_nop};
 use wasabipier_core::prelude::*;
+use wasabipier_wire::burn::{BurnReply, WireBurnRow};
 use wasabipier_wire::caller::{AddressesReply, DocumentReply, NodeStatus, RolloutStatus, StatusReply};
 
 use crate::callers::CallerEdge;
@@ -179,6 +180,9 @@
                     text: document.text.to_string(),
                 });
             }
+            Question::Burn(sender) => {
+                let _ = sender.send(burn(board));
+            }
             Question::Ready(sender) => {
                 let _ = sender.send(self.core.addresses().contains(&board.identity.caller_address));
             }
@@ -201,6 +205,7 @@
     let own = NodeStatus {
         node: board.identity.node.to_string(),
         data_centre: board.identity.dc.to_string(),
+        caller_address: board.identity.caller_address,
         state: board.state.to_string(),
         revision: board.document.revision.0,
         seats: board.permits.seats().iter().map(|claim| claim.seat).collect(),
@@ -208,6 +213,7 @@
     let peers = board.members.alive().map(|(node, beat)| NodeStatus {
         node: node.to_string(),
         data_centre: beat.dc.to_string(),
+        caller_address: beat.caller_address,
         state: beat.state.to_string(),
         revision: beat.revision.0,
         seats: beat.seats.iter().map(|claim| claim.seat).collect(),
@@ -226,6 +232,16 @@
     }
 }
 
+fn burn(board: &Blackboard) -> BurnReply {
+    BurnReply {
+        node: board.identity.node.to_string(),
+        environment: board.document.content.environment.to_string(),
+        revision: board.document.revision.0,
+        covers_s: board.now.since(Moment::default()).as_secs(),
+        rows: board.burn.rows(board.now).iter().map(WireBurnRow::from).collect(),
+    }
+}
+
 /// Runs a node until it is stopped.
 ///
 /// # Errors
--- a/crates/wire/src/caller.rs
+++ b/crates/wire/src/caller.rs
@@ -1,5 +1,7 @@
 //! JSON towards callers and operators.
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 
 use crate::answer::WireCharge;
@@ -125,6 +127,8 @@
     pub node: String,
     /// Its data centre.
     pub data_centre: String,
+    /// Its address for callers and operators.
+    pub caller_address: SocketAddr,
     /// Its state.
     pub state: String,
     /// Revision in force there.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,6 +1,6 @@
 //! What goes over wires and into documents, and its conversion to and from the core's types.
 //!
-//! * [`caller`]: JSON towards callers and operators,
+//! * [`caller`] and [`burn`]: JSON towards callers and operators,
 //! * [`target`]: JSON towards targets,
 //! * [`platform`] and [`row`]: JSON towards the platform's services,
 //! * [`frame`]: `bincode` frames between nodes,
@@ -9,6 +9,7 @@
 pub mod prelude;
 
 pub mod answer;
+pub mod burn;
 pub mod caller;
 pub mod document;
 pub mod fault;
