Show error budgets and burn rates of the whole environment

Each node counts for itself, so an operator would have had to add up by hand. 'wasabipierctl burn' asks every node that status names, adds up and prints a table, JSON or a picture. Alerts take the usual paired windows: 5 min and 1 h at 14.4, 30 min and 6 h at 6.

Nodes that do not answer are named, and the exit code says that their counts are missing; leaving them out silently would show a better service than there was.

Found while trying it: the histogram's saturating_record does not grow a histogram, so that 587 ms was shown as 2 ms; record does, and a test holds it.

--- a/crates/core/src/burn/judge.rs
+++ b/crates/core/src/burn/judge.rs
@@ -1,7 +1,8 @@
 //! Which ends of requests and calls count, and as what.
 //!
 //! A request is good if it was done within its deadline; a call to a stage is good if it succeeded. What a
-//! caller did wrong does not count, nor does a request whose caller hung up before its deadline.
+//! caller did wrong does not count, nor does a request whose caller hung up before its deadline. A request
+//! that is asked at two nodes counts at both, since two callers were answered.
 
 use std::sync::Arc;
 
@@ -11,16 +12,14 @@
 use crate::event::{Ask, Goal};
 use crate::names::{OrgName, PipelineName, ServiceName};
 use crate::outcome::{FinalAnswer, Outcome, RefusalKind};
-use crate::requests::{AttemptRecord, RequestRecord, RequestState};
+use crate::requests::{AttemptRecord, RequestRecord};
 
 /// Counts a request that ended.
 pub fn count_request(board: &mut Blackboard, record: &RequestRecord, answer: &FinalAnswer) {
     let in_time = board.now <= record.deadline;
     let done = answer.outcome == Outcome::Done;
     let hung_up = record.callers.is_empty() && board.now < record.deadline;
-    // The node that runs it counts it; a follower counts only that its caller got nothing.
-    let counted_elsewhere = record.state == RequestState::Following && done;
-    if hung_up || counted_elsewhere || answer.refusal.is_some_and(is_callers_fault) {
+    if hung_up || answer.refusal.is_some_and(is_callers_fault) {
         return;
     }
     let took = Some(board.now.since(record.arrived));
--- a/crates/core/src/burn/latency.rs
+++ b/crates/core/src/burn/latency.rs
@@ -35,13 +35,14 @@
     /// Adds one.
     pub fn record(&mut self, took: Duration) {
         let ms = took.as_millis().min(u128::from(LONGEST_MS));
-        self.histogram.saturating_record(ms as u64);
+        // It cannot fail: the histogram grows to hold the value.
+        let _ = self.histogram.record(ms as u64);
     }
 
     /// Adds those of another histogram.
     pub fn add(&mut self, counts: &[LatencyCount]) {
         for count in counts {
-            self.histogram.saturating_record_n(count.ms.min(LONGEST_MS), count.count);
+            let _ = self.histogram.record_n(count.ms.min(LONGEST_MS), count.count);
         }
     }
 
--- a/crates/core/tests/burn.rs
+++ b/crates/core/tests/burn.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use wasabipier_core::burn::latency::LatencyCount;
 use wasabipier_core::burn::{
     BurnAlert, BurnEvent, BurnRow, BurnScope, BurnTable, BurnWindow, EventCounts, MOST_SUBJECTS, OTHER,
 };
@@ -76,7 +77,7 @@
     // Assert
     let counts = sum.counts(BurnWindow::Minutes5);
     assert_eq!((counts.good, counts.bad), (3, 1));
-    assert_eq!(sum.latencies.iter().map(|latency| latency.count).sum::<u64>(), 4);
+    assert_eq!(sum.latencies, [LatencyCount { ms: 40, count: 4 }]);
 }
 
 #[test]
--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -35,6 +35,8 @@
     TakeOut(TakeOutArgs),
     /// Bring it back.
     BringBack(BringBackArgs),
+    /// Show the service-level burn report.
+    Burn(BurnArgs),
     /// Ask as a caller does.
     Ask(AskArgs),
     /// Look up the charges of a request.
@@ -124,6 +126,19 @@
     pub name: String,
 }
 
+/// Shows error budgets and burn rates, added up over all nodes.
+#[derive(Clone, Debug, FromArgs)]
+#[argh(subcommand, name = "burn")]
+pub struct BurnArgs {
+    /// print the report as JSON
+    #[argh(switch)]
+    pub json: bool,
+
+    /// write the report as a picture (SVG) to this file
+    #[argh(option)]
+    pub svg: Option<PathBuf>,
+}
+
 /// Looks up the charges of one request in the ledger.
 #[derive(Clone, Debug, FromArgs)]
 #[argh(subcommand, name = "charges")]
--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use ureq::Agent;
+use wasabipier_wire::burn::BurnReply;
 use wasabipier_wire::caller::{DocumentReply, PromoteCall, PromoteReply, StatusReply};
 
 use crate::cli::CtlArgs;
@@ -38,6 +39,12 @@
         Ok(Self { node: args.node, bearer: format!("Bearer {}", key.trim()), agent: agent() })
     }
 
+    /// The same client for another node.
+    #[must_use]
+    pub fn at(&self, node: SocketAddr) -> Self {
+        Self { node, bearer: self.bearer.clone(), agent: self.agent.clone() }
+    }
+
     fn url(&self, action: &str) -> String {
         format!("http://{}/v1/operator/{action}", self.node)
     }
@@ -66,6 +73,15 @@
         self.get("document")
     }
 
+    /// What the node counted for the service-level report.
+    ///
+    /// # Errors
+    ///
+    /// No answer.
+    pub fn burn(&self) -> Result<BurnReply, CtlError> {
+        self.get("burn")
+    }
+
     /// Promotes a document; gives back its revision.
     ///
     /// # Errors
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -9,6 +9,7 @@
 use wasabipier_wire::document::parse_document;
 
 use crate::ask;
+use crate::burn;
 use crate::charges;
 use crate::cli::{CtlArgs, CtlCommand};
 use crate::client::NodeClient;
@@ -44,6 +45,7 @@
         CtlCommand::Status(_) => print_status(&NodeClient::new(args)?.status()?),
         CtlCommand::TakeOut(place) => admit(args, &place.kind, &place.name, "out")?,
         CtlCommand::BringBack(place) => admit(args, &place.kind, &place.name, "open")?,
+        CtlCommand::Burn(wanted) => return burn::show(args, wanted),
         CtlCommand::Ask(ask) => return ask::print(args, ask),
         CtlCommand::Charges(wanted) => charges::print(wanted)?,
     }
--- a/crates/ctl/src/exit.rs
+++ b/crates/ctl/src/exit.rs
@@ -18,6 +18,8 @@
     Conflict,
     /// It is not known whether it was done.
     Unknown,
+    /// The report lacks the counts of some nodes.
+    Partial,
 }
 
 impl From<ExitKind> for ExitCode {
@@ -28,6 +30,7 @@
             ExitKind::Input => 2,
             ExitKind::Conflict => 3,
             ExitKind::Unknown => 4,
+            ExitKind::Partial => 5,
         })
     }
 }
@@ -43,6 +46,17 @@
         /// Why.
         source: std::io::Error,
     },
+    /// A file cannot be written.
+    #[error("cannot write {path}: {source}; choose another file")]
+    Unwritable {
+        /// The file.
+        path: PathBuf,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// A node of another release.
+    #[error("{0}")]
+    OtherRelease(#[from] wasabipier_wire::burn::UnknownWord),
     /// A document has faults.
     #[error("{0}")]
     Faulty(FaultList),
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -1,6 +1,7 @@
 //! `wasabipierctl`: operators' command line.
 
 mod ask;
+mod burn;
 mod charges;
 mod cli;
 mod client;
--- /dev/null
+++ b/crates/ctl/tests/ctl/main.rs
@@ -0,0 +1,4 @@
+//! The command line over real nodes.
+
+mod burn;
+mod support;
