Let a target earn its limit step by step, and lose it at once

Cause: one success after a second doubled a limit, also by a call that was sent at a lower step; a target that called itself cold, answered slowly or was not heard of kept its limit, and late reports of a replaced instance made the new one look restarted again. Ruled out: raising by what peers say (one node's mistake would add load at another); raising by the target's own word (it comes late); a single latency for all steps (batches are slower when fuller). Change: warmth.rs. A step needs calls sent at it that went well, or a stream that flowed for a step's time; slow against the usual of that step, a new instance, its own word, lost calls and silence about it make it cold at once, Full and repeated faults halve it. The fallback of an unconfirmed belief is worked out at each use, so that a paused node cannot act on an old one.

--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -71,7 +71,7 @@
 }
 
 fn send(board: &mut Blackboard, key: &RequestKey, choice: &Choice, out: &mut Vec<Action>) {
-    let limit = board.targets.get(&choice.target).map_or(0, |view| view.limit);
+    let limit = board.targets.get(&choice.target).map_or(0, |view| view.limit_at(&board.tuning, board.now));
     let Some(permit) = board.permits.take(&choice.target, limit, board.now) else { return };
     let id = board.next_attempt();
     let document = board.document.clone();
@@ -111,6 +111,8 @@
         claimed: record.claim.is_some(),
         progress: board.now,
         tokens: 0,
+        first_token: None,
+        flowing: false,
     };
     board.counters.attempts += 1;
     board.watches.set(id, watches::silent_at(board, &attempt));
--- a/crates/core/src/lending.rs
+++ b/crates/core/src/lending.rs
@@ -105,14 +105,15 @@
 /// Peers whose seats carry a share of the target's limit.
 fn holders(board: &Blackboard, target: &TargetName) -> Vec<NodeName> {
     let Some(view) = board.targets.get(target) else { return Vec::new() };
-    let carries = |beat: &Heartbeat| board.permits.share_of(target, &beat.seats, view.limit) > 0;
+    let limit = view.limit_at(&board.tuning, board.now);
+    let carries = |beat: &Heartbeat| board.permits.share_of(target, &beat.seats, limit) > 0;
     board.members.alive().filter(|(_, beat)| carries(beat)).map(|(node, _)| node.clone()).collect()
 }
 
 fn lend(board: &mut Blackboard, to: &NodeName, target: &TargetName, ticket: u64, out: &mut Vec<Action>) {
     let lend_for = board.tuning.lend_for;
     let ends = board.now + lend_for + board.tuning.longest_call + LendingController::LOAN_MARGIN;
-    let limit = board.targets.get(target).map_or(0, |view| view.limit);
+    let limit = board.targets.get(target).map_or(0, |view| view.limit_at(&board.tuning, board.now));
     let service = board.document.content.targets.get(target).map(|spec| spec.service.clone());
     let needed_here = service.is_none_or(|service| !board.queues.of(&service).is_empty());
     let lent = !needed_here && picker::is_open(board, target) && board.permits.lend(target, limit, to, ticket, ends);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod ready;
 pub mod targets;
 pub mod versions;
+pub mod warmth;
 
 pub mod lending;
 pub mod permits;
--- a/crates/core/src/permits.rs
+++ b/crates/core/src/permits.rs
@@ -82,6 +82,11 @@
         std::mem::take(&mut self.all_changed)
     }
 
+    /// Notes that the limit of a target rose.
+    pub fn note_raised(&mut self, target: &TargetName) {
+        self.changed.insert(target.clone());
+    }
+
     /// A target of which something may have become free since it was last named here.
     pub fn pop_changed(&mut self) -> Option<TargetName> {
         self.changed.pop_first()
--- a/crates/core/src/picker.rs
+++ b/crates/core/src/picker.rs
@@ -105,10 +105,10 @@
 #[must_use]
 pub fn may_take(board: &Blackboard, target: &TargetName) -> bool {
     board.ready.admits(target)
-        && board
-            .targets
-            .get(target)
-            .is_some_and(|view| view.resting_until <= board.now && board.permits.has(target, view.limit, board.now))
+        && board.targets.get(target).is_some_and(|view| {
+            let limit = view.limit_at(&board.tuning, board.now);
+            view.resting_until <= board.now && board.permits.has(target, limit, board.now)
+        })
 }
 
 /// Whether `target` may get new work, permits aside.
--- a/crates/core/src/requests.rs
+++ b/crates/core/src/requests.rs
@@ -11,6 +11,7 @@
 use crate::permits::Permit;
 use crate::queue::Waiting;
 use crate::store::RowVersion;
+use crate::warmth::ServedCall;
 
 /// Where a request stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -128,6 +129,19 @@
     pub progress: Moment,
     /// Tokens that it brought.
     pub tokens: u32,
+    /// Time to its first token.
+    pub first_token: Option<Duration>,
+    /// Whether it was counted as a stream that flows.
+    pub flowing: bool,
+}
+
+impl AttemptRecord {
+    /// What it tells of its target, now that it went well.
+    #[must_use]
+    pub fn served(&self, now: Moment) -> ServedCall {
+        let took = self.first_token.unwrap_or_else(|| now.since(self.started));
+        ServedCall { started: self.started, took }
+    }
 }
 
 /// A token that came, as its request sees it.
@@ -135,6 +149,8 @@
 pub struct StreamProgress<'a> {
     /// Whether it is the attempt's first.
     pub is_first: bool,
+    /// The target, if the stream has flowed for long enough to speak for it and was not counted yet.
+    pub flowing: Option<(TargetName, Moment)>,
     /// The request.
     pub record: &'a mut RequestRecord,
 }
@@ -298,12 +314,16 @@
     }
 
     /// Notes a token of an attempt; gives its request.
-    pub fn progress(&mut self, id: AttemptId, now: Moment) -> Option<StreamProgress<'_>> {
+    pub fn progress(&mut self, id: AttemptId, flows_after: Duration, now: Moment) -> Option<StreamProgress<'_>> {
         let attempt = self.attempts.get_mut(&id)?;
         attempt.progress = now;
         attempt.tokens += 1;
+        attempt.first_token.get_or_insert(now.since(attempt.started));
+        let flows = !attempt.flowing && now.since(attempt.started) >= flows_after;
+        attempt.flowing |= flows;
+        let flowing = flows.then(|| (attempt.target.clone(), attempt.started));
         let record = self.records.get_mut(&attempt.key)?;
-        Some(StreamProgress { is_first: attempt.tokens == 1, record })
+        Some(StreamProgress { is_first: attempt.tokens == 1, flowing, record })
     }
 
     /// Keeps the permit of an attempt that was given up in use, until its end is sure.
--- a/crates/core/src/stages.rs
+++ b/crates/core/src/stages.rs
@@ -30,7 +30,7 @@
             Event::Peer(from, message) => on_peer(board, from, message),
             Event::Tick => {
                 conclude::end_drained(board, out);
-                board.targets.cool_idle(&board.tuning, board.now);
+                board.targets.cool_stale(&board.tuning, board.now);
             }
             _ => {}
         }
@@ -39,7 +39,7 @@
 
 fn on_token(board: &mut Blackboard, id: AttemptId, index: u32, text: &Arc<str>, out: &mut Vec<Action>) {
     let now = board.now;
-    let Some(progress) = board.requests.progress(id, now) else {
+    let Some(progress) = board.requests.progress(id, board.tuning.ramp_step, now) else {
         board.counters.stray_results += 1;
         return;
     };
@@ -47,6 +47,12 @@
         // From here on the shorter bound between tokens holds.
         board.watches.set(id, now + board.tuning.stream_silence);
     }
+    if let Some((target, started)) = &progress.flowing
+        && let Some(view) = board.targets.get_mut(target)
+        && view.warmth.learn_flowing(*started, &board.tuning, now)
+    {
+        board.permits.note_raised(target);
+    }
     let record = progress.record;
     let expected = record.tokens.len() as u32;
     if index < expected {
@@ -127,8 +133,9 @@
 fn learn_success(board: &mut Blackboard, attempt: &AttemptRecord, report: &LoadReport, out: &mut Vec<Action>) {
     let now = board.now;
     on_report(board, &attempt.target, report, out);
-    if let Some(view) = board.targets.get_mut(&attempt.target) {
-        view.learn_success(now.since(attempt.started), &board.tuning, now);
+    let view = board.targets.get_mut(&attempt.target);
+    if view.is_some_and(|view| view.learn_success(attempt.served(now), &board.tuning, now)) {
+        tell_cold(board, &attempt.target, out);
     }
     count_version(board, attempt, false);
 }
@@ -251,7 +258,7 @@
 fn tell_cold(board: &Blackboard, target: &TargetName, out: &mut Vec<Action>) {
     let Some(view) = board.targets.get(target) else { return };
     for (node, _) in board.members.alive() {
-        let message = PeerMessage::TargetCold { target: target.clone(), instance: view.instance };
+        let message = PeerMessage::TargetCold { target: target.clone(), instance: view.warmth.instance() };
         out.push(Action::Tell(node.clone(), Box::new(message)));
     }
 }
@@ -261,8 +268,7 @@
     match message {
         PeerMessage::TargetCold { target, instance } => {
             if let Some(view) = board.targets.get_mut(target) {
-                view.instance = *instance;
-                view.turn_cold(now);
+                view.warmth.hear_cold(*instance, now);
             }
         }
         PeerMessage::Harmful { content, targets } => {
--- a/crates/core/src/targets.rs
+++ b/crates/core/src/targets.rs
@@ -6,25 +6,16 @@
 use crate::clock::Moment;
 use crate::document::{Document, ServiceSpec};
 use crate::event::FailureKind;
-use crate::names::{InstanceId, ServiceName, TargetName, VersionName};
+use crate::names::{ServiceName, TargetName, VersionName};
 use crate::outcome::LoadReport;
 use crate::tuning::Tuning;
+use crate::warmth::{ServedCall, WarmthState};
 
 /// What is known of one target.
 #[derive(Clone, Debug, PartialEq)]
 pub struct TargetView {
-    /// Calls in flight that it is taken to bear, over all nodes.
-    pub limit: u32,
-    /// Bounds of the limit, cold and warm.
-    pub bounds: (u32, u32),
-    /// Its instance, zero until known.
-    pub instance: InstanceId,
-    /// When the limit was last changed.
-    pub limit_since: Moment,
-    /// Calls that succeeded since then.
-    pub successes: u32,
-    /// When a call last succeeded.
-    pub last_success: Moment,
+    /// How warm it is taken to be, and so the calls in flight that it bears over all nodes.
+    pub warmth: WarmthState,
     /// Failures in a row.
     pub failures: u32,
     /// Until when it gets no calls after failures.
@@ -33,8 +24,6 @@
     pub reported: u32,
     /// When those figures were true.
     pub reported_at: Moment,
-    /// Smoothed time of a call in milliseconds.
-    pub latency_ms: f64,
 }
 
 /// Targets by name, and by service and version.
@@ -52,7 +41,7 @@
         for (name, spec) in &document.targets {
             let service = &document.services[&spec.service];
             let mut view = self.views.remove(name).unwrap_or_else(|| TargetView::cold(service, now));
-            view.rebound(service);
+            view.warmth.rebound((service.cold_limit, service.warm_limit));
             views.insert(name.clone(), view);
             let versions = self.by_version.entry(spec.service.clone()).or_default();
             versions.entry(spec.version.clone()).or_default().push(name.clone());
@@ -82,76 +71,50 @@
         self.views.iter()
     }
 
-    /// Takes idle targets for cold.
-    pub fn cool_idle(&mut self, tuning: &Tuning, now: Moment) {
-        for view in self.views.values_mut() {
-            if view.limit > view.bounds.0 && now.since(view.last_success) > tuning.idle_cold_after {
-                view.turn_cold(now);
-            }
+    /// Takes targets for cold of which nothing good was heard for too long.
+    pub fn cool_stale(&mut self, tuning: &Tuning, now: Moment) {
+        for view in self.views.values_mut().filter(|view| view.warmth.is_stale(tuning, now)) {
+            view.warmth.turn_cold(now);
         }
     }
 }
 
 impl TargetView {
-    const SMOOTHING: f64 = 0.2;
     const FIRST_REST: Duration = Duration::from_millis(500);
     const LONGEST_REST: Duration = Duration::from_secs(10);
+    /// Faults in a row after which a target is taken to bear less.
+    const FAULTS_IN_A_ROW: u32 = 3;
 
     fn cold(service: &ServiceSpec, now: Moment) -> Self {
         Self {
-            limit: service.cold_limit,
-            bounds: (service.cold_limit, service.warm_limit),
-            instance: InstanceId::default(),
-            limit_since: now,
-            successes: 0,
-            last_success: now,
+            warmth: WarmthState::new((service.cold_limit, service.warm_limit), now),
             failures: 0,
             resting_until: Moment::default(),
             reported: 0,
             reported_at: Moment::default(),
-            latency_ms: 0.0,
         }
     }
 
-    fn rebound(&mut self, service: &ServiceSpec) {
-        self.bounds = (service.cold_limit, service.warm_limit);
-        self.limit = self.limit.clamp(service.cold_limit, service.warm_limit);
-    }
-
-    /// Starts the ramp anew.
-    pub fn turn_cold(&mut self, now: Moment) {
-        self.limit = self.bounds.0;
-        self.limit_since = now;
-        self.successes = 0;
-        self.last_success = now;
+    /// Calls in flight that it is taken to bear now, over all nodes.
+    #[must_use]
+    pub fn limit_at(&self, tuning: &Tuning, now: Moment) -> u32 {
+        self.warmth.limit_at(tuning, now)
     }
 
     /// Learns from what the target says of itself; tells whether it turned cold by that.
     pub fn learn_report(&mut self, report: &LoadReport, now: Moment) -> bool {
-        self.reported = report.in_flight;
-        self.reported_at = now - Duration::from_millis(u64::from(report.age_ms));
-        let restarted = self.instance != InstanceId::default() && self.instance != report.instance;
-        self.instance = report.instance;
-        if restarted {
-            self.turn_cold(now);
+        let true_at = now - Duration::from_millis(u64::from(report.age_ms));
+        if true_at >= self.reported_at {
+            self.reported = report.in_flight;
+            self.reported_at = true_at;
         }
-        restarted
+        self.warmth.learn_report(report, now)
     }
 
-    /// Learns from a success that took `took`; raises the limit in steps.
-    pub fn learn_success(&mut self, took: Duration, tuning: &Tuning, now: Moment) {
-        let took_ms = took.as_secs_f64() * 1000.0;
-        let first = self.latency_ms == 0.0;
-        self.latency_ms = if first { took_ms } else { self.latency_ms + Self::SMOOTHING * (took_ms - self.latency_ms) };
+    /// Learns from a call that went well; tells whether it turned cold by its latency.
+    pub fn learn_success(&mut self, call: ServedCall, tuning: &Tuning, now: Moment) -> bool {
         self.failures = 0;
-        self.last_success = now;
-        self.successes += 1;
-        let served = now.since(self.limit_since) >= tuning.ramp_step;
-        if served && self.limit < self.bounds.1 {
-            self.limit = (self.limit * 2).min(self.bounds.1);
-            self.limit_since = now;
-            self.successes = 0;
-        }
+        self.warmth.learn_success(call, tuning, now)
     }
 
     /// Learns from a failure: rests the target, longer with each in a row; tells whether it turned cold.
@@ -162,10 +125,15 @@
         self.failures += 1;
         let doubled = Self::FIRST_REST * 2_u32.pow((self.failures - 1).min(8));
         self.resting_until = now + doubled.min(Self::LONGEST_REST);
-        let lost = matches!(kind, FailureKind::Unreachable | FailureKind::Broken | FailureKind::Silent);
-        if lost && self.limit > self.bounds.0 {
-            self.turn_cold(now);
-            return true;
+        let before = self.warmth.limit();
+        match kind {
+            FailureKind::Unreachable | FailureKind::Broken | FailureKind::Silent => {
+                self.warmth.turn_cold(now);
+                return self.warmth.limit() < before;
+            }
+            FailureKind::Full => self.warmth.step_down(now),
+            _ if self.failures >= Self::FAULTS_IN_A_ROW => self.warmth.step_down(now),
+            _ => {}
         }
         false
     }
@@ -177,6 +145,6 @@
         let age_ms = now.since(self.reported_at).as_millis() as f64;
         let others = f64::from(self.reported.saturating_sub(own_in_flight));
         let fading = 0.5_f64.powf(age_ms / HALF_LIFE_MS);
-        (f64::from(own_in_flight) + others * fading) / f64::from(self.limit.max(1))
+        (f64::from(own_in_flight) + others * fading) / f64::from(self.warmth.limit().max(1))
     }
 }
--- a/crates/core/src/tuning.rs
+++ b/crates/core/src/tuning.rs
@@ -29,6 +29,12 @@
     pub retry_burst: f64,
     /// Time that a target must serve at one step of its ramp before the next.
     pub ramp_step: Duration,
+    /// Calls that must go well at one step of a target's ramp before the next.
+    pub ramp_calls: u32,
+    /// Latency above the usual, as a factor, at which a call counts as slow.
+    pub slow_factor: f64,
+    /// Time without a good word of a target after which it is taken for cold.
+    pub belief_for: Duration,
     /// Idleness after which a target is taken for cold.
     pub idle_cold_after: Duration,
     /// Targets that are looked at for one choice.
@@ -62,6 +68,9 @@
             retry_share: 0.1,
             retry_burst: 10.0,
             ramp_step: Duration::from_secs(1),
+            ramp_calls: 3,
+            slow_factor: 3.0,
+            belief_for: Duration::from_secs(5),
             idle_cold_after: Duration::from_mins(1),
             choices: 4,
             lend_for: Duration::from_millis(500),
--- a/crates/node/src/metering.rs
+++ b/crates/node/src/metering.rs
@@ -44,7 +44,7 @@
     gauge!("wasabipier_peers_alive").set(board.members.alive().count() as f64);
     gauge!("wasabipier_seats_held").set(board.permits.seats().len() as f64);
     for (target, view) in board.targets.iter() {
-        gauge!("wasabipier_target_limit", "target" => target.to_string()).set(f64::from(view.limit));
+        gauge!("wasabipier_target_limit", "target" => target.to_string()).set(f64::from(view.warmth.limit()));
     }
     publish_burn(board);
 }
