Hold leases for controllers and order engines under them

Cause: nothing could act for all nodes at once: loading weights needs one orderer, and the weight store has a rate that all nodes share.

Numbering renewals anew in each write was kept although the proof does not need it: a write that lands late is then never taken for a newer one.

Change: LeaseController (counts from the send, stops a tenth early, others wait a tenth longer), OrderController (waits out the last holder's orders, reads back, orders a state), the edge that drops late orders, keys in the document, stand-in for orders.

Before: no leases.

Conclusion: one orderer at a time, whatever the clocks, as long as their rates differ by less than a tenth.

--- a/crates/core/src/action.rs
+++ b/crates/core/src/action.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::document::{Revision, ServiceKind};
+use crate::document::{LoadSpec, Revision, ServiceKind};
 use crate::message::PeerMessage;
 use crate::names::{AttemptId, CallId, NodeName, RequestKey, StoreTicket, TargetName};
 use crate::outcome::{ChargeLine, FinalAnswer};
@@ -41,6 +41,21 @@
     pub shadow: bool,
 }
 
+/// An order to a target; sending it twice does no harm, since it names a state and not a change.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LoadOrder {
+    /// The target.
+    pub target: TargetName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Fencing number of the lease under which it is ordered.
+    pub fencing: u64,
+    /// Time from now after which the order must not leave any more.
+    pub valid_for: Duration,
+    /// What it shall have loaded.
+    pub load: LoadSpec,
+}
+
 /// A part of an answer to a caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum AnswerPart {
@@ -90,6 +105,10 @@
     Disconnect(NodeName),
     /// Do something at the table service.
     Store(StoreTicket, Box<StoreOp>),
+    /// Ask a target what it has loaded.
+    Inspect(TargetName, SocketAddr),
+    /// Order a target to load.
+    Order(Box<LoadOrder>),
     /// Keep a charge line in the ledger.
     Charge(Box<ChargeLine>),
     /// Tell an operator what became of a promotion.
--- a/crates/core/src/blackboard.rs
+++ b/crates/core/src/blackboard.rs
@@ -9,6 +9,7 @@
 use crate::counters::Counters;
 use crate::document::AcceptedDocument;
 use crate::harmful::HarmfulTable;
+use crate::leases::LeaseTable;
 use crate::members::MemberTable;
 use crate::message::NodeState;
 use crate::names::{AttemptId, DcName, InstanceId, NodeName, Nonce};
@@ -72,6 +73,8 @@
     pub budget: RetryBudget,
     /// Content that brings down targets.
     pub harmful: HarmfulTable,
+    /// Leases that this node holds.
+    pub leases: LeaseTable,
     /// Candidate versions.
     pub versions: VersionTable,
     /// Open operations at the table service, and its health.
@@ -103,6 +106,7 @@
             watches: WatchTable::default(),
             budget: RetryBudget::new(tuning.retry_share, tuning.retry_burst),
             harmful: HarmfulTable::default(),
+            leases: LeaseTable::default(),
             versions: VersionTable::default(),
             store: StoreTable::default(),
             burn: BurnTable::default(),
--- a/crates/core/src/document.rs
+++ b/crates/core/src/document.rs
@@ -8,7 +8,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::names::{DcName, Nonce, OrgName, PipelineName, ServiceName, TargetName, VersionName};
+use crate::names::{
+    AdapterName, DcName, ModelName, Nonce, OrgName, PipelineName, ServiceName, TargetName, VersionName,
+};
 
 /// A count of accepted changes of an environment's document; it only grows.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -106,6 +108,48 @@
     pub admission: Admission,
     /// Whether it refuses orders with an old fencing number.
     pub checks_fencing: bool,
+    /// What it shall have loaded; none: it is not ordered about.
+    pub load: Option<LoadSpec>,
+}
+
+impl Default for TargetSpec {
+    fn default() -> Self {
+        Self {
+            service: ServiceName::new(""),
+            version: VersionName::new("v1"),
+            dc: DcName::new(""),
+            address: SocketAddr::from(([0, 0, 0, 0], 0)),
+            admission: Admission::Open,
+            checks_fencing: false,
+            load: None,
+        }
+    }
+}
+
+/// What an engine shall have loaded, and as what it shall serve.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LoadSpec {
+    /// The model.
+    pub model: ModelName,
+    /// Adapters, by name.
+    pub adapters: Vec<AdapterName>,
+    /// Version of the weights.
+    pub version: VersionName,
+    /// Its part in serving.
+    pub role: EngineRole,
+}
+
+/// The part that an engine takes in serving.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, strum::Display, strum::EnumString)]
+#[strum(serialize_all = "kebab-case")]
+pub enum EngineRole {
+    /// Reads prompts and makes tokens.
+    #[default]
+    Both,
+    /// Reads prompts only, and exports its cache.
+    Prefill,
+    /// Makes tokens only, from an imported cache.
+    Decode,
 }
 
 /// One pipeline.
@@ -148,6 +192,8 @@
     pub environment: Arc<str>,
     /// Most node instances that may serve at once; each target's limit is split into this many shares.
     pub seats: u32,
+    /// Loads from the weight store that all targets together may start in a minute.
+    pub loads_per_minute: u32,
     /// Data centres by name.
     pub dcs: BTreeMap<DcName, DcSpec>,
     /// Organisations by name; others are refused.
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::document::AcceptedDocument;
+use crate::document::{AcceptedDocument, LoadSpec};
 use crate::message::PeerMessage;
 use crate::names::{
     AttemptId, CallId, DcName, NodeName, PipelineName, RequestKey, ServiceName, StoreTicket, TargetName,
@@ -98,6 +98,17 @@
     },
 }
 
+/// What became of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderReply {
+    /// Carried out, or being carried out.
+    Accepted,
+    /// Refused: the target has seen a higher fencing number.
+    Stale,
+    /// Not known.
+    Lost,
+}
+
 /// State of a VM in the platform's list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::EnumString)]
 #[strum(serialize_all = "kebab-case")]
@@ -140,6 +151,10 @@
     Reported(TargetName, LoadReport),
     /// The platform's VM list was read.
     VmsListed(Vec<VmEntry>),
+    /// A target told what it has loaded; none: it did not answer.
+    Inspected(TargetName, Option<LoadSpec>),
+    /// A target answered an order.
+    OrderAnswered(TargetName, OrderReply),
     /// An operator promotes a document; its revision is one more than the one that the operator saw.
     PromoteAsked(CallId, Arc<AcceptedDocument>),
     /// The process shall stop gracefully.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -50,5 +50,7 @@
 pub mod watches;
 
 pub mod documents;
+pub mod leases;
 pub mod members;
 pub mod membership;
+pub mod orders;
--- a/crates/core/src/names.rs
+++ b/crates/core/src/names.rs
@@ -83,6 +83,14 @@
     /// A data centre.
     DcName
 );
+name_type!(
+    /// A model that engines load.
+    ModelName
+);
+name_type!(
+    /// An adapter that engines load beside a model.
+    AdapterName
+);
 
 macro_rules! number_type {
     ($(#[$doc:meta])* $name:ident) => {
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -9,10 +9,12 @@
 use crate::documents::DocumentController;
 use crate::event::Event;
 use crate::intake::IntakeController;
+use crate::leases::LeaseController;
 use crate::lending::LendingController;
 use crate::membership::MemberController;
 use crate::message::NodeState;
 use crate::names::NodeName;
+use crate::orders::OrderController;
 use crate::readiness::ReadinessController;
 use crate::seats::SeatController;
 use crate::stages::StageController;
@@ -63,6 +65,8 @@
             Box::<ReadinessController>::default(),
             Box::<DocumentController>::default(),
             Box::<SeatController>::default(),
+            Box::<LeaseController>::default(),
+            Box::<OrderController>::default(),
             Box::<IntakeController>::default(),
             Box::<StageController>::default(),
             Box::<WatchController>::default(),
--- a/crates/core/tests/support/fixture.rs
+++ b/crates/core/tests/support/fixture.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use wasabipier_core::document::{Admission, DcSpec, OrgSpec, PipelineSpec, ServiceKind, ServiceSpec, TargetSpec};
+use wasabipier_core::document::{DcSpec, OrgSpec, PipelineSpec, ServiceKind, ServiceSpec, TargetSpec};
 use wasabipier_core::prelude::*;
 
 /// Interval between ticks.
@@ -60,8 +60,7 @@
                 version: "v1".into(),
                 dc: "khomas-a".into(),
                 address: ([127, 0, 0, 1], 9000).into(),
-                admission: Admission::Open,
-                checks_fencing: false,
+                ..TargetSpec::default()
             };
             content.targets.insert(TargetName::new(format!("{}-{number:04}", pool.service)), target);
         }
--- a/crates/fakes/src/engine.rs
+++ b/crates/fakes/src/engine.rs
@@ -4,10 +4,13 @@
 use std::thread;
 
 use tiny_http::Request;
-use wasabipier_wire::target::{CompletionCall, CompletionChoice, CompletionChunk, STREAM_END, WireUsage};
+use wasabipier_wire::target::{
+    CompletionCall, CompletionChoice, CompletionChunk, ORDERS_PATH, STATE_PATH, STREAM_END, WireUsage,
+};
 
 use crate::faults::FaultSwitch;
 use crate::link::FaultyLink;
+use crate::orders::OrderBook;
 use crate::server::{FakeHandler, read_json, reply};
 use crate::target::{TargetSettings, TargetState};
 
@@ -16,6 +19,8 @@
 pub struct FakeEngine {
     /// Its state.
     pub state: TargetState,
+    /// Its orders.
+    pub orders: OrderBook,
 }
 
 /// Words that answers are made of.
@@ -33,7 +38,7 @@
     /// A cold engine.
     #[must_use]
     pub fn new(settings: TargetSettings, link: FaultyLink) -> Self {
-        Self { state: TargetState::new(settings, link) }
+        Self { state: TargetState::new(settings, link), orders: OrderBook::default() }
     }
 
     fn stream(&self, request: Request, call: &CompletionCall) -> std::io::Result<()> {
@@ -80,8 +85,11 @@
 
 impl FakeHandler for FakeEngine {
     fn handle(&self, mut request: Request) {
-        if request.url() == "/v1/load" {
-            return reply(request, 200, &self.state.load());
+        match request.url() {
+            "/v1/load" => return reply(request, 200, &self.state.load()),
+            STATE_PATH => return self.orders.tell(request),
+            ORDERS_PATH => return self.orders.take(request),
+            _ => {}
         }
         let call: CompletionCall = match read_json(&mut request) {
             Ok(call) => call,
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod engine;
 pub mod faults;
 pub mod link;
+pub mod orders;
 pub mod platform;
 pub mod server;
 pub mod service;
--- a/crates/fakes/src/test_env.rs
+++ b/crates/fakes/src/test_env.rs
@@ -21,6 +21,7 @@
 use wasabipier_wire::platform::WireVm;
 
 use crate::engine::FakeEngine;
+use crate::orders::OrderBook;
 use crate::platform::FakePlatform;
 use crate::server::FakeServer;
 use crate::service::FakeService;
@@ -118,6 +119,15 @@
 }
 
 impl TestTarget {
+    /// Orders of an engine's stand-in; none for others.
+    #[must_use]
+    pub fn orders(&self) -> Option<&OrderBook> {
+        match &self.handler {
+            TargetHandler::Engine(engine) => Some(&engine.orders),
+            TargetHandler::Service(_) => None,
+        }
+    }
+
     /// State of the stand-in.
     #[must_use]
     pub fn state(&self) -> &TargetState {
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -7,6 +7,7 @@
 mod ledger;
 mod metering;
 mod operators;
+mod orders;
 mod part;
 mod peers;
 mod platform;
--- /dev/null
+++ b/crates/node/src/orders.rs
@@ -0,0 +1,112 @@
+//! The edge that asks engines what they have loaded and orders them to load.
+
+use std::net::SocketAddr;
+use std::sync::mpsc::{self, Receiver, Sender};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use spdlog::{info, warn};
+use wasabipier_core::action::LoadOrder;
+use wasabipier_core::document::LoadSpec;
+use wasabipier_core::event::OrderReply;
+use wasabipier_core::prelude::*;
+use wasabipier_wire::target::{ORDERS_PATH, OrderCall, STATE_PATH, WireLoadSpec};
+
+use crate::input::{InputSender, NodeInput};
+use crate::part::ORDERS;
+use crate::ports::OrderPort;
+use crate::settings::NodeSettings;
+
+/// Time for an answer of an engine.
+const ANSWER_WITHIN: Duration = Duration::from_secs(1);
+
+/// One thing to do.
+#[derive(Debug)]
+enum OrderTask {
+    Inspect(TargetName, SocketAddr),
+    Order(LoadOrder, Instant),
+}
+
+/// Hands questions and orders to a thread of their own.
+#[derive(Debug)]
+pub struct OrderEdge {
+    tasks: Sender<OrderTask>,
+}
+
+impl OrderEdge {
+    /// Starts the thread.
+    ///
+    /// # Errors
+    ///
+    /// The machine refuses the thread.
+    pub fn start(settings: &NodeSettings, inputs: InputSender) -> std::io::Result<Self> {
+        let (tasks, receiver) = mpsc::channel();
+        let config = ureq::Agent::config_builder()
+            .timeout_global(Some(ANSWER_WITHIN))
+            .timeout_connect(Some(settings.edges.connect_within))
+            .build();
+        let worker = OrderWorker { agent: config.new_agent(), inputs };
+        thread::Builder::new().name("orders".to_owned()).spawn(move || worker.run(&receiver))?;
+        Ok(Self { tasks })
+    }
+}
+
+impl OrderPort for OrderEdge {
+    fn inspect(&mut self, target: TargetName, address: SocketAddr) {
+        let _ = self.tasks.send(OrderTask::Inspect(target, address));
+    }
+
+    fn order(&mut self, order: LoadOrder) {
+        let valid_until = Instant::now() + order.valid_for;
+        let _ = self.tasks.send(OrderTask::Order(order, valid_until));
+    }
+}
+
+struct OrderWorker {
+    agent: ureq::Agent,
+    inputs: InputSender,
+}
+
+impl OrderWorker {
+    fn run(&self, tasks: &Receiver<OrderTask>) {
+        for task in tasks {
+            let event = match task {
+                OrderTask::Inspect(target, address) => {
+                    let loaded = self.inspect(address);
+                    Event::Inspected(target, loaded)
+                }
+                OrderTask::Order(order, valid_until) => {
+                    let reply = self.order(&order, valid_until);
+                    Event::OrderAnswered(order.target, reply)
+                }
+            };
+            if self.inputs.send(NodeInput::Core(event)).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn inspect(&self, address: SocketAddr) -> Option<LoadSpec> {
+        let answer = self.agent.get(format!("http://{address}{STATE_PATH}")).call();
+        let state = answer.and_then(|mut response| response.body_mut().read_json::<WireLoadSpec>());
+        state.ok().map(LoadSpec::from)
+    }
+
+    fn order(&self, order: &LoadOrder, valid_until: Instant) -> OrderReply {
+        // After a pause the lease may be another node's: an order that is late does not leave.
+        if Instant::now() >= valid_until {
+            warn!("{ORDERS} an order to {} was dropped, since its lease may have lapsed.", order.target);
+            return OrderReply::Lost;
+        }
+        let call = OrderCall { fencing: order.fencing, load: WireLoadSpec::from(&order.load) };
+        info!("{ORDERS} {} shall load {} {}.", order.target, order.load.model, order.load.version);
+        match self.agent.post(format!("http://{}{ORDERS_PATH}", order.address)).send_json(&call) {
+            Ok(_) => OrderReply::Accepted,
+            Err(ureq::Error::StatusCode(409)) => OrderReply::Stale,
+            Err(error) => {
+                warn!("{ORDERS} the order to {} was not answered: {error}.", order.target);
+                OrderReply::Lost
+            }
+        }
+    }
+}
--- a/crates/node/src/part.rs
+++ b/crates/node/src/part.rs
@@ -12,6 +12,8 @@
 pub const STORE: &str = "store:";
 /// VM list's edge.
 pub const PLATFORM: &str = "platform:";
+/// Orders to engines.
+pub const ORDERS: &str = "orders:";
 /// Charge ledger.
 pub const LEDGER: &str = "ledger:";
 /// Operators' edge.
--- a/crates/node/src/ports.rs
+++ b/crates/node/src/ports.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use wasabipier_core::action::LoadOrder;
 use wasabipier_core::prelude::*;
 
 /// Sends attempts to targets.
@@ -28,6 +29,14 @@
     fn send(&mut self, ticket: StoreTicket, op: StoreOp);
 }
 
+/// Orders engines about.
+pub trait OrderPort {
+    /// Asks a target what it has loaded; its answer comes back as an input.
+    fn inspect(&mut self, target: TargetName, address: SocketAddr);
+    /// Sends an order, unless its time to leave has passed; its answer comes back as an input.
+    fn order(&mut self, order: LoadOrder);
+}
+
 /// Keeps charges.
 pub trait LedgerPort {
     /// Keeps one charge line.
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -15,10 +15,11 @@
 use crate::input::{NodeInput, Question};
 use crate::ledger::LedgerEdge;
 use crate::metering;
+use crate::orders::OrderEdge;
 use crate::part::NODE;
 use crate::peers::PeerEdge;
 use crate::platform;
-use crate::ports::{LedgerPort, PeerPort, StorePort, TargetPort};
+use crate::ports::{LedgerPort, OrderPort, PeerPort, StorePort, TargetPort};
 use crate::settings::NodeSettings;
 use crate::signals;
 use crate::store::StoreEdge;
@@ -52,6 +53,7 @@
     targets: Box<dyn TargetPort>,
     peers: Box<dyn PeerPort>,
     store: Box<dyn StorePort>,
+    orders: Box<dyn OrderPort>,
     ledger: Box<dyn LedgerPort>,
 }
 
@@ -133,6 +135,8 @@
                 Action::Connect(node, address) => self.ports.peers.connect(node, address),
                 Action::Disconnect(node) => self.ports.peers.disconnect(&node),
                 Action::Store(ticket, op) => self.ports.store.send(ticket, *op),
+                Action::Inspect(target, address) => self.ports.orders.inspect(target, address),
+                Action::Order(order) => self.ports.orders.order(*order),
                 Action::Charge(line) => self.ports.ledger.keep(*line),
                 Action::Promoted(call, answer) => {
                     if let Some(sender) = self.operators.remove(&call) {
@@ -260,6 +264,7 @@
         targets: Box::new(TargetEdge::new(&settings.edges, sender.clone())),
         peers: Box::new(PeerEdge::start(settings, sender.clone())?),
         store: Box::new(StoreEdge::start(settings, &sender)?),
+        orders: Box::new(OrderEdge::start(settings, sender.clone())?),
         ledger: Box::new(LedgerEdge::start(settings)?),
     };
     platform::start(settings, sender.clone())?;
--- a/crates/wire/src/document.rs
+++ b/crates/wire/src/document.rs
@@ -6,9 +6,10 @@
 use std::time::Duration;
 
 use wasabipier_core::document::{
-    Admission, CandidateSpec, DcSpec, Document, OrgSpec, PipelineSpec, ServiceKind, ServiceSpec, TargetSpec,
+    Admission, CandidateSpec, DcSpec, Document, EngineRole, LoadSpec, OrgSpec, PipelineSpec, ServiceKind, ServiceSpec,
+    TargetSpec,
 };
-use wasabipier_core::names::{DcName, ServiceName, TargetName, VersionName};
+use wasabipier_core::names::{AdapterName, DcName, ModelName, ServiceName, TargetName, VersionName};
 
 use crate::fault::FaultList;
 use crate::ini::IniReader;
@@ -26,12 +27,13 @@
 pub fn parse_document(text: &str) -> Result<Document, FaultList> {
     let mut reader = IniReader::parse(text)?;
     reader.check_sections(&["environment"], &KINDS);
-    reader.check_keys("environment", &["name", "seats"]);
+    reader.check_keys("environment", &["name", "seats", "loads_per_minute"]);
     let environment = reader.required_text("environment", "name", "production");
     let seats = reader.bounded("environment", "seats", 9, 1..=MOST_SEATS);
     let document = Document {
         environment: Arc::from(environment),
         seats,
+        loads_per_minute: reader.bounded("environment", "loads_per_minute", 6, 1..=100_000),
         dcs: read_all(&mut reader, "data-centre", read_dc),
         orgs: read_all(&mut reader, "organisation", read_org),
         services: read_all(&mut reader, "service", read_service),
@@ -116,7 +118,9 @@
 }
 
 fn read_target(reader: &mut IniReader, section: &str) -> TargetSpec {
-    reader.check_keys(section, &["service", "version", "data_centre", "address", "admission", "checks_fencing"]);
+    let known =
+        ["service", "version", "data_centre", "address", "admission", "checks_fencing", "model", "adapters", "role"];
+    reader.check_keys(section, &known);
     let unset = SocketAddr::from(([0, 0, 0, 0], 0));
     TargetSpec {
         service: ServiceName::new(reader.required_text(section, "service", "bookings")),
@@ -125,9 +129,27 @@
         address: reader.required(section, "address", unset, "an IP number and port, such as 10.0.0.7:8000"),
         admission: reader.value(section, "admission", Admission::Open, "`open` or `out`"),
         checks_fencing: reader.yes(section, "checks_fencing", false),
+        load: read_load(reader, section),
     }
 }
 
+fn read_load(reader: &mut IniReader, section: &str) -> Option<LoadSpec> {
+    let adapters = reader.text(section, "adapters").unwrap_or_default();
+    let role = reader.value(section, "role", EngineRole::Both, "`both`, `prefill` or `decode`");
+    let Some(model) = reader.text(section, "model") else {
+        if !adapters.is_empty() {
+            reader.faults.add(section, "adapters", "stands without `model`", "add `model` or remove the key");
+        }
+        return None;
+    };
+    Some(LoadSpec {
+        model: ModelName::new(model),
+        adapters: adapters.split_whitespace().map(AdapterName::new).collect(),
+        version: VersionName::new(reader.text(section, "version").unwrap_or_default()),
+        role,
+    })
+}
+
 fn read_pipeline(reader: &mut IniReader, section: &str) -> PipelineSpec {
     reader.check_keys(section, &["stages", "deadline_ms", "objective"]);
     let stages = reader.required_text(section, "stages", "encoder retriever reranker coachmodel");
--- a/crates/wire/src/target.rs
+++ b/crates/wire/src/target.rs
@@ -5,8 +5,8 @@
 //! object to `POST /v1/encode`, `/v1/retrieve`, `/v1/rerank` or `/v1/call`.
 
 use serde::{Deserialize, Serialize};
-use wasabipier_core::document::ServiceKind;
-use wasabipier_core::names::InstanceId;
+use wasabipier_core::document::{LoadSpec, ServiceKind};
+use wasabipier_core::names::{AdapterName, InstanceId, ModelName, VersionName};
 use wasabipier_core::outcome::{LoadReport, Usage};
 
 /// Header with the position of the stage.
@@ -88,6 +88,56 @@
     pub load: WireLoad,
 }
 
+/// Path of orders to engines.
+pub const ORDERS_PATH: &str = "/v1/orders";
+/// Path at which engines tell what they have loaded.
+pub const STATE_PATH: &str = "/v1/state";
+
+/// An order to an engine.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrderCall {
+    /// Fencing number; engines that check it refuse a lower one than they have seen, with status 409.
+    pub fencing: u64,
+    /// What it shall have loaded.
+    pub load: WireLoadSpec,
+}
+
+/// What an engine has, or shall have, loaded.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WireLoadSpec {
+    /// Model.
+    pub model: String,
+    /// Adapters.
+    pub adapters: Vec<String>,
+    /// Version of the weights.
+    pub version: String,
+    /// `both`, `prefill` or `decode`.
+    pub role: String,
+}
+
+impl From<&LoadSpec> for WireLoadSpec {
+    fn from(spec: &LoadSpec) -> Self {
+        Self {
+            model: spec.model.to_string(),
+            adapters: spec.adapters.iter().map(ToString::to_string).collect(),
+            version: spec.version.to_string(),
+            role: spec.role.to_string(),
+        }
+    }
+}
+
+impl From<WireLoadSpec> for LoadSpec {
+    /// A role that this version does not know counts as the default one, and is then ordered anew.
+    fn from(wire: WireLoadSpec) -> Self {
+        Self {
+            model: ModelName::new(wire.model),
+            adapters: wire.adapters.into_iter().map(AdapterName::new).collect(),
+            version: VersionName::new(wire.version),
+            role: wire.role.parse().unwrap_or_default(),
+        }
+    }
+}
+
 /// What a call used.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WireUsage {
