--- a/crates/core/examples/ramp.rs
+++ b/crates/core/examples/ramp.rs
@@ -47,7 +47,7 @@
             let (cold, warm) = limits;
             match time {
                 Some(time) => {
-                    println!("cold {cold} to warm {warm}, calls of {took_ms} ms: {:.2} s", time.as_secs_f64())
+                    println!("cold {cold} to warm {warm}, calls of {took_ms} ms: {:.2} s", time.as_secs_f64());
                 }
                 None => println!("cold {cold} to warm {warm}, calls of {took_ms} ms: not within {LONGEST:?}"),
             }
