Judge candidate versions on every node and move them by steps

Cause: a candidate got its share from the document alone; nothing compared it with the stable version, and no share ever moved.

Ruled out: one fixed-length test at each step (its error rate does not hold when looked at twice a second); a plain CUSUM bound (its false alarms grow with the length of the run); minting the row from the revision a node happens to see (a node that missed revisions would revive a version that was taken back, so the document names the attempt instead).

Change: a sequential likelihood ratio with restarts for each route and over all of them, on faults, slowness, cold starts and crashes; grow-only counts told to peers; RolloutController with conditional writes, read back after each; no traffic for a candidate whose row is not known.

--- /dev/null
+++ b/crates/core/examples/rollout_runs.rs
@@ -0,0 +1,453 @@
+//! Measures how candidate versions fare: seeded runs over three nodes, without I/O, printed as a table.
+//!
+//! Run with `cargo run --release -p wasabipier-core --example rollout_runs -- [RUNS] [SEED]`.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use wasabipier_core::controller::Controller;
+use wasabipier_core::counting;
+use wasabipier_core::document::{CandidateSpec, ServiceSpec};
+use wasabipier_core::message::{Heartbeat, NodeState};
+use wasabipier_core::permits::Permit;
+use wasabipier_core::prelude::*;
+use wasabipier_core::requests::{AttemptRecord, RequestRecord, RequestState, TargetPhase};
+use wasabipier_core::rollouts::RolloutController;
+use wasabipier_core::store::RolloutState;
+use wasabipier_core::versions::VersionTable;
+
+const NODES: usize = 3;
+const TARGETS: usize = 3;
+/// Time of one step of a run.
+const STEP_MS: u64 = 100;
+/// Time by which the candidate shall carry all traffic.
+const FINISH_MS: u64 = 1_800_000;
+/// Time after which a run ends.
+const END_MS: u64 = FINISH_MS * 3 / 2;
+/// Share of messages between nodes, and of answers of the table service, that are lost.
+const LOST: f64 = 0.02;
+/// Calls after which a target is warm.
+const WARM_AFTER: u32 = 10;
+/// Calls after which nodes take it for warm.
+const SEEMS_WARM_AFTER: u32 = 15;
+/// Routes with their shares of the traffic.
+const ROUTES: [(&str, f64); 3] = [("season-plan", 0.6), ("availability", 0.3), ("committee", 0.1)];
+
+#[derive(Clone, Copy, Debug, PartialEq, strum::Display, strum::EnumIter)]
+#[strum(serialize_all = "kebab-case")]
+enum VersionCase {
+    Good,
+    BadAtOnce,
+    BadLater,
+    BadUnderLoad,
+    BadOnOneRoute,
+    Slow,
+    ColdNotBad,
+    CrashingRequest,
+}
+
+/// How a run ended.
+#[derive(Clone, Debug, Default)]
+struct RunResult {
+    state: RolloutState,
+    reason: Arc<str>,
+    ended_ms: u64,
+    before: u64,
+    after: u64,
+    stop_ms: u64,
+}
+
+#[derive(Debug)]
+struct SimNode {
+    board: Blackboard,
+    controller: RolloutController,
+}
+
+/// One run.
+#[derive(Debug)]
+struct SimRun {
+    case: VersionCase,
+    rate: f64,
+    random: fastrand::Rng,
+    nodes: Vec<SimNode>,
+    row: Option<Row>,
+    served: BTreeMap<(bool, usize), u32>,
+    surprised: BTreeSet<(bool, usize)>,
+    candidate_lately: f64,
+    fault_from_ms: u64,
+    shown_ms: Option<u64>,
+    last_call_ms: u64,
+    harmful: u64,
+    result: RunResult,
+    now_ms: u64,
+}
+
+fn service() -> ServiceName {
+    ServiceName::new("coachmodel")
+}
+
+fn document() -> AcceptedDocument {
+    let candidate = CandidateSpec {
+        version: VersionName::new("v2"),
+        finish_within: Duration::from_millis(FINISH_MS),
+        first_share: 0.05,
+        trial_only: false,
+        attempt: 1,
+    };
+    let spec = ServiceSpec { candidate: Some(candidate), ..ServiceSpec::default() };
+    let content = Document { services: BTreeMap::from([(service(), spec)]), ..Document::default() };
+    AcceptedDocument { revision: Revision(1), content, ..AcceptedDocument::default() }
+}
+
+fn node_name(index: usize) -> NodeName {
+    NodeName::new(format!("entry-{}", index + 1))
+}
+
+fn node(index: usize, seed: u64) -> SimNode {
+    let address = |index: usize| SocketAddr::from(([127, 0, 0, 1], 7_000 + index as u16));
+    let identity = Identity {
+        node: node_name(index),
+        instance: InstanceId(index as u64 + 1),
+        dc: DcName::new("khomas-a"),
+        caller_address: address(index),
+        peer_address: address(index),
+    };
+    let mut board = Blackboard::new(identity, Tuning::default(), seed);
+    for peer in (0..NODES).filter(|peer| *peer != index) {
+        let beat = Heartbeat {
+            instance: InstanceId(peer as u64 + 1),
+            sequence: 1,
+            dc: DcName::new("khomas-a"),
+            caller_address: address(peer),
+            peer_address: address(peer),
+            state: NodeState::Serving,
+            revision: Revision(1),
+            seats: Vec::new(),
+        };
+        board.members.introduce(&node_name(peer), address(peer));
+        board.members.note(&node_name(peer), &beat, Moment(0));
+    }
+    board.document = Arc::new(document());
+    for (route, _) in ROUTES {
+        board.requests.insert(request(route, route, 0));
+    }
+    SimNode { board, controller: RolloutController::default() }
+}
+
+fn request_key(name: &str) -> RequestKey {
+    RequestKey { org: OrgName::new("lions"), request: RequestId::new(name) }
+}
+
+fn request(name: &str, route: &str, content: u64) -> RequestRecord {
+    RequestRecord {
+        key: request_key(name),
+        content: Fingerprint(content),
+        route: Arc::from(route),
+        callers: Vec::new(),
+        body: Arc::default(),
+        stages: vec![service()],
+        stage: 0,
+        previous: Arc::default(),
+        tokens: Vec::new(),
+        arrived: Moment(0),
+        deadline: Moment(u64::MAX),
+        priority: Priority::Normal,
+        state: RequestState::Running,
+        attempts: 1,
+        stage_attempts: 1,
+        failed_at: BTreeSet::new(),
+        broke: Vec::new(),
+        running: Vec::new(),
+        sent: true,
+        claim: None,
+        charges: Vec::new(),
+    }
+}
+
+impl SimRun {
+    fn new(case: VersionCase, rate: f64, seed: u64) -> Self {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let fault_from_ms = if case == VersionCase::BadLater { random.u64(0..FINISH_MS) } else { 0 };
+        Self {
+            case,
+            rate,
+            nodes: (0..NODES).map(|index| node(index, seed ^ index as u64)).collect(),
+            random,
+            row: None,
+            served: BTreeMap::new(),
+            surprised: BTreeSet::new(),
+            candidate_lately: 0.0,
+            fault_from_ms,
+            shown_ms: None,
+            last_call_ms: 0,
+            harmful: 0,
+            result: RunResult::default(),
+            now_ms: 60_000,
+        }
+    }
+
+    fn run(mut self) -> RunResult {
+        let mut mail: Vec<(usize, Event)> = Vec::new();
+        while self.now_ms < END_MS + 60_000 && self.result.state != RolloutState::TakenBack {
+            for (index, event) in std::mem::take(&mut mail) {
+                self.deliver(index, &event, &mut mail);
+            }
+            for index in 0..NODES {
+                self.deliver(index, &Event::Tick, &mut mail);
+            }
+            self.call_all();
+            self.note_row();
+            self.now_ms += STEP_MS;
+        }
+        // Traffic of the second after the row was written: nodes that have not heard of it yet.
+        for _ in 0..1_000 / STEP_MS {
+            for (index, event) in std::mem::take(&mut mail) {
+                self.deliver(index, &event, &mut mail);
+            }
+            self.call_all();
+            self.now_ms += STEP_MS;
+        }
+        self.result.stop_ms = self.last_call_ms.saturating_sub(self.shown_ms.unwrap_or(self.last_call_ms));
+        self.result
+    }
+
+    fn note_row(&mut self) {
+        let Some(Row { value: RowValue::Rollout(row), .. }) = &self.row else { return };
+        if row.state != self.result.state {
+            self.result.state = row.state;
+            self.result.reason = row.reason.clone();
+            self.result.ended_ms = self.now_ms - 60_000;
+        }
+    }
+
+    fn deliver(&mut self, index: usize, event: &Event, mail: &mut Vec<(usize, Event)>) {
+        let SimNode { board, controller } = &mut self.nodes[index];
+        board.now = Moment(self.now_ms);
+        let mut out = Vec::new();
+        if let Event::Store(ticket, reply) = event {
+            board.store.learn(reply, Moment(self.now_ms), 0.5);
+            if let Some(purpose) = board.store.close(*ticket) {
+                controller.on_store(board, &purpose, reply, &mut out);
+            }
+        }
+        controller.on_event(board, event, &mut out);
+        let from = node_name(index);
+        for action in out {
+            match action {
+                Action::Tell(to, message) if self.random.f64() >= LOST => {
+                    let to = (0..NODES).find(|index| node_name(*index) == to).unwrap_or_default();
+                    mail.push((to, Event::Peer(from.clone(), message)));
+                }
+                Action::Store(ticket, op) => {
+                    let reply = self.store(&op);
+                    let reply = if self.random.f64() < LOST { StoreReply::Lost } else { reply };
+                    mail.push((index, Event::Store(ticket, Box::new(reply))));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn store(&mut self, op: &StoreOp) -> StoreReply {
+        match op {
+            StoreOp::Write { expected, value, .. } => {
+                let version = self.row.as_ref().map(|row| row.version);
+                if version != *expected {
+                    return StoreReply::Conflict(self.row.clone());
+                }
+                let version = RowVersion(version.map_or(1, |version| version.0 + 1));
+                self.row = Some(Row { version, value: value.clone() });
+                StoreReply::Written(version)
+            }
+            StoreOp::Read { .. } => StoreReply::Read(self.row.clone()),
+        }
+    }
+
+    /// The calls of one step: each arrives with the same small probability in each part of it.
+    fn call_all(&mut self) {
+        let parts = 10.0_f64.max(self.rate);
+        let chance = self.rate * STEP_MS as f64 / 1000.0 / parts;
+        for _ in 0..parts as usize {
+            if self.random.f64() < chance {
+                let index = self.random.usize(0..NODES);
+                self.call(index);
+            }
+        }
+        if self.case == VersionCase::CrashingRequest && self.random.f64() < STEP_MS as f64 / 60_000.0 {
+            self.crash();
+        }
+        let cold_chance = STEP_MS as f64 / 300_000.0;
+        if self.case == VersionCase::ColdNotBad && self.random.f64() < cold_chance {
+            let target = self.random.usize(0..TARGETS);
+            self.served.insert((true, target), 0);
+            self.surprised.insert((true, target));
+        }
+    }
+
+    fn pick(&mut self, index: usize) -> bool {
+        let draw = self.random.f64();
+        let board = &self.nodes[index].board;
+        let table: &VersionTable = &board.versions;
+        let order = table.order(&board.document.content, &service(), draw);
+        order[0].as_str() == "v2"
+    }
+
+    fn call(&mut self, index: usize) {
+        let is_candidate = self.pick(index);
+        self.candidate_lately = self.candidate_lately * 0.99 + if is_candidate { 0.01 } else { 0.0 };
+        let draw = self.random.f64();
+        let mut sum = 0.0;
+        let route = ROUTES.iter().find(|(_, share)| {
+            sum += share;
+            draw < sum
+        });
+        let route = route.map_or(ROUTES[0].0, |(route, _)| route);
+        let target = self.random.usize(0..TARGETS);
+        let served = self.served.entry((is_candidate, target)).or_default();
+        *served += 1;
+        let served = *served;
+        // Targets report with a lag: the first call at one that turned cold seems to be at a warm one.
+        let surprised = self.surprised.contains(&(is_candidate, target)) && served == 1;
+        let (is_cold, seems_cold) = (served <= WARM_AFTER, !surprised && served <= SEEMS_WARM_AFTER);
+        let is_flawed = is_candidate && self.is_flawed(route);
+        let (fault_share, slowness) = if is_cold { (0.05, 5.0) } else { (0.002, 1.0) };
+        let is_slow = is_flawed && self.case == VersionCase::Slow;
+        let fault = self.random.f64() < if is_flawed && !is_slow { 0.3 } else { fault_share };
+        let slowness = if is_slow { slowness * 2.5 } else { slowness };
+        let took_ms = 200.0 * slowness * (0.5 * self.normal()).exp();
+        if is_candidate {
+            self.note_candidate(is_flawed && (fault || is_slow));
+        }
+        let board = &mut self.nodes[index].board;
+        board.now = Moment(self.now_ms);
+        let attempt = attempt(request_key(route), is_candidate, target, seems_cold, self.now_ms, took_ms as u64);
+        if fault {
+            counting::count_fault(board, &attempt);
+        } else {
+            counting::count_success(board, &attempt, &LoadReport::default());
+        }
+    }
+
+    fn note_candidate(&mut self, showed: bool) {
+        if showed && self.shown_ms.is_none() {
+            self.shown_ms = Some(self.now_ms);
+        }
+        self.last_call_ms = self.now_ms;
+        if self.shown_ms.is_some() {
+            self.result.after += 1;
+        } else {
+            self.result.before += 1;
+        }
+    }
+
+    /// Whether the candidate's flaw is there now, on this route and at this load.
+    fn is_flawed(&self, route: &str) -> bool {
+        match self.case {
+            VersionCase::BadAtOnce | VersionCase::Slow => true,
+            VersionCase::BadLater => self.now_ms >= 60_000 + self.fault_from_ms,
+            VersionCase::BadUnderLoad => self.candidate_lately > 0.2,
+            VersionCase::BadOnOneRoute => route == ROUTES[2].0,
+            VersionCase::Good | VersionCase::ColdNotBad | VersionCase::CrashingRequest => false,
+        }
+    }
+
+    /// One content that crashes each target that runs it, asked three times.
+    fn crash(&mut self) {
+        self.harmful += 1;
+        let name = format!("harmful-{}", self.harmful);
+        let content = Fingerprint(self.harmful);
+        for ask in 0..2 {
+            let index = self.random.usize(0..NODES);
+            let is_candidate = self.pick(index);
+            let target = self.random.usize(0..TARGETS);
+            self.served.insert((is_candidate, target), 0);
+            self.surprised.insert((is_candidate, target));
+            let board = &mut self.nodes[index].board;
+            board.requests.insert(request(&name, ROUTES[0].0, self.harmful));
+            let attempt = attempt(request_key(&name), is_candidate, target, false, self.now_ms, 100);
+            counting::count_crash(board, &attempt, ask == 0);
+            board.harmful.note(content, attempt.target);
+        }
+    }
+
+    fn normal(&mut self) -> f64 {
+        let (radius, angle) = (self.random.f64().max(1e-12), self.random.f64());
+        (-2.0 * radius.ln()).sqrt() * (std::f64::consts::TAU * angle).cos()
+    }
+}
+
+fn attempt(key: RequestKey, is_candidate: bool, target: usize, cold: bool, now_ms: u64, took_ms: u64) -> AttemptRecord {
+    let version = if is_candidate { "v2" } else { "v1" };
+    AttemptRecord {
+        key,
+        stage: 0,
+        number: 1,
+        service: service(),
+        target: TargetName::new(format!("{version}-{target}")),
+        version: VersionName::new(version),
+        phase: if cold { TargetPhase::Cold } else { TargetPhase::Warm },
+        permit: Permit::Own,
+        started: Moment(now_ms.saturating_sub(took_ms)),
+        ends: Moment(u64::MAX),
+        streams: false,
+        claimed: false,
+        progress: Moment(now_ms),
+        tokens: 0,
+        first_token: None,
+        flowing: false,
+    }
+}
+
+fn median(mut values: Vec<u64>) -> u64 {
+    values.sort_unstable();
+    values.get(values.len() / 2).copied().unwrap_or_default()
+}
+
+fn percent(part: usize, whole: usize) -> f64 {
+    100.0 * part as f64 / whole.max(1) as f64
+}
+
+fn print_row(case: VersionCase, rate: f64, results: &[RunResult]) {
+    let in_state = |state| results.iter().filter(|result| result.state == state).collect::<Vec<_>>();
+    let taken_back = in_state(RolloutState::TakenBack);
+    let late = taken_back.iter().filter(|result| &*result.reason == "not proved in time").count();
+    let finished = in_state(RolloutState::Finished);
+    let on_time = finished.iter().filter(|result| result.ended_ms <= FINISH_MS).count();
+    let of = |values: fn(&RunResult) -> u64| median(results.iter().map(values).collect());
+    let worst = results.iter().map(|result| result.after).max().unwrap_or_default();
+    println!(
+        "| {case} | {rate} | {:.0} % | {:.0} % | {:.0} % | {} | {} | {} | {worst} | {:.1} |",
+        percent(taken_back.len() - late, results.len()),
+        percent(late, results.len()),
+        percent(on_time, results.len()),
+        median(finished.iter().map(|result| result.ended_ms / 1000).collect()),
+        of(|result| result.before),
+        of(|result| result.after),
+        of(|result| result.stop_ms) as f64 / 1000.0,
+    );
+}
+
+fn main() {
+    let mut arguments = std::env::args().skip(1).map(|text| text.parse::<u64>().unwrap_or(1));
+    let (runs, seed) = (arguments.next().unwrap_or(40), arguments.next().unwrap_or(1));
+    println!(
+        "| version | requests/s | taken back for a flaw | not proved in time | finished on time | finished after s \
+         | calls before the flaw showed | calls after | most calls after | traffic ended after s |"
+    );
+    println!("|---|---|---|---|---|---|---|---|---|---|");
+    for case in <VersionCase as strum::IntoEnumIterator>::iter() {
+        for rate in [1.0, 10.0, 100.0] {
+            let results: Vec<RunResult> = (0..runs)
+                .map(|run| SimRun::new(case, rate, seed.wrapping_mul(1_000_003).wrapping_add(run)).run())
+                .collect();
+            print_row(case, rate, &results);
+            if std::env::var_os("SHOW_REASONS").is_some() {
+                for result in &results {
+                    eprintln!("{case} {rate} {} {} at {} ms", result.state, result.reason, result.ended_ms);
+                }
+            }
+        }
+    }
+}
--- a/crates/core/src/conclude.rs
+++ b/crates/core/src/conclude.rs
@@ -3,6 +3,7 @@
 use crate::action::{Action, AnswerPart};
 use crate::blackboard::Blackboard;
 use crate::burn::judge;
+use crate::counting;
 use crate::message::PeerMessage;
 use crate::names::{AttemptId, RequestKey, TargetName};
 use crate::outcome::{FinalAnswer, Outcome, RefusalKind};
@@ -14,9 +15,10 @@
     let running = board.requests.get(key).map(|record| record.running.clone()).unwrap_or_default();
     for attempt in running {
         let late = board.requests.get(key).is_some_and(|record| board.now >= record.deadline);
-        let cancelled = cancel_attempt(board, attempt, out);
-        if let Some(attempt) = cancelled.filter(|_| late) {
-            judge::count_attempt(board, &attempt, false);
+        let Some(stopped) = cancel_attempt(board, attempt, out) else { continue };
+        counting::count_stopped(board, &stopped);
+        if late {
+            judge::count_attempt(board, &stopped, false);
         }
     }
     let Some(record) = board.requests.end(key, answer, board.now) else { return };
--- /dev/null
+++ b/crates/core/src/counting.rs
@@ -0,0 +1,103 @@
+//! Counts how calls ended, by version and route, for services that have a candidate.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::blackboard::Blackboard;
+use crate::names::{InstanceId, RequestKey, ServiceName, VersionName};
+use crate::outcome::LoadReport;
+use crate::requests::{AttemptRecord, TargetPhase};
+use crate::versions::{CountKey, key_of};
+
+/// Counts a call that succeeded, and earlier crashes of its request, of which its content is cleared.
+pub fn count_success(board: &mut Blackboard, attempt: &AttemptRecord, report: &LoadReport) {
+    // A target that turned cold without warning says so with its answer; without an instance it said nothing.
+    let reported_cold = report.instance != InstanceId::default() && !report.warm;
+    let phase = if reported_cold { TargetPhase::Cold } else { attempt.phase };
+    let attempt = &AttemptRecord { phase, ..attempt.clone() };
+    let Some(key) = attempt_key(board, attempt) else { return };
+    let took = board.now.since(attempt.started);
+    let cleared = board.requests.get_mut(&attempt.key).map(|record| std::mem::take(&mut record.broke));
+    for version in cleared.unwrap_or_default() {
+        if let Some(key) = count_key(board, &attempt.service, &version, &key.route) {
+            let tally = board.versions.count(key);
+            tally.calls += 1;
+            tally.faults += 1;
+        }
+    }
+    let tally = board.versions.count(key.clone());
+    tally.calls += 1;
+    tally.cold_calls += u64::from(attempt.is_cold());
+    count_time(board, attempt, &key, took);
+}
+
+/// Counts a call that the version failed.
+pub fn count_fault(board: &mut Blackboard, attempt: &AttemptRecord) {
+    let Some(key) = attempt_key(board, attempt) else { return };
+    let tally = board.versions.count(key);
+    if attempt.is_cold() {
+        tally.cold_calls += 1;
+        tally.cold_faults += 1;
+    } else {
+        tally.calls += 1;
+        tally.faults += 1;
+    }
+}
+
+/// Counts a call whose target broke off: the content's doing until a later success clears the content.
+pub fn count_crash(board: &mut Blackboard, attempt: &AttemptRecord, first: bool) {
+    let Some(key) = attempt_key(board, attempt) else { return };
+    if let Some(record) = board.requests.get_mut(&attempt.key) {
+        record.broke.push(attempt.version.clone());
+    }
+    if first {
+        board.versions.count(key).crashes += 1;
+    }
+}
+
+/// Counts a call that was stopped: it is slow if it already took longer than the bound.
+pub fn count_stopped(board: &mut Blackboard, attempt: &AttemptRecord) {
+    let Some(key) = attempt_key(board, attempt) else { return };
+    let took = board.now.since(attempt.started);
+    // A call that is stopped early says nothing of how long it would have taken.
+    if is_slow(board, attempt, &key, took) == Some(true) {
+        count_time(board, attempt, &key, took);
+    }
+}
+
+fn count_time(board: &mut Blackboard, attempt: &AttemptRecord, key: &CountKey, took: Duration) {
+    if let Some(slow) = is_slow(board, attempt, key, took) {
+        let tally = board.versions.count(key.clone());
+        // A cold target may be slow, but what it does fast speaks for the version.
+        tally.timed += u64::from(!(slow && attempt.is_cold()));
+        tally.slow += u64::from(slow && !attempt.is_cold());
+        tally.cold_timed += u64::from(attempt.is_cold());
+        tally.cold_slow += u64::from(slow && attempt.is_cold());
+    }
+    if key.candidate.attempt == 0 {
+        board.versions.tail(key.clone()).note(took);
+    }
+}
+
+/// Whether a call was slower than the tail of the stable version; none while that is not known.
+fn is_slow(board: &mut Blackboard, attempt: &AttemptRecord, key: &CountKey, took: Duration) -> Option<bool> {
+    let stable = board.document.content.services.get(&attempt.service)?.stable.clone();
+    let stable_key = count_key(board, &attempt.service, &stable, &key.route)?;
+    board.versions.tail(stable_key).is_slow(took)
+}
+
+fn attempt_key(board: &Blackboard, attempt: &AttemptRecord) -> Option<CountKey> {
+    let route = route_of(board, &attempt.key)?;
+    count_key(board, &attempt.service, &attempt.version, &route)
+}
+
+fn route_of(board: &Blackboard, key: &RequestKey) -> Option<Arc<str>> {
+    board.requests.get(key).map(|record| record.route.clone())
+}
+
+/// What a call is counted by; none if its service compares no versions.
+fn count_key(board: &Blackboard, service: &ServiceName, version: &VersionName, route: &Arc<str>) -> Option<CountKey> {
+    let spec = board.document.content.services.get(service)?;
+    spec.candidate.as_ref()?;
+    Some(CountKey { candidate: key_of(service, spec, version), route: route.clone() })
+}
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -9,7 +9,7 @@
 use crate::names::{OrgName, RequestKey, ServiceName};
 use crate::outcome::RefusalKind;
 use crate::picker::{self, Choice};
-use crate::requests::{AttemptRecord, RequestState};
+use crate::requests::{AttemptRecord, RequestState, TargetPhase};
 use crate::store::StoreReply;
 use crate::store_table::StorePurpose;
 use crate::watches;
@@ -72,6 +72,9 @@
 
 fn send(board: &mut Blackboard, key: &RequestKey, choice: &Choice, out: &mut Vec<Action>) {
     let limit = board.targets.get(&choice.target).map_or(0, |view| view.limit_at(&board.tuning, board.now));
+    let view = board.targets.get(&choice.target);
+    let cold = view.is_some_and(|view| view.warmth.seems_cold(&board.tuning, board.now));
+    let phase = if cold { TargetPhase::Cold } else { TargetPhase::Warm };
     let Some(permit) = board.permits.take(&choice.target, limit, board.now) else { return };
     let id = board.next_attempt();
     let document = board.document.clone();
@@ -104,6 +107,7 @@
         service,
         target: choice.target.clone(),
         version: choice.version.clone(),
+        phase,
         permit,
         started: board.now,
         ends: board.now + time_left,
--- a/crates/core/src/document.rs
+++ b/crates/core/src/document.rs
@@ -89,8 +89,10 @@
     pub finish_within: Duration,
     /// Largest share of traffic that it gets before it has proved itself, 0 to 1.
     pub first_share: f64,
-    /// Whether it only gets copies, whose answers are dropped, or the first share for good.
+    /// Whether it gets no more than the first share, to be proved or taken back.
     pub trial_only: bool,
+    /// Counts up when operators try a version again that was taken back.
+    pub attempt: u32,
 }
 
 /// One target.
--- a/crates/core/src/intake.rs
+++ b/crates/core/src/intake.rs
@@ -133,6 +133,7 @@
         attempts: 0,
         stage_attempts: 0,
         failed_at: BTreeSet::new(),
+        broke: Vec::new(),
         running: Vec::new(),
         sent: false,
         claim,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -38,6 +38,12 @@
 pub mod versions;
 pub mod warmth;
 
+pub mod counting;
+pub mod judge;
+pub mod latency_tail;
+pub mod rollouts;
+pub mod tally;
+
 pub mod lending;
 pub mod permits;
 pub mod seats;
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -4,8 +4,10 @@
 use std::sync::Arc;
 
 use crate::document::{AcceptedDocument, Revision};
-use crate::names::{DcName, Fingerprint, InstanceId, NodeName, RequestKey, ServiceName, TargetName, VersionKey};
+use crate::names::{DcName, Fingerprint, InstanceId, NodeName, RequestKey, ServiceName, TargetName};
 use crate::outcome::FinalAnswer;
+use crate::tally::RouteTally;
+use crate::versions::{CandidateKey, CountKey};
 
 /// Whether a node takes new work.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, strum::Display)]
@@ -53,16 +55,10 @@
 /// Running counts of one version on one route at one node; they only grow within an instance.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct VersionCounts {
-    /// The version.
-    pub version: VersionKey,
-    /// Route: the pipeline's or service's name under which the calls came.
-    pub route: Arc<str>,
-    /// Calls that ended.
-    pub calls: u64,
-    /// Calls that the version failed.
-    pub faults: u64,
-    /// Calls slower than the service's bound.
-    pub slow: u64,
+    /// What was counted.
+    pub key: CountKey,
+    /// The counts.
+    pub tally: RouteTally,
 }
 
 /// A message between nodes.
@@ -132,7 +128,7 @@
     /// A version that must get no traffic any more.
     VersionBad {
         /// The version.
-        version: VersionKey,
+        candidate: CandidateKey,
         /// Why.
         reason: Arc<str>,
     },
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -16,6 +16,7 @@
 use crate::names::NodeName;
 use crate::orders::OrderController;
 use crate::readiness::ReadinessController;
+use crate::rollouts::RolloutController;
 use crate::seats::SeatController;
 use crate::stages::StageController;
 use crate::tuning::Tuning;
@@ -73,6 +74,7 @@
             Box::<ClaimController>::default(),
             Box::<LendingController>::default(),
             Box::<DispatchController>::default(),
+            Box::<RolloutController>::default(),
             Box::<MemberController>::default(),
         ];
         (Self { board, controllers }, actions)
--- a/crates/core/src/requests.rs
+++ b/crates/core/src/requests.rs
@@ -70,6 +70,8 @@
     pub stage_attempts: u32,
     /// Targets whose attempts of this stage failed.
     pub failed_at: BTreeSet<TargetName>,
+    /// Versions whose targets broke off while they ran this stage.
+    pub broke: Vec<VersionName>,
     /// Attempts that run.
     pub running: Vec<AttemptId>,
     /// Whether a byte of a non-repeatable order can have left.
@@ -100,6 +102,16 @@
     }
 }
 
+/// Whether a target is in a cold start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum TargetPhase {
+    /// In a cold start.
+    Cold,
+    /// Warm, or not known to be cold.
+    #[default]
+    Warm,
+}
+
 /// One attempt that runs.
 #[derive(Clone, Debug)]
 pub struct AttemptRecord {
@@ -115,6 +127,8 @@
     pub target: TargetName,
     /// Version.
     pub version: VersionName,
+    /// Phase that the target seemed to be in when it was sent.
+    pub phase: TargetPhase,
     /// The right that it runs under.
     pub permit: Permit,
     /// When it was sent.
@@ -166,6 +180,14 @@
     pub ends: Moment,
 }
 
+impl AttemptRecord {
+    /// Whether its target seemed to be in a cold start.
+    #[must_use]
+    pub fn is_cold(&self) -> bool {
+        self.phase == TargetPhase::Cold
+    }
+}
+
 /// A request that ended, kept for callers that ask again.
 #[derive(Clone, Debug)]
 pub struct EndedRecord {
--- a/crates/core/src/stages.rs
+++ b/crates/core/src/stages.rs
@@ -7,10 +7,11 @@
 use crate::burn::judge;
 use crate::conclude;
 use crate::controller::Controller;
+use crate::counting;
 use crate::event::{AttemptEvent, Event, FailureKind};
 use crate::intake::is_stream;
 use crate::message::PeerMessage;
-use crate::names::{AttemptId, Fingerprint, NodeName, RequestKey, TargetName, VersionKey};
+use crate::names::{AttemptId, Fingerprint, NodeName, RequestKey, TargetName};
 use crate::outcome::{ChargeLine, FinalAnswer, LoadReport, Outcome, RefusalKind, Usage};
 use crate::requests::{AttemptRecord, RequestState};
 
@@ -137,16 +138,7 @@
     if view.is_some_and(|view| view.learn_success(attempt.served(now), &board.tuning, now)) {
         tell_cold(board, &attempt.target, out);
     }
-    count_version(board, attempt, false);
-}
-
-fn count_version(board: &mut Blackboard, attempt: &AttemptRecord, fault: bool) {
-    let Some(record) = board.requests.get(&attempt.key) else { return };
-    let key = VersionKey { service: attempt.service.clone(), version: attempt.version.clone() };
-    let route = record.route.clone();
-    let counts = board.versions.count(&key, &route);
-    counts.calls += 1;
-    counts.faults += u64::from(fault);
+    counting::count_success(board, attempt, report);
 }
 
 fn on_failed(board: &mut Blackboard, id: AttemptId, kind: FailureKind, sent: bool, out: &mut Vec<Action>) {
@@ -229,13 +221,14 @@
     if sent && kind == FailureKind::Broken {
         note_downed(board, attempt, out);
     } else if matches!(kind, FailureKind::Faulted | FailureKind::Malformed | FailureKind::Silent) {
-        count_version(board, attempt, true);
+        counting::count_fault(board, attempt);
     }
 }
 
 /// A target broke off while it ran this content: that may be the content's doing.
 fn note_downed(board: &mut Blackboard, attempt: &AttemptRecord, out: &mut Vec<Action>) {
     let Some(content) = record_content(board, &attempt.key) else { return };
+    counting::count_crash(board, attempt, board.harmful.downed(content) == 0);
     if !board.harmful.note(content, attempt.target.clone()) {
         return;
     }
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -2,9 +2,10 @@
 
 use std::sync::Arc;
 
-use crate::document::AcceptedDocument;
-use crate::names::{Fingerprint, InstanceId, NodeName, Nonce, RequestKey, ServiceName, VersionKey};
+use crate::document::{AcceptedDocument, Revision};
+use crate::names::{Fingerprint, InstanceId, NodeName, Nonce, RequestKey, ServiceName};
 use crate::outcome::FinalAnswer;
+use crate::versions::CandidateKey;
 
 /// Version of a row: the table service counts it up with each write.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -91,6 +92,8 @@
     /// Being compared.
     #[default]
     Comparing,
+    /// Passed its trial; gets no traffic until it is promoted.
+    Proved,
     /// Carries all traffic.
     Finished,
     /// Gets no traffic any more.
@@ -100,13 +103,17 @@
 /// Row of a candidate version.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RolloutRow {
-    /// The version.
-    pub version: VersionKey,
+    /// The version and the attempt to move to it.
+    pub candidate: CandidateKey,
+    /// Revision of the document by which this row was begun.
+    pub revision: Revision,
+    /// Whether it is on trial only.
+    pub trial: bool,
     /// State.
     pub state: RolloutState,
     /// Step of the share, from 0.
     pub step: u32,
-    /// Why it was taken back, or empty.
+    /// Why it was taken back, or what was proved; empty until then.
     pub reason: Arc<str>,
     /// Milliseconds that the candidate has been compared.
     pub elapsed_ms: u64,
--- a/crates/core/src/versions.rs
+++ b/crates/core/src/versions.rs
@@ -1,36 +1,78 @@
 //! Candidate versions: their share of traffic and what was counted of them.
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::sync::Arc;
 
-use crate::document::Document;
+use crate::document::{CandidateSpec, Document, ServiceSpec};
+use crate::latency_tail::LatencyTail;
 use crate::message::VersionCounts;
 use crate::names::{InstanceId, ServiceName, VersionKey, VersionName};
 use crate::store::{RolloutRow, RolloutState};
+use crate::tally::RouteTally;
 
-/// Shares of traffic, by step, before a candidate carries all of it.
-pub const STEP_SHARES: [f64; 4] = [0.01, 0.05, 0.25, 0.5];
+/// Shares of traffic after the first, by step, before a candidate carries all of it.
+pub const STEP_SHARES: [f64; 3] = [0.05, 0.25, 0.5];
+
+/// One attempt to move a service to a version.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CandidateKey {
+    /// The version.
+    pub version: VersionKey,
+    /// Which attempt, from 1; 0 for a stable version.
+    pub attempt: u32,
+}
+
+impl fmt::Display for CandidateKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} attempt {}", self.version, self.attempt)
+    }
+}
+
+/// What calls are counted by.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CountKey {
+    /// The version and attempt.
+    pub candidate: CandidateKey,
+    /// Route: the pipeline's or service's name under which the calls came.
+    pub route: Arc<str>,
+}
+
+/// Counts of one instance.
+pub type InstanceCounts = BTreeMap<CountKey, RouteTally>;
 
 /// Candidates by service, and counts by version and route.
 #[derive(Clone, Debug, Default)]
 pub struct VersionTable {
-    /// How far each candidate has come.
+    /// How far each candidate of the document in force has come; none until its row is known.
     pub rollouts: BTreeMap<ServiceName, RolloutRow>,
     /// Versions that get no traffic any more, with the reason.
-    pub bad: BTreeMap<VersionKey, Arc<str>>,
+    pub bad: BTreeMap<CandidateKey, Arc<str>>,
     /// This instance's own counts.
-    pub own: BTreeMap<(VersionKey, Arc<str>), VersionCounts>,
-    /// Counts of other instances, as told.
-    pub told: BTreeMap<InstanceId, Vec<VersionCounts>>,
+    pub own: InstanceCounts,
+    /// Counts of other instances, as told; those of instances that ended are kept.
+    pub told: BTreeMap<InstanceId, InstanceCounts>,
+    /// Call times of stable versions, by route.
+    tails: BTreeMap<CountKey, LatencyTail>,
 }
 
 impl VersionTable {
-    /// Forgets candidates that the document does not name any more.
+    /// Most instances whose counts are kept.
+    const MOST_INSTANCES: usize = 2_048;
+    /// Most counts kept of one instance.
+    const MOST_COUNTS: usize = 512;
+
+    /// Forgets candidates that the document does not name any more, and their counts.
     pub fn install(&mut self, document: &Document) {
-        self.rollouts.retain(|service, row| {
-            let candidate = document.services.get(service).and_then(|spec| spec.candidate.as_ref());
-            candidate.is_some_and(|candidate| candidate.version == row.version.version)
-        });
+        self.rollouts.retain(|service, row| candidate_of(document, service).as_ref() == Some(&row.candidate));
+        self.bad.retain(|candidate, _| is_candidate(document, candidate));
+        let wanted = |key: &CountKey| is_counted(document, &key.candidate);
+        self.own.retain(|key, _| wanted(key));
+        self.tails.retain(|key, _| wanted(key));
+        for counts in self.told.values_mut() {
+            counts.retain(|key, _| wanted(key));
+        }
+        self.told.retain(|_, counts| !counts.is_empty());
     }
 
     /// Versions to try for a call, in order; `draw` is uniform in 0 to 1.
@@ -39,30 +81,112 @@
         let Some(spec) = document.services.get(service) else { return Vec::new() };
         let stable = spec.stable.clone();
         let Some(candidate) = &spec.candidate else { return vec![stable] };
-        let key = VersionKey { service: service.clone(), version: candidate.version.clone() };
-        if self.bad.contains_key(&key) {
-            return vec![stable];
+        let share = self.share(service, candidate);
+        if share >= 1.0 {
+            return vec![candidate.version.clone()];
         }
-        let (state, step) =
-            self.rollouts.get(service).map_or((RolloutState::Comparing, 0), |row| (row.state, row.step));
-        match state {
-            RolloutState::TakenBack => vec![stable],
-            RolloutState::Finished => vec![candidate.version.clone()],
-            RolloutState::Comparing => {
-                let share = STEP_SHARES.get(step as usize).copied().unwrap_or(1.0).max(candidate.first_share);
-                if draw < share { vec![candidate.version.clone(), stable] } else { vec![stable] }
-            }
+        if draw < share { vec![candidate.version.clone(), stable] } else { vec![stable] }
+    }
+
+    /// Share of a service's traffic that its candidate gets.
+    #[must_use]
+    pub fn share(&self, service: &ServiceName, candidate: &CandidateSpec) -> f64 {
+        // Without a row it is not known whether the version was taken back.
+        let Some(row) = self.rollouts.get(service) else { return 0.0 };
+        if self.bad.contains_key(&row.candidate) {
+            return 0.0;
+        }
+        match row.state {
+            RolloutState::TakenBack | RolloutState::Proved => 0.0,
+            RolloutState::Finished => 1.0,
+            RolloutState::Comparing => step_share(candidate, row.step),
         }
     }
 
     /// This instance's counts of a version on a route, to add to.
-    pub fn count(&mut self, version: &VersionKey, route: &Arc<str>) -> &mut VersionCounts {
-        self.own.entry((version.clone(), route.clone())).or_insert_with(|| VersionCounts {
-            version: version.clone(),
-            route: route.clone(),
-            calls: 0,
-            faults: 0,
-            slow: 0,
-        })
+    pub fn count(&mut self, key: CountKey) -> &mut RouteTally {
+        self.own.entry(key).or_default()
+    }
+
+    /// Call times of a stable version on a route.
+    pub fn tail(&mut self, key: CountKey) -> &mut LatencyTail {
+        self.tails.entry(key).or_default()
+    }
+
+    /// Merges counts that a peer told; those of no candidate and those beyond the bounds are dropped.
+    pub fn merge(&mut self, document: &Document, instance: InstanceId, counts: &[VersionCounts]) {
+        if self.told.len() >= Self::MOST_INSTANCES && !self.told.contains_key(&instance) {
+            return;
+        }
+        for told in counts.iter().filter(|told| is_counted(document, &told.key.candidate)) {
+            let known = self.told.entry(instance).or_default();
+            if known.len() < Self::MOST_COUNTS || known.contains_key(&told.key) {
+                let tally = known.entry(told.key.clone()).or_default();
+                *tally = tally.latest(told.tally);
+            }
+        }
+    }
+
+    /// Counts of a version over all instances, by route.
+    #[must_use]
+    pub fn totals(&self, candidate: &CandidateKey) -> BTreeMap<Arc<str>, RouteTally> {
+        let mut totals: BTreeMap<Arc<str>, RouteTally> = BTreeMap::new();
+        for counts in self.told.values().chain([&self.own]) {
+            for (key, tally) in counts.iter().filter(|(key, _)| key.candidate == *candidate) {
+                let total = totals.entry(key.route.clone()).or_default();
+                *total = total.plus(*tally);
+            }
+        }
+        totals
+    }
+}
+
+/// Share of traffic at a step; 1 after the last.
+#[must_use]
+pub fn step_share(candidate: &CandidateSpec, step: u32) -> f64 {
+    step_shares(candidate).nth(step as usize).unwrap_or(1.0)
+}
+
+/// Steps until a candidate carries all traffic.
+#[must_use]
+pub fn step_count(candidate: &CandidateSpec) -> u32 {
+    step_shares(candidate).count() as u32
+}
+
+fn step_shares(candidate: &CandidateSpec) -> impl Iterator<Item = f64> {
+    let first = candidate.first_share;
+    std::iter::once(first).chain(STEP_SHARES.into_iter().filter(move |share| *share > first))
+}
+
+/// The attempt that the document's candidate of a service is.
+#[must_use]
+pub fn candidate_of(document: &Document, service: &ServiceName) -> Option<CandidateKey> {
+    let spec = document.services.get(service)?;
+    let candidate = spec.candidate.as_ref()?;
+    Some(key_of(service, spec, &candidate.version))
+}
+
+/// What calls to a version of a service are counted by.
+#[must_use]
+pub fn key_of(service: &ServiceName, spec: &ServiceSpec, version: &VersionName) -> CandidateKey {
+    let attempt = spec.candidate.as_ref().filter(|candidate| candidate.version == *version);
+    CandidateKey {
+        version: VersionKey { service: service.clone(), version: version.clone() },
+        attempt: attempt.map_or(0, |candidate| candidate.attempt),
     }
 }
+
+fn is_candidate(document: &Document, candidate: &CandidateKey) -> bool {
+    candidate_of(document, &candidate.version.service).as_ref() == Some(candidate)
+}
+
+/// Whether the document compares this version with another.
+fn is_counted(document: &Document, candidate: &CandidateKey) -> bool {
+    let Some(spec) = document.services.get(&candidate.version.service) else { return false };
+    let compared = [Some(&spec.stable), spec.candidate.as_ref().map(|candidate| &candidate.version)];
+    spec.candidate.is_some()
+        && compared.into_iter().flatten().any(|version| {
+            let key = key_of(&candidate.version.service, spec, version);
+            key == *candidate
+        })
+}
--- a/crates/core/src/warmth.rs
+++ b/crates/core/src/warmth.rs
@@ -122,6 +122,13 @@
         if self.is_stale(tuning, now) { self.bounds.0 } else { self.limit }
     }
 
+    /// Whether the target is in a cold start as far as known: it has earned nothing, and does not call
+    /// itself warm.
+    #[must_use]
+    pub fn seems_cold(&self, tuning: &Tuning, now: Moment) -> bool {
+        self.bounds.0 < self.bounds.1 && self.limit_at(tuning, now) <= self.bounds.0 && !self.said_warm
+    }
+
     /// Starts the ramp anew.
     pub fn turn_cold(&mut self, now: Moment) {
         self.start_step(self.bounds.0, now);
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -223,8 +223,10 @@
         seats: beat.seats.iter().map(|claim| claim.seat).collect(),
     });
     let rollouts = board.versions.rollouts.values().map(|row| RolloutStatus {
-        service: row.version.service.to_string(),
-        version: row.version.version.to_string(),
+        service: row.candidate.version.service.to_string(),
+        version: row.candidate.version.version.to_string(),
+        attempt: row.candidate.attempt,
+        trial: row.trial,
         state: row.state.to_string(),
         step: row.step,
         reason: row.reason.to_string(),
--- a/crates/wire/src/caller.rs
+++ b/crates/wire/src/caller.rs
@@ -144,6 +144,10 @@
     pub service: String,
     /// Version.
     pub version: String,
+    /// Attempt to move to it, from 1.
+    pub attempt: u32,
+    /// Whether it is on trial only.
+    pub trial: bool,
     /// State.
     pub state: String,
     /// Step, from 0.
--- a/crates/wire/src/document.rs
+++ b/crates/wire/src/document.rs
@@ -80,6 +80,7 @@
         "finish_within_s",
         "first_share",
         "trial_only",
+        "attempt",
     ];
     reader.check_keys(section, &known);
     let defaults = ServiceSpec::default();
@@ -114,6 +115,7 @@
         finish_within: Duration::from_secs(finish_within),
         first_share: reader.bounded(section, "first_share", 0.01, 0.0..=0.2),
         trial_only: reader.yes(section, "trial_only", false),
+        attempt: reader.bounded(section, "attempt", 1, 1..=1_000_000),
     })
 }
 
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -12,6 +12,8 @@
 };
 use wasabipier_core::outcome::FinalAnswer;
 use wasabipier_core::store::{RolloutRow, RolloutState};
+use wasabipier_core::tally::RouteTally;
+use wasabipier_core::versions::{CandidateKey, CountKey};
 
 use crate::answer::WireAnswer;
 use crate::row::accepted;
@@ -47,10 +49,17 @@
 pub struct WireCounts {
     service: String,
     version: String,
+    attempt: u32,
     route: String,
     calls: u64,
     faults: u64,
+    timed: u64,
     slow: u64,
+    cold_calls: u64,
+    cold_faults: u64,
+    cold_timed: u64,
+    cold_slow: u64,
+    crashes: u64,
 }
 
 /// A message between nodes, as it stands in a frame.
@@ -149,6 +158,8 @@
         service: String,
         /// Version.
         version: String,
+        /// Attempt.
+        attempt: u32,
         /// Why.
         reason: String,
     },
@@ -158,6 +169,12 @@
         service: String,
         /// Version.
         version: String,
+        /// Attempt.
+        attempt: u32,
+        /// Revision.
+        revision: u64,
+        /// Whether on trial only.
+        trial: bool,
         /// State, by name.
         state: String,
         /// Step.
@@ -209,8 +226,9 @@
     RequestKey { org: OrgName::new(key.organisation), request: RequestId::new(key.request) }
 }
 
-fn version_key(service: String, version: String) -> VersionKey {
-    VersionKey { service: ServiceName::new(service), version: VersionName::new(version) }
+fn candidate_key(service: String, version: String, attempt: u32) -> CandidateKey {
+    let version = VersionKey { service: ServiceName::new(service), version: VersionName::new(version) };
+    CandidateKey { version, attempt }
 }
 
 impl From<&PeerMessage> for WireFrame {
@@ -257,14 +275,18 @@
             PeerMessage::Counts { instance, counts } => {
                 Self::Counts { instance: instance.0, counts: counts.iter().map(wire_counts).collect() }
             }
-            PeerMessage::VersionBad { version, reason } => Self::VersionBad {
-                service: version.service.to_string(),
-                version: version.version.to_string(),
+            PeerMessage::VersionBad { candidate, reason } => Self::VersionBad {
+                service: candidate.version.service.to_string(),
+                version: candidate.version.version.to_string(),
+                attempt: candidate.attempt,
                 reason: reason.to_string(),
             },
             PeerMessage::RolloutStep { service, row, from } => Self::RolloutStep {
                 service: service.to_string(),
-                version: row.version.version.to_string(),
+                version: row.candidate.version.version.to_string(),
+                attempt: row.candidate.attempt,
+                revision: row.revision.0,
+                trial: row.trial,
                 state: row.state.to_string(),
                 step: row.step,
                 reason: row.reason.to_string(),
@@ -276,24 +298,38 @@
 }
 
 fn wire_counts(counts: &VersionCounts) -> WireCounts {
+    let candidate = &counts.key.candidate;
     WireCounts {
-        service: counts.version.service.to_string(),
-        version: counts.version.version.to_string(),
-        route: counts.route.to_string(),
-        calls: counts.calls,
-        faults: counts.faults,
-        slow: counts.slow,
+        service: candidate.version.service.to_string(),
+        version: candidate.version.version.to_string(),
+        attempt: candidate.attempt,
+        route: counts.key.route.to_string(),
+        calls: counts.tally.calls,
+        faults: counts.tally.faults,
+        timed: counts.tally.timed,
+        slow: counts.tally.slow,
+        cold_calls: counts.tally.cold_calls,
+        cold_faults: counts.tally.cold_faults,
+        cold_timed: counts.tally.cold_timed,
+        cold_slow: counts.tally.cold_slow,
+        crashes: counts.tally.crashes,
     }
 }
 
 fn core_counts(wire: WireCounts) -> VersionCounts {
-    VersionCounts {
-        version: version_key(wire.service, wire.version),
-        route: Arc::from(wire.route),
+    let candidate = candidate_key(wire.service, wire.version, wire.attempt);
+    let tally = RouteTally {
         calls: wire.calls,
         faults: wire.faults,
+        timed: wire.timed,
         slow: wire.slow,
-    }
+        cold_calls: wire.cold_calls,
+        cold_faults: wire.cold_faults,
+        cold_timed: wire.cold_timed,
+        cold_slow: wire.cold_slow,
+        crashes: wire.crashes,
+    };
+    VersionCounts { key: CountKey { candidate, route: Arc::from(wire.route) }, tally }
 }
 
 fn node_state(state: u8) -> Result<NodeState, FrameError> {
@@ -352,14 +388,27 @@
             WireFrame::Counts { instance, counts } => {
                 Self::Counts { instance: InstanceId(instance), counts: counts.into_iter().map(core_counts).collect() }
             }
-            WireFrame::VersionBad { service, version, reason } => {
-                Self::VersionBad { version: version_key(service, version), reason: Arc::from(reason) }
+            WireFrame::VersionBad { service, version, attempt, reason } => {
+                Self::VersionBad { candidate: candidate_key(service, version, attempt), reason: Arc::from(reason) }
             }
-            WireFrame::RolloutStep { service, version, state, step, reason, elapsed_ms, from } => {
+            WireFrame::RolloutStep {
+                service,
+                version,
+                attempt,
+                revision,
+                trial,
+                state,
+                step,
+                reason,
+                elapsed_ms,
+                from,
+            } => {
                 let state: RolloutState =
                     state.parse().map_err(|_| FrameError::Malformed(format!("no state `{state}` of a candidate")))?;
                 let row = RolloutRow {
-                    version: version_key(service.clone(), version),
+                    candidate: candidate_key(service.clone(), version, attempt),
+                    revision: Revision(revision),
+                    trial,
                     state,
                     step,
                     reason: Arc::from(reason),
--- a/crates/wire/src/row.rs
+++ b/crates/wire/src/row.rs
@@ -8,6 +8,7 @@
 use wasabipier_core::store::{
     ClaimRow, ClaimState, LeaseRow, RolloutRow, RolloutState, Row, RowKey, RowValue, RowVersion, SeatRow,
 };
+use wasabipier_core::versions::CandidateKey;
 
 use crate::answer::WireAnswer;
 use crate::document::parse_document;
@@ -42,11 +43,41 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "row", rename_all = "kebab-case")]
 enum WireRow {
-    Claim { nonce: String, owner: String, instance: String, content: String, answer: Option<WireAnswer> },
-    Seat { owner: String, instance: String, epoch: u64 },
-    Lease { owner: String, instance: String, fencing: u64, renewals: u64 },
-    Document { revision: u64, nonce: String, author: String, text: String },
-    Rollout { service: String, version: String, state: String, step: u32, reason: String, elapsed_ms: u64 },
+    Claim {
+        nonce: String,
+        owner: String,
+        instance: String,
+        content: String,
+        answer: Option<WireAnswer>,
+    },
+    Seat {
+        owner: String,
+        instance: String,
+        epoch: u64,
+    },
+    Lease {
+        owner: String,
+        instance: String,
+        fencing: u64,
+        renewals: u64,
+    },
+    Document {
+        revision: u64,
+        nonce: String,
+        author: String,
+        text: String,
+    },
+    Rollout {
+        service: String,
+        version: String,
+        attempt: u32,
+        revision: u64,
+        trial: bool,
+        state: String,
+        step: u32,
+        reason: String,
+        elapsed_ms: u64,
+    },
 }
 
 /// A value as JSON.
@@ -79,8 +110,11 @@
             text: document.text.to_string(),
         },
         RowValue::Rollout(row) => WireRow::Rollout {
-            service: row.version.service.to_string(),
-            version: row.version.version.to_string(),
+            service: row.candidate.version.service.to_string(),
+            version: row.candidate.version.version.to_string(),
+            attempt: row.candidate.attempt,
+            revision: row.revision.0,
+            trial: row.trial,
             state: row.state.to_string(),
             step: row.step,
             reason: row.reason.to_string(),
@@ -121,13 +155,18 @@
             let document = accepted(revision, nonce, &author, &text).map_err(malformed)?;
             RowValue::Document(Arc::new(document))
         }
-        WireRow::Rollout { service, version, state, step, reason, elapsed_ms } => RowValue::Rollout(RolloutRow {
-            version: VersionKey { service: ServiceName::new(service), version: VersionName::new(version) },
-            state: state.parse::<RolloutState>().map_err(|error| malformed(error.to_string()))?,
-            step,
-            reason: Arc::from(reason),
-            elapsed_ms,
-        }),
+        WireRow::Rollout { service, version, attempt, revision, trial, state, step, reason, elapsed_ms } => {
+            let version = VersionKey { service: ServiceName::new(service), version: VersionName::new(version) };
+            RowValue::Rollout(RolloutRow {
+                candidate: CandidateKey { version, attempt },
+                revision: Revision(revision),
+                trial,
+                state: state.parse::<RolloutState>().map_err(|error| malformed(error.to_string()))?,
+                step,
+                reason: Arc::from(reason),
+                elapsed_ms,
+            })
+        }
     };
     Ok(Row { version: RowVersion(row.version), value })
 }
