--- a/crates/core/examples/rollout_runs.rs
+++ b/crates/core/examples/rollout_runs.rs
@@ -126,7 +126,7 @@
             revision: Revision(1),
             seats: Vec::new(),
         };
-        board.members.introduce(&node_name(peer), address(peer));
+        board.members.introduce(&node_name(peer), address(peer), None);
         board.members.note(&node_name(peer), &beat, Moment(0));
     }
     board.document = Arc::new(document());
--- a/crates/core/src/action.rs
+++ b/crates/core/src/action.rs
@@ -6,7 +6,7 @@
 
 use crate::document::{LoadSpec, Revision, ServiceKind};
 use crate::message::PeerMessage;
-use crate::names::{AttemptId, CallId, NodeName, RequestKey, StoreTicket, TargetName};
+use crate::names::{AttemptId, CallId, NodeName, Nonce, RequestKey, StoreTicket, TargetName};
 use crate::outcome::{ChargeLine, FinalAnswer};
 use crate::store::StoreOp;
 
@@ -70,6 +70,19 @@
     Final(Box<FinalAnswer>),
 }
 
+/// A document's text and what it was accepted under.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DocumentSource {
+    /// Revision.
+    pub revision: Revision,
+    /// Marks the promotion.
+    pub nonce: Nonce,
+    /// Who promoted it.
+    pub author: Arc<str>,
+    /// INI text.
+    pub text: Arc<str>,
+}
+
 /// What became of a promotion.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum PromoteAnswer {
@@ -111,6 +124,8 @@
     Order(Box<LoadOrder>),
     /// Keep a charge line in the ledger.
     Charge(Box<ChargeLine>),
+    /// Parse a document, away from the decision thread, and tell the result.
+    Parse(Box<DocumentSource>),
     /// Tell an operator what became of a promotion.
     Promoted(CallId, PromoteAnswer),
     /// All work has ended after a stop was asked for: the process may exit.
--- a/crates/core/src/claims.rs
+++ b/crates/core/src/claims.rs
@@ -1,7 +1,10 @@
 //! Claims of requests that must not run twice: written before the first byte leaves, settled after.
 
+use std::time::Duration;
+
 use crate::action::Action;
 use crate::blackboard::Blackboard;
+use crate::clock::Moment;
 use crate::conclude;
 use crate::controller::Controller;
 use crate::event::Event;
@@ -14,7 +17,14 @@
 
 /// Claims, follows and settles.
 #[derive(Debug, Default)]
-pub struct ClaimController;
+pub struct ClaimController {
+    follow_at: Moment,
+}
+
+impl ClaimController {
+    /// Interval of looks at requests that other nodes run.
+    const FOLLOW_EVERY: Duration = Duration::from_millis(200);
+}
 
 impl Controller for ClaimController {
     fn on_event(&mut self, board: &mut Blackboard, event: &Event, out: &mut Vec<Action>) {
@@ -22,7 +32,10 @@
             Event::Asked(ask) => start_claim(board, &ask.key, out),
             Event::Peer(from, message) => on_peer(board, from, message, out),
             Event::Tick => {
-                follow(board, out);
+                if board.now >= self.follow_at && board.store.may_ask(board.now) {
+                    self.follow_at = board.now + Self::FOLLOW_EVERY;
+                    follow(board, out);
+                }
                 settle(board, out);
             }
             Event::Attempt(..) => settle_fresh(board, out),
@@ -146,6 +159,13 @@
         out.push(Action::Tell(owner.clone(), Box::new(PeerMessage::OutcomeWanted(key.clone()))));
         return;
     }
+    if let Some(member) = board.members.get(owner).filter(|member| !member.linked) {
+        // In a large environment not every peer is connected: this one is, from now on.
+        out.push(Action::Connect(owner.clone(), member.peer_address));
+        out.push(Action::Tell(owner.clone(), Box::new(PeerMessage::OutcomeWanted(key.clone()))));
+        board.members.link(owner);
+        return;
+    }
     let replaced = known.is_some_and(|(_, instance)| instance != claim.instance);
     if replaced || known.is_none() || *owner == board.identity.node {
         conclude::conclude(board, key, &FinalAnswer::refused(Outcome::Unknown, RefusalKind::Unsettled), out);
@@ -160,10 +180,8 @@
         .filter(|record| record.state == RequestState::Following)
         .map(|record| record.key.clone())
         .collect();
-    if board.store.may_ask(board.now) {
-        for key in following {
-            read_claim(board, &key, out);
-        }
+    for key in following {
+        read_claim(board, &key, out);
     }
 }
 
--- a/crates/core/src/documents.rs
+++ b/crates/core/src/documents.rs
@@ -1,14 +1,17 @@
 //! The document in force: read by one node of a data centre, passed on by all, never going back.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
+use std::time::Duration;
 
-use crate::action::{Action, PromoteAnswer};
+use crate::action::{Action, DocumentSource, PromoteAnswer};
 use crate::blackboard::Blackboard;
 use crate::clock::Moment;
 use crate::controller::Controller;
-use crate::document::AcceptedDocument;
+use crate::delta::TextDelta;
+use crate::document::{AcceptedDocument, Revision};
 use crate::event::Event;
-use crate::message::PeerMessage;
+use crate::message::{DocumentChange, PeerMessage};
 use crate::names::{CallId, NodeName};
 use crate::store::{RowKey, RowValue, RowVersion, StoreOp, StoreReply};
 use crate::store_table::StorePurpose;
@@ -26,12 +29,17 @@
 pub struct DocumentController {
     read_at: Moment,
     promotion: Option<Promotion>,
+    /// Documents that were in force here before, from which differences are made for peers.
+    earlier: VecDeque<Arc<AcceptedDocument>>,
+    /// When a peer was last asked for a document, so that one is asked at a time.
+    asked: Option<(Revision, Moment)>,
 }
 
 impl Controller for DocumentController {
     fn on_event(&mut self, board: &mut Blackboard, event: &Event, out: &mut Vec<Action>) {
         match event {
-            Event::Peer(from, message) => on_peer(board, from, message, out),
+            Event::Peer(from, message) => self.on_peer(board, from, message, out),
+            Event::DocumentParsed(document) => self.install(board, document),
             Event::PromoteAsked(call, document) => self.promote(board, *call, document, out),
             Event::Tick => self.read(board, out),
             _ => {}
@@ -40,7 +48,7 @@
 
     fn on_store(&mut self, board: &mut Blackboard, purpose: &StorePurpose, reply: &StoreReply, out: &mut Vec<Action>) {
         match purpose {
-            StorePurpose::ReadDocument => on_read(board, reply),
+            StorePurpose::ReadDocument => self.on_read(board, reply),
             StorePurpose::ConfirmPromote => self.on_confirmed(board, reply, out),
             StorePurpose::Promote => self.on_written(board, reply, out),
             _ => {}
@@ -49,6 +57,51 @@
 }
 
 impl DocumentController {
+    /// Earlier documents kept.
+    const KEPT: usize = 8;
+    /// Time for a peer to give a document before another one is asked.
+    const GIVEN_WITHIN: Duration = Duration::from_millis(500);
+
+    fn install(&mut self, board: &mut Blackboard, document: &Arc<AcceptedDocument>) {
+        if document.revision <= board.document.revision {
+            return;
+        }
+        self.earlier.push_back(board.document.clone());
+        if self.earlier.len() > Self::KEPT {
+            self.earlier.pop_front();
+        }
+        install(board, document.clone());
+    }
+
+    fn on_peer(&mut self, board: &mut Blackboard, from: &NodeName, message: &PeerMessage, out: &mut Vec<Action>) {
+        match message {
+            PeerMessage::DocumentGiven(document) => self.install(board, document),
+            PeerMessage::DocumentChanged(change) => {
+                if let Some(source) = changed(board, change) {
+                    out.push(Action::Parse(Box::new(source)));
+                }
+            }
+            _ => {
+                let Some(answer) = answer_peer(board, &self.earlier, message) else { return };
+                if let PeerMessage::DocumentWanted { wanted, .. } = &answer
+                    && !self.may_ask(board, *wanted)
+                {
+                    return;
+                }
+                out.push(Action::Tell(from.clone(), Box::new(answer)));
+            }
+        }
+    }
+
+    /// One peer at a time is asked, unless it does not give the document or another is newer.
+    fn may_ask(&mut self, board: &Blackboard, wanted: Revision) -> bool {
+        let open = self.asked.is_some_and(|(asked, at)| wanted <= asked && board.now.since(at) < Self::GIVEN_WITHIN);
+        if !open {
+            self.asked = Some((wanted, board.now));
+        }
+        !open
+    }
+
     fn read(&mut self, board: &mut Blackboard, out: &mut Vec<Action>) {
         if board.now < self.read_at || !board.store.may_ask(board.now) || !is_reader(board) {
             return;
@@ -59,6 +112,14 @@
         }
     }
 
+    fn on_read(&mut self, board: &mut Blackboard, reply: &StoreReply) {
+        if let StoreReply::Read(Some(row)) = reply
+            && let RowValue::Document(document) = &row.value
+        {
+            self.install(board, document);
+        }
+    }
+
     fn promote(
         &mut self,
         board: &mut Blackboard,
@@ -90,7 +151,7 @@
             StoreReply::Written(_) => {
                 let document = promotion.document.clone();
                 let revision = document.revision;
-                install(board, document);
+                self.install(board, &document);
                 self.answer(PromoteAnswer::Accepted(revision), out);
             }
             StoreReply::NotSent if !promotion.written => self.answer(PromoteAnswer::NotAccepted, out),
@@ -116,7 +177,7 @@
         let Some((version, document)) = standing else {
             return self.write(board, None, out);
         };
-        install(board, document.clone());
+        self.install(board, &document);
         if document.nonce == promotion.document.nonce {
             self.answer(PromoteAnswer::Accepted(document.revision), out);
         } else if document.revision.0 + 1 == promotion.document.revision.0 {
@@ -145,36 +206,53 @@
     board.store.send(purpose, StoreOp::Read { key: RowKey::Document }, &mut board.counters, out);
 }
 
-fn on_read(board: &mut Blackboard, reply: &StoreReply) {
-    if let StoreReply::Read(Some(row)) = reply
-        && let RowValue::Document(document) = &row.value
-    {
-        install(board, document.clone());
+/// The revision that a heartbeat announces is asked for; what a peer asks for is given.
+fn answer_peer(
+    board: &Blackboard,
+    earlier: &VecDeque<Arc<AcceptedDocument>>,
+    message: &PeerMessage,
+) -> Option<PeerMessage> {
+    let own = &board.document;
+    match message {
+        PeerMessage::Heartbeat(beat) if beat.revision > own.revision => {
+            Some(PeerMessage::DocumentWanted { wanted: beat.revision, have: own.revision })
+        }
+        PeerMessage::DocumentWanted { wanted, have } if *wanted <= own.revision => {
+            let base = earlier.iter().find(|earlier| earlier.revision == *have);
+            Some(base.and_then(|base| change(base, own)).unwrap_or_else(|| PeerMessage::DocumentGiven(own.clone())))
+        }
+        _ => None,
     }
 }
 
-fn on_peer(board: &mut Blackboard, from: &NodeName, message: &PeerMessage, out: &mut Vec<Action>) {
-    let wanted = match message {
-        PeerMessage::Heartbeat(beat) if beat.revision > board.document.revision => {
-            PeerMessage::DocumentWanted(beat.revision)
-        }
-        PeerMessage::DocumentWanted(revision) if *revision <= board.document.revision => {
-            PeerMessage::DocumentGiven(board.document.clone())
-        }
-        PeerMessage::DocumentGiven(document) => {
-            install(board, document.clone());
-            return;
-        }
-        _ => return,
+/// The difference, unless it saves too little to be worth the receiver's parsing on its own.
+fn change(base: &AcceptedDocument, own: &AcceptedDocument) -> Option<PeerMessage> {
+    const WORTH_BYTES: usize = 4096;
+    let delta = TextDelta::between(&base.text, &own.text);
+    let change = DocumentChange {
+        base: base.revision,
+        revision: own.revision,
+        nonce: own.nonce,
+        author: own.author.clone(),
+        delta,
     };
-    out.push(Action::Tell(from.clone(), Box::new(wanted)));
+    let worth = own.text.len() > WORTH_BYTES + change.delta.middle.len();
+    worth.then(|| PeerMessage::DocumentChanged(Box::new(change)))
 }
 
-/// Puts a document in force here, unless the one in force is as new.
+/// The text that a difference makes; none if it starts from another revision than the one in force here.
+fn changed(board: &Blackboard, change: &DocumentChange) -> Option<DocumentSource> {
+    let text = (change.base == board.document.revision).then(|| change.delta.apply(&board.document.text))??;
+    Some(DocumentSource {
+        revision: change.revision,
+        nonce: change.nonce,
+        author: change.author.clone(),
+        text: Arc::from(text),
+    })
+}
+
+/// Puts a document in force here.
 pub fn install(board: &mut Blackboard, document: Arc<AcceptedDocument>) {
-    if document.revision <= board.document.revision {
-        return;
-    }
     board.targets.install(&document.content, board.now);
     board.ready.install(&document.content);
     board.permits.install(&document.content);
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -155,6 +155,8 @@
     Inspected(TargetName, Option<LoadSpec>),
     /// A target answered an order.
     OrderAnswered(TargetName, OrderReply),
+    /// A document's text was parsed.
+    DocumentParsed(Arc<AcceptedDocument>),
     /// An operator promotes a document; its revision is one more than the one that the operator saw.
     PromoteAsked(CallId, Arc<AcceptedDocument>),
     /// The process shall stop gracefully.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -55,6 +55,7 @@
 pub mod stages;
 pub mod watches;
 
+pub mod delta;
 pub mod documents;
 pub mod leases;
 pub mod members;
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -1,17 +1,19 @@
-//! Peers: what each said last, and when.
+//! Peers: what each said last, when, and whether this node keeps a connection to it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use crate::clock::Moment;
 use crate::message::{Heartbeat, NodeState};
-use crate::names::NodeName;
+use crate::names::{DcName, NodeName, stable_hash};
 
 /// What is known of one peer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Member {
     /// Where to connect.
     pub peer_address: SocketAddr,
+    /// Its data centre, once known.
+    pub dc: Option<DcName>,
     /// Its last heartbeat, if any came.
     pub heartbeat: Option<Heartbeat>,
     /// When that came.
@@ -20,26 +22,36 @@
     pub alive: bool,
     /// Whether the platform's list says that it is leaving.
     pub leaving: bool,
+    /// Whether this node keeps a connection to it.
+    pub linked: bool,
 }
 
 /// Peers by name.
 #[derive(Clone, Debug, Default)]
 pub struct MemberTable {
     members: BTreeMap<NodeName, Member>,
+    last_heard: Moment,
 }
 
 impl MemberTable {
-    /// Adds a peer by its address, or corrects the address; tells whether a connection is needed.
-    pub fn introduce(&mut self, node: &NodeName, address: SocketAddr) -> bool {
-        if let Some(member) = self.members.get_mut(node) {
-            let moved = member.peer_address != address;
+    /// Adds a peer, or corrects its address, which ends the connection to the old one.
+    pub fn introduce(&mut self, node: &NodeName, address: SocketAddr, dc: Option<&DcName>) {
+        let member = self.members.entry(node.clone()).or_insert_with(|| Member {
+            peer_address: address,
+            dc: None,
+            heartbeat: None,
+            heard: Moment::default(),
+            alive: false,
+            leaving: false,
+            linked: false,
+        });
+        if member.peer_address != address {
             member.peer_address = address;
-            return moved;
+            member.linked = false;
+        }
+        if let Some(dc) = dc {
+            member.dc = Some(dc.clone());
         }
-        let member =
-            Member { peer_address: address, heartbeat: None, heard: Moment::default(), alive: false, leaving: false };
-        self.members.insert(node.clone(), member);
-        true
     }
 
     /// Notes a heartbeat; an older one of the same instance is dropped.
@@ -52,6 +64,14 @@
         member.heartbeat = Some(beat.clone());
         member.heard = now;
         member.alive = true;
+        self.last_heard = now;
+    }
+
+    /// Notes that this node connects to a peer.
+    pub fn link(&mut self, node: &NodeName) {
+        if let Some(member) = self.members.get_mut(node) {
+            member.linked = true;
+        }
     }
 
     /// Removes a peer.
@@ -75,6 +95,18 @@
         self.members.iter_mut()
     }
 
+    /// Number of peers known.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.members.len()
+    }
+
+    /// Whether no peer is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.members.is_empty()
+    }
+
     /// Peers that are alive, with their last heartbeats.
     pub fn alive(&self) -> impl Iterator<Item = (&NodeName, &Heartbeat)> {
         self.members
@@ -95,6 +127,34 @@
     /// When any peer was last heard.
     #[must_use]
     pub fn last_heard(&self) -> Moment {
-        self.members.values().map(|member| member.heard).max().unwrap_or_default()
+        self.last_heard
+    }
+
+    /// Peers that a node should keep connections to: all of a small environment; of a large one those
+    /// of its own data centre and `across` of each other, dealt out by a hash so that no node is
+    /// chosen by all.
+    #[must_use]
+    pub fn chosen(&self, own: &NodeName, dc: &DcName, full_mesh_up_to: usize, across: usize) -> BTreeSet<NodeName> {
+        if self.members.len() <= full_mesh_up_to {
+            return self.members.keys().cloned().collect();
+        }
+        let mut chosen = BTreeSet::new();
+        let mut others: BTreeMap<&DcName, Vec<(u64, &NodeName)>> = BTreeMap::new();
+        for (node, member) in &self.members {
+            match &member.dc {
+                Some(theirs) if theirs != dc => {
+                    let rank = stable_hash(&[own.as_str().as_bytes(), node.as_str().as_bytes()]);
+                    others.entry(theirs).or_default().push((rank, node));
+                }
+                _ => {
+                    chosen.insert(node.clone());
+                }
+            }
+        }
+        for ranked in others.values_mut() {
+            ranked.sort_unstable();
+            chosen.extend(ranked.iter().take(across).map(|(_, node)| (*node).clone()));
+        }
+        chosen
     }
 }
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -3,8 +3,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use crate::delta::TextDelta;
 use crate::document::{AcceptedDocument, Revision};
-use crate::names::{DcName, Fingerprint, InstanceId, NodeName, RequestKey, ServiceName, TargetName};
+use crate::names::{DcName, Fingerprint, InstanceId, NodeName, Nonce, RequestKey, ServiceName, TargetName};
 use crate::outcome::FinalAnswer;
 use crate::tally::RouteTally;
 use crate::versions::{CandidateKey, CountKey};
@@ -61,15 +62,37 @@
     pub tally: RouteTally,
 }
 
+/// A document as a difference from one that the receiver has.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DocumentChange {
+    /// Revision that the receiver has.
+    pub base: Revision,
+    /// Revision that it gets.
+    pub revision: Revision,
+    /// Marks the promotion.
+    pub nonce: Nonce,
+    /// Who promoted it.
+    pub author: Arc<str>,
+    /// The difference of the texts.
+    pub delta: TextDelta,
+}
+
 /// A message between nodes.
 #[derive(Clone, Debug, PartialEq)]
 pub enum PeerMessage {
     /// Sent to every peer at a fixed interval.
     Heartbeat(Heartbeat),
     /// Asks for the document that the peer announced.
-    DocumentWanted(Revision),
-    /// Gives it.
+    DocumentWanted {
+        /// The revision announced.
+        wanted: Revision,
+        /// The one in force at the sender, from which a difference can be made.
+        have: Revision,
+    },
+    /// Gives it whole.
     DocumentGiven(Arc<AcceptedDocument>),
+    /// Gives it as a difference.
+    DocumentChanged(Box<DocumentChange>),
     /// A target turned cold or came back as a new instance.
     TargetCold {
         /// The target.
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -58,9 +58,10 @@
         let mut board = Blackboard::new(config.identity, config.tuning, config.seed);
         let mut actions = Vec::new();
         for peer in config.peers.iter().filter(|peer| peer.node != board.identity.node) {
-            board.members.introduce(&peer.node, peer.address);
+            board.members.introduce(&peer.node, peer.address, None);
             actions.push(Action::Connect(peer.node.clone(), peer.address));
         }
+        board.members.iter_mut().for_each(|(_, member)| member.linked = true);
         // In the order in which a request meets them; the node's own state is judged first.
         let controllers: Vec<Box<dyn Controller>> = vec![
             Box::<ReadinessController>::default(),
--- a/crates/core/src/tuning.rs
+++ b/crates/core/src/tuning.rs
@@ -7,6 +7,10 @@
 pub struct Tuning {
     /// Interval of heartbeats to peers.
     pub heartbeat_every: Duration,
+    /// Peers up to which a node is connected to all; beyond that to its data centre and a few of each other.
+    pub full_mesh_up_to: usize,
+    /// Peers of each other data centre that a node of a large environment chooses.
+    pub links_across: usize,
     /// Silence after which a peer is taken for dead.
     pub peer_dead_after: Duration,
     /// Interval at which one node of a data centre reads the document's row.
@@ -57,6 +61,8 @@
     fn default() -> Self {
         Self {
             heartbeat_every: Duration::from_millis(500),
+            full_mesh_up_to: 64,
+            links_across: 1,
             peer_dead_after: Duration::from_secs(5),
             document_read_every: Duration::from_secs(1),
             isolated_after: Duration::from_secs(5),
--- /dev/null
+++ b/crates/core/tests/delta.rs
@@ -0,0 +1,38 @@
+//! Differences of texts: any two texts, and texts of many bytes a letter.
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use wasabipier_core::delta::TextDelta;
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn makes_the_new_text_from_the_old(head in "[aä€]{0,6}", a in "[aäo€]{0,6}", b in "[aäo€]{0,6}", tail in "[aö€]{0,6}") {
+        // Arrange
+        let (old, new) = (format!("{head}{a}{tail}"), format!("{head}{b}{tail}"));
+
+        // Act
+        let delta = TextDelta::between(&old, &new);
+
+        // Assert
+        prop_assert_eq!(delta.apply(&old), Some(new));
+        prop_assert!(delta.middle.len() <= b.len());
+    }
+
+    #[test]
+    fn refuses_a_text_that_is_too_short(old in "[aä]{1,8}", new in "[aä]{1,8}") {
+        // Arrange
+        let delta = TextDelta::between(&old, &new);
+
+        // Act
+        let made = delta.apply("");
+
+        // Assert
+        prop_assert!(made.is_none() || delta.head + delta.tail == 0);
+    }
+}
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -1,18 +1,23 @@
 //! The decision thread: a `stakker` loop around the core, fed by the edges through one channel.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::sync::mpsc::{self, Receiver, RecvTimeoutError, Sender};
+use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use spdlog::info;
+use spdlog::{info, warn};
 use stakker::{ActorOwn, CX, Stakker, StopCause, actor, after, call, ret_nop};
+use wasabipier_core::action::DocumentSource;
 use wasabipier_core::prelude::*;
 use wasabipier_wire::burn::{BurnReply, WireBurnRow};
 use wasabipier_wire::caller::{AddressesReply, DocumentReply, NodeStatus, RolloutStatus, StatusReply};
 
+use wasabipier_wire::row::accepted;
+
 use crate::callers::CallerEdge;
 use crate::exit::ExitKind;
-use crate::input::{NodeInput, Question};
+use crate::input::{InputSender, NodeInput, Question};
 use crate::ledger::LedgerEdge;
 use crate::metering;
 use crate::orders::OrderEdge;
@@ -61,6 +66,7 @@
 struct NodeActor {
     core: NodeCore,
     ports: NodePorts,
+    inputs: InputSender,
     started: Instant,
     last_call: u64,
     callers: BTreeMap<CallId, Sender<AnswerPart>>,
@@ -69,10 +75,10 @@
 
 impl NodeActor {
     #[expect(clippy::unnecessary_wraps, reason = "the signature that stakker asks for")]
-    fn init(cx: CX![], config: NodeConfig, ports: NodePorts, started: Instant) -> Option<Self> {
+    fn init(cx: CX![], config: NodeConfig, ports: NodePorts, inputs: InputSender, started: Instant) -> Option<Self> {
         let (core, actions) = NodeCore::new(config);
         let mut actor =
-            Self { core, ports, started, last_call: 0, callers: BTreeMap::new(), operators: BTreeMap::new() };
+            Self { core, ports, inputs, started, last_call: 0, callers: BTreeMap::new(), operators: BTreeMap::new() };
         actor.act(cx, actions);
         actor.tick(cx);
         Some(actor)
@@ -137,6 +143,7 @@
                 Action::Store(ticket, op) => self.ports.store.send(ticket, *op),
                 Action::Inspect(target, address) => self.ports.orders.inspect(target, address),
                 Action::Order(order) => self.ports.orders.order(*order),
+                Action::Parse(source) => parse(*source, self.inputs.clone()),
                 Action::Charge(line) => self.ports.ledger.keep(*line),
                 Action::Promoted(call, answer) => {
                     if let Some(sender) = self.operators.remove(&call) {
@@ -205,6 +212,21 @@
     }
 }
 
+/// Parses a document on a thread of its own: a large one takes longer than a tick.
+fn parse(source: DocumentSource, inputs: InputSender) {
+    let spawned = thread::Builder::new().name("parse".to_owned()).spawn(move || {
+        match accepted(source.revision.0, source.nonce, &source.author, &source.text) {
+            Ok(document) => {
+                let _ = inputs.send(NodeInput::Core(Event::DocumentParsed(Arc::new(document))));
+            }
+            Err(faults) => warn!("{NODE} revision {} cannot be read: {faults}.", source.revision.0),
+        }
+    });
+    if let Err(error) = spawned {
+        warn!("{NODE} no thread to parse a document: {error}.");
+    }
+}
+
 fn status(board: &Blackboard) -> StatusReply {
     let own = NodeStatus {
         node: board.identity.node.to_string(),
@@ -271,16 +293,16 @@
     };
     platform::start(settings, sender.clone())?;
     CallerEdge::start(settings, metrics, sender.clone())?;
-    signals::start(sender)?;
+    signals::start(sender.clone())?;
     let identity = &settings.identity;
     info!("{NODE} {} started in {} for callers at {}.", identity.node, identity.dc, identity.caller_address);
-    Ok(turn(config, ports, &receiver))
+    Ok(turn(config, ports, sender, &receiver))
 }
 
-fn turn(config: NodeConfig, ports: NodePorts, receiver: &Receiver<NodeInput>) -> ExitKind {
+fn turn(config: NodeConfig, ports: NodePorts, inputs: InputSender, receiver: &Receiver<NodeInput>) -> ExitKind {
     let started = Instant::now();
     let mut stakker = Stakker::new(started);
-    let actor: ActorOwn<NodeActor> = actor!(&mut stakker, NodeActor::init(config, ports, started), ret_nop!());
+    let actor: ActorOwn<NodeActor> = actor!(&mut stakker, NodeActor::init(config, ports, inputs, started), ret_nop!());
     stakker.run(Instant::now(), false);
     while stakker.not_shutdown() {
         let wait = stakker.next_wait_max(Instant::now(), LONGEST_WAIT, false);
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -4,8 +4,9 @@
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
+use wasabipier_core::delta::TextDelta;
 use wasabipier_core::document::Revision;
-use wasabipier_core::message::{Heartbeat, NodeState, PeerMessage, SeatClaim, VersionCounts};
+use wasabipier_core::message::{DocumentChange, Heartbeat, NodeState, PeerMessage, SeatClaim, VersionCounts};
 use wasabipier_core::names::{
     DcName, Fingerprint, InstanceId, NodeName, Nonce, OrgName, RequestId, RequestKey, ServiceName, TargetName,
     VersionKey, VersionName,
@@ -85,7 +86,12 @@
         seats: Vec<(u32, u64)>,
     },
     /// Document wanted.
-    DocumentWanted(u64),
+    DocumentWanted {
+        /// Revision wanted.
+        wanted: u64,
+        /// Revision in force at the sender.
+        have: u64,
+    },
     /// Document given.
     DocumentGiven {
         /// Revision.
@@ -186,6 +192,23 @@
         /// Node that tells.
         from: String,
     },
+    /// Document as a difference.
+    DocumentChanged {
+        /// Revision that the receiver has.
+        base: u64,
+        /// Revision that it gets.
+        revision: u64,
+        /// Nonce.
+        nonce: u64,
+        /// Author.
+        author: String,
+        /// Bytes kept from the start.
+        head: u64,
+        /// Bytes kept from the end.
+        tail: u64,
+        /// What stands between.
+        middle: String,
+    },
 }
 
 impl WireFrame {
@@ -244,7 +267,16 @@
                 revision: beat.revision.0,
                 seats: beat.seats.iter().map(|claim| (claim.seat, claim.epoch)).collect(),
             },
-            PeerMessage::DocumentWanted(revision) => Self::DocumentWanted(revision.0),
+            PeerMessage::DocumentWanted { wanted, have } => Self::DocumentWanted { wanted: wanted.0, have: have.0 },
+            PeerMessage::DocumentChanged(change) => Self::DocumentChanged {
+                base: change.base.0,
+                revision: change.revision.0,
+                nonce: change.nonce.0,
+                author: change.author.to_string(),
+                head: change.delta.head as u64,
+                tail: change.delta.tail as u64,
+                middle: change.delta.middle.to_string(),
+            },
             PeerMessage::DocumentGiven(document) => Self::DocumentGiven {
                 revision: document.revision.0,
                 nonce: document.nonce.0,
@@ -358,7 +390,19 @@
                     seats: seats.into_iter().map(|(seat, epoch)| SeatClaim { seat, epoch }).collect(),
                 })
             }
-            WireFrame::DocumentWanted(revision) => Self::DocumentWanted(Revision(revision)),
+            WireFrame::DocumentWanted { wanted, have } => {
+                Self::DocumentWanted { wanted: Revision(wanted), have: Revision(have) }
+            }
+            WireFrame::DocumentChanged { base, revision, nonce, author, head, tail, middle } => {
+                let delta = TextDelta { head: head as usize, tail: tail as usize, middle: Arc::from(middle) };
+                Self::DocumentChanged(Box::new(DocumentChange {
+                    base: Revision(base),
+                    revision: Revision(revision),
+                    nonce: Nonce(nonce),
+                    author: Arc::from(author),
+                    delta,
+                }))
+            }
             WireFrame::DocumentGiven { revision, nonce, author, text } => {
                 let document = accepted(revision, Nonce(nonce), &author, &text).map_err(FrameError::Malformed)?;
                 Self::DocumentGiven(Arc::new(document))
