Hand seats over at once when nothing runs under them, and do not take all at start

Cause: a node that started first saw only itself, took all three seats, and had to yield them one by one, 8.5 s each, and as long again until the next holder could use them: an environment of three nodes then took 25 s and more to serve, and a test that waits 30 s failed once (burn::adds_up_nodes_and_names_the_silent).

Ruled out: a longer wait in the test (the delay is real), a fixed pause at start (the platform's list and the settings already name the peers).

Conclusion: the wait is kept where it is needed, after a holder that died.

--- a/crates/core/src/permits.rs
+++ b/crates/core/src/permits.rs
@@ -127,6 +127,15 @@
         self.targets.get(target).map_or(0, |permits| permits.own_in_flight + permits.borrowed_in_flight)
     }
 
+    /// Whether all calls and loans are within the shares of the seats held now; `limit` is that of a target.
+    #[must_use]
+    pub fn fits(&self, limit: impl Fn(&TargetName) -> u32) -> bool {
+        self.targets.iter().all(|(target, permits)| {
+            let used = permits.own_in_flight + permits.loans.len() as u32;
+            used == 0 || used <= self.share(target, limit(target))
+        })
+    }
+
     /// Own permits that are free.
     #[must_use]
     pub fn free(&self, target: &TargetName, limit: u32) -> u32 {
--- a/crates/core/src/seats.rs
+++ b/crates/core/src/seats.rs
@@ -8,8 +8,9 @@
 use crate::clock::Moment;
 use crate::controller::Controller;
 use crate::event::Event;
+use crate::members::Member;
 use crate::message::{Heartbeat, NodeState, PeerMessage, SeatClaim};
-use crate::names::NodeName;
+use crate::names::{NodeName, TargetName};
 use crate::store::{Row, RowKey, RowValue, RowVersion, SeatRow, StoreOp, StoreReply};
 use crate::store_table::StorePurpose;
 
@@ -58,8 +59,15 @@
     }
 
     /// Seats that this node should hold at most, so that each live node can have one and none stays free.
+    ///
+    /// Nodes that were heard a moment ago count, and so do known ones while this node has just started:
+    /// it would else take what it must yield as soon as it hears them.
     fn fair_count(board: &Blackboard) -> u32 {
-        let nodes = 1 + board.members.alive().filter(|(_, beat)| beat.state != NodeState::Leaving).count() as u32;
+        let counts = |member: &Member| match &member.heartbeat {
+            Some(beat) if member.alive => beat.state != NodeState::Leaving,
+            _ => !member.leaving && board.now.since(member.heard) < Self::GONE_FOR,
+        };
+        let nodes = 1 + board.members.iter().filter(|(_, member)| counts(member)).count() as u32;
         board.document.content.seats.div_ceil(nodes)
     }
 
@@ -86,10 +94,12 @@
                 own.state = SeatState::Held;
             }
         }
+        self.publish(board);
+        let rested = Self::is_rested(board);
         let done: Vec<u32> = self
             .own
             .iter()
-            .filter(|(_, own)| matches!(own.state, SeatState::Yielding(from) if from <= now))
+            .filter(|(_, own)| matches!(own.state, SeatState::Yielding(from) if rested || from <= now))
             .map(|(seat, _)| *seat)
             .collect();
         for seat in done {
@@ -107,25 +117,36 @@
     /// Writes a seat as free: its row names nobody.
     fn free(&mut self, board: &mut Blackboard, seat: u32, out: &mut Vec<Action>) {
         let Some(own) = self.own.remove(&seat) else { return };
-        let row = SeatRow { owner: NodeName::new(""), instance: board.identity.instance, epoch: own.epoch };
+        let instance = board.identity.instance;
+        let row = SeatRow { owner: NodeName::new(""), instance, epoch: own.epoch, rested: true };
         write(board, seat, Some(own.version), row, out);
     }
 
+    /// Stops to use the seats beyond the fair count, or one for each peer that has none.
     fn yield_surplus(&mut self, board: &Blackboard) {
-        let held = self.own.values().filter(|own| !matches!(own.state, SeatState::Yielding(_))).count() as u32;
-        let starved = board.members.alive().any(|(_, beat)| beat.seats.is_empty() && beat.state == NodeState::Serving);
-        let surplus = held > Self::fair_count(board) || (starved && held > 1);
-        if !surplus || board.now < self.yield_after {
+        let held = self.own.values().filter(|own| own.state == SeatState::Held).count() as u32;
+        let starved = |beat: &Heartbeat| beat.seats.is_empty() && beat.state == NodeState::Serving;
+        let starved = board.members.alive().filter(|(_, beat)| starved(beat)).count() as u32;
+        let wanted = u32::from(starved > 0 && board.now >= self.yield_after);
+        let surplus = held.saturating_sub(Self::fair_count(board)).max(wanted).min(held.saturating_sub(1));
+        if surplus == 0 {
             return;
         }
         let span = Self::settle_span(board);
         self.yield_after = board.now + span;
-        let held = self.own.iter_mut().rev().find(|(_, own)| own.state == SeatState::Held);
-        if let Some((_, own)) = held {
+        let held = self.own.values_mut().rev().filter(|own| own.state == SeatState::Held);
+        for own in held.take(surplus as usize) {
             own.state = SeatState::Yielding(board.now + span);
         }
     }
 
+    /// Whether no call runs under a share that this node does not use any more.
+    fn is_rested(board: &Blackboard) -> bool {
+        let limit =
+            |target: &TargetName| board.targets.get(target).map_or(0, |view| view.limit_at(&board.tuning, board.now));
+        board.permits.fits(limit)
+    }
+
     /// Looks at one seat that nobody is known to hold.
     fn look(&mut self, board: &mut Blackboard, out: &mut Vec<Action>) {
         let total = board.document.content.seats;
@@ -152,16 +173,18 @@
     }
 
     fn on_row(&mut self, board: &mut Blackboard, seat: u32, row: Option<&Row>, out: &mut Vec<Action>) {
-        let own = SeatRow { owner: board.identity.node.clone(), instance: board.identity.instance, epoch: 1 };
+        let own =
+            SeatRow { owner: board.identity.node.clone(), instance: board.identity.instance, epoch: 1, rested: true };
         let Some(row) = row else { return write(board, seat, None, own, out) };
         let RowValue::Seat(standing) = &row.value else { return };
         let is_mine = standing.owner == own.owner && standing.instance == own.instance;
         if is_mine {
-            self.hold(board, seat, standing.epoch, row.version);
+            self.hold(board, seat, standing, row.version);
             return;
         }
+        let rested = standing.rested && standing.owner.as_str().is_empty();
         if self.may_take_over(board, standing) {
-            write(board, seat, Some(row.version), SeatRow { epoch: standing.epoch + 1, ..own }, out);
+            write(board, seat, Some(row.version), SeatRow { epoch: standing.epoch + 1, rested, ..own }, out);
         }
     }
 
@@ -177,11 +200,10 @@
         free || replaced || restarted || (gone && silent)
     }
 
-    fn hold(&mut self, board: &Blackboard, seat: u32, epoch: u64, version: RowVersion) {
-        // The first epoch of a seat had no holder before whose calls could still run.
-        let span = if epoch == 1 { Duration::ZERO } else { Self::settle_span(board) };
+    fn hold(&mut self, board: &Blackboard, seat: u32, standing: &SeatRow, version: RowVersion) {
+        let span = if standing.rested { Duration::ZERO } else { Self::settle_span(board) };
         let state = SeatState::Settling(board.now + span);
-        self.own.insert(seat, OwnSeat { epoch, version, state });
+        self.own.insert(seat, OwnSeat { epoch: standing.epoch, version, state });
     }
 
     fn on_heartbeat(&mut self, beat: &Heartbeat) {
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -69,6 +69,8 @@
     pub instance: InstanceId,
     /// Counts up with each new holder.
     pub epoch: u64,
+    /// Whether calls of earlier holders had surely ended when the row was written.
+    pub rested: bool,
 }
 
 /// Row of a lease.
--- a/crates/wire/src/row.rs
+++ b/crates/wire/src/row.rs
@@ -54,6 +54,7 @@
         owner: String,
         instance: String,
         epoch: u64,
+        rested: bool,
     },
     Lease {
         owner: String,
@@ -94,9 +95,12 @@
                 ClaimState::Ended(answer) => Some(WireAnswer::from(&**answer)),
             },
         },
-        RowValue::Seat(row) => {
-            WireRow::Seat { owner: row.owner.to_string(), instance: row.instance.to_string(), epoch: row.epoch }
-        }
+        RowValue::Seat(row) => WireRow::Seat {
+            owner: row.owner.to_string(),
+            instance: row.instance.to_string(),
+            epoch: row.epoch,
+            rested: row.rested,
+        },
         RowValue::Lease(row) => WireRow::Lease {
             owner: row.owner.to_string(),
             instance: row.instance.to_string(),
@@ -141,9 +145,12 @@
             content: Fingerprint(number(&content)?),
             state: answer.map_or(ClaimState::Running, |answer| ClaimState::Ended(Box::new(answer.into()))),
         }),
-        WireRow::Seat { owner, instance, epoch } => {
-            RowValue::Seat(SeatRow { owner: NodeName::new(owner), instance: InstanceId(number(&instance)?), epoch })
-        }
+        WireRow::Seat { owner, instance, epoch, rested } => RowValue::Seat(SeatRow {
+            owner: NodeName::new(owner),
+            instance: InstanceId(number(&instance)?),
+            epoch,
+            rested,
+        }),
         WireRow::Lease { owner, instance, fencing, renewals } => RowValue::Lease(LeaseRow {
             owner: NodeName::new(owner),
             instance: InstanceId(number(&instance)?),
