Tell callers, operators and peers what to correct, proved over the real binary

Cause: a peer whose key or frame was refused saw a bare status 401 or a reset stream; the remedy stood only in the other node's log, and a peer with the wrong key left no log line there at all. Test environments took a free port and gave it back before the node bound it: with four environments at once one run in two failed with 'Address already in use'. Ruled out: retrying the bind in the tests, which hides the same race between test processes. Change: a refused stream ends with the error's text, which the dialing node logs; tests take addresses on a loopback number of their own process, below the kernel's outgoing ports.

--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -12,4 +12,6 @@
 pub mod service;
 pub mod table;
 pub mod target;
+pub mod test_caller;
 pub mod test_env;
+pub mod test_plan;
--- a/crates/fakes/src/test_env.rs
+++ b/crates/fakes/src/test_env.rs
@@ -3,21 +3,18 @@
 use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::fs;
-use std::io::{BufRead, BufReader};
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use rustix::process::{Pid, Signal, kill_process};
 use serde::de::DeserializeOwned;
 use wasabipier_core::document::ServiceKind;
-use wasabipier_wire::caller::{
-    DEADLINE_HEADER, FinalReply, ORGANISATION_HEADER, PromoteCall, PromoteReply, REQUEST_HEADER, StatusReply,
-    TokenReply,
-};
+use wasabipier_wire::caller::{PromoteCall, PromoteReply, StatusReply};
 use wasabipier_wire::platform::WireVm;
 
 use crate::engine::FakeEngine;
@@ -25,10 +22,12 @@
 use crate::platform::FakePlatform;
 use crate::server::FakeServer;
 use crate::service::FakeService;
-use crate::target::{TargetSettings, TargetState};
+use crate::target::TargetState;
+pub use crate::test_caller::{TestAnswer, TestAsk, TestCaller, ask_at};
+pub use crate::test_plan::{ServicePlan, TestPlan};
 
 /// Key that nodes of a test show each other.
-const PEER_KEY: &str = "peers-test-key-0001";
+pub const PEER_KEY: &str = "peers-test-key-0001";
 /// Key that operators show in tests.
 pub const OPERATOR_KEY: &str = "operators-test-key";
 /// Longest wait for something that must come.
@@ -36,68 +35,6 @@
 /// Interval of looks for it.
 const LOOK_EVERY: Duration = Duration::from_millis(20);
 
-/// One service of a plan.
-#[derive(Clone, Debug)]
-pub struct ServicePlan {
-    /// Name.
-    pub name: &'static str,
-    /// Kind.
-    pub kind: ServiceKind,
-    /// Whether its calls may be repeated.
-    pub repeatable: bool,
-    /// Targets of version `v1`.
-    pub targets: usize,
-    /// Behaviour of the stand-ins.
-    pub settings: TargetSettings,
-    /// More lines for its section of the document.
-    pub extra: &'static str,
-}
-
-impl Default for ServicePlan {
-    fn default() -> Self {
-        Self {
-            name: "clubs",
-            kind: ServiceKind::Plain,
-            repeatable: true,
-            targets: 1,
-            settings: TargetSettings::default(),
-            extra: "",
-        }
-    }
-}
-
-/// What a test environment starts with.
-#[derive(Clone, Debug)]
-pub struct TestPlan {
-    /// The real binary, from `env!("CARGO_BIN_EXE_wasabipier")`.
-    pub binary: &'static str,
-    /// Nodes, spread over three data centres.
-    pub nodes: usize,
-    /// Services.
-    pub services: Vec<ServicePlan>,
-    /// Lines for the `[tuning]` section of all nodes.
-    pub tuning: &'static str,
-    /// Lines for the `[edges]` section of all nodes.
-    pub edges: &'static str,
-}
-
-impl TestPlan {
-    /// Both users' kinds of service: a pipeline of four stages, a booking and a look-up.
-    #[must_use]
-    pub fn typical(binary: &'static str) -> Self {
-        let stage = |name, kind, targets| ServicePlan { name, kind, targets, ..ServicePlan::default() };
-        let services = vec![
-            stage("encoder", ServiceKind::Encode, 1),
-            stage("retriever", ServiceKind::Retrieve, 1),
-            stage("reranker", ServiceKind::Rerank, 1),
-            stage("coachmodel", ServiceKind::Generate, 2),
-            ServicePlan { name: "bookings", repeatable: false, targets: 2, ..ServicePlan::default() },
-            ServicePlan { targets: 2, ..ServicePlan::default() },
-        ];
-        Self { binary, nodes: 3, services, tuning: "", edges: "" }
-    }
-}
-
 /// One target's stand-in.
 #[derive(Debug)]
 pub struct TestTarget {
@@ -152,33 +89,6 @@
     child: Option<Child>,
 }
 
-/// An answer as a caller gets it.
-#[derive(Clone, Debug, Default)]
-pub struct TestAnswer {
-    /// HTTP status, 0 if there was no answer.
-    pub status: u16,
-    /// Tokens in the order in which they came.
-    pub tokens: Vec<TokenReply>,
-    /// The last line.
-    pub end: Option<FinalReply>,
-    /// The body as it came, if it was one piece.
-    pub raw: String,
-}
-
-impl TestAnswer {
-    /// The outcome's word, or empty.
-    #[must_use]
-    pub fn outcome(&self) -> &str {
-        self.end.as_ref().map_or("", |end| end.outcome.as_str())
-    }
-
-    /// Text of the tokens.
-    #[must_use]
-    pub fn text(&self) -> String {
-        self.tokens.iter().map(|token| token.token.as_str()).collect()
-    }
-}
-
 /// A running environment; dropping it ends the processes that it started.
 #[derive(Debug)]
 pub struct TestEnv {
@@ -206,7 +116,7 @@
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let (platform_server, platform) =
             FakeServer::start(any, |_| FakePlatform::new(Duration::from_millis(500))).expect("the platform starts");
-        let folder = std::env::temp_dir().join(format!("wasabipier-{}-{}", std::process::id(), fastport()));
+        let folder = std::env::temp_dir().join(format!("wasabipier-{}-{}", std::process::id(), next_address().port()));
         fs::create_dir_all(&folder).expect("a folder can be made");
         let agent = ureq::Agent::config_builder()
             .http_status_as_error(false)
@@ -466,31 +376,21 @@
     /// Asks a node as a caller does; `goal` is `pipelines/NAME` or `services/NAME`.
     #[must_use]
     pub fn ask(&self, node: usize, goal: &str, request: &str, body: &str) -> TestAnswer {
-        self.ask_within(node, goal, request, body, Duration::from_secs(6))
+        ask_at(&self.agent, self.nodes[node].caller_address, &TestAsk::new(goal, request, body))
     }
 
     /// Asks with a deadline.
     #[must_use]
     pub fn ask_within(&self, node: usize, goal: &str, request: &str, body: &str, deadline: Duration) -> TestAnswer {
-        let url = format!("http://{}/v1/{goal}", self.nodes[node].caller_address);
-        let response = self
-            .agent
-            .post(&url)
-            .header(ORGANISATION_HEADER, "lions")
-            .header(REQUEST_HEADER, request)
-            .header(DEADLINE_HEADER, deadline.as_millis().to_string())
-            .send(body);
-        let Ok(mut response) = response else { return TestAnswer::default() };
-        let mut answer = TestAnswer { status: response.status().as_u16(), ..TestAnswer::default() };
-        for line in BufReader::new(response.body_mut().as_reader()).lines().map_while(Result::ok) {
-            if let Ok(token) = serde_json::from_str::<TokenReply>(&line) {
-                answer.tokens.push(token);
-            } else if let Ok(end) = serde_json::from_str::<FinalReply>(&line) {
-                answer.end = Some(end);
-            }
-            answer.raw = line;
-        }
-        answer
+        let ask = TestAsk { deadline, ..TestAsk::new(goal, request, body) };
+        ask_at(&self.agent, self.nodes[node].caller_address, &ask)
+    }
+
+    /// A caller that finds its nodes by asking for addresses.
+    #[must_use]
+    pub fn caller(&self, number: usize) -> TestCaller {
+        let known = self.nodes.iter().map(|node| node.caller_address).collect();
+        TestCaller::new(&self.agent, known, number)
     }
 
     /// How often a request of `lions` ran at the targets of a service.
@@ -516,18 +416,21 @@
 }
 
 fn new_node(number: usize) -> TestNode {
-    let address = || SocketAddr::from(([127, 0, 0, 1], fastport()));
     TestNode {
         name: format!("entry-{}", number + 1),
         dc: dc_name(number),
-        caller_address: address(),
-        peer_address: address(),
+        caller_address: next_address(),
+        peer_address: next_address(),
         child: None,
     }
 }
 
-/// A port that is free now.
-fn fastport() -> u16 {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
-    listener.local_addr().expect("it has an address").port()
+/// An address that nothing else uses: the loopback IP number is this process's own, and the port is
+/// below those that the kernel gives to outgoing connections.
+#[must_use]
+pub fn next_address() -> SocketAddr {
+    const FIRST_PORT: u16 = 10_000;
+    static NEXT: AtomicU16 = AtomicU16::new(FIRST_PORT);
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    SocketAddr::from(([127, 64 + high % 64, middle, low], NEXT.fetch_add(1, Ordering::SeqCst)))
 }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -30,6 +30,8 @@
 const PONG_WITHIN: Duration = Duration::from_secs(1);
 /// Pause before a new connection.
 const RECONNECT_AFTER: Duration = Duration::from_millis(200);
+/// Most bytes read of a peer's words on why it ends a stream.
+const LONGEST_REFUSAL_BYTES: usize = 2048;
 /// Header with the name of the node that connects.
 const NODE_HEADER: &str = "x-node";
 
@@ -46,8 +48,10 @@
     Frame(#[from] FrameError),
     #[error("it did not answer in time")]
     Silent,
-    #[error("it refused this node with status {0}: use the same peers' key in all settings")]
-    Refused(u16),
+    #[error("the key of {0:?} is missing or wrong: use the same peers' key in all settings")]
+    WrongKey(String),
+    #[error("it refused this node: {0}")]
+    Refused(String),
     #[error("it closed the stream")]
     Closed,
 }
@@ -164,13 +168,13 @@
             .body(())?;
         let (response, mut stream) = client.send_request(request, false)?;
         let response = timeout(CONNECT_WITHIN, response).await.map_err(|_| PeerError::Silent)??;
-        if response.status() != 200 {
-            return Err(PeerError::Refused(response.status().as_u16()));
-        }
+        // The peer says nothing unless it refuses this node or one of its frames.
+        let mut refusal = Box::pin(refusal(response.into_body()));
         let mut beating = Box::pin(beat(pings));
         loop {
             tokio::select! {
                 error = &mut beating => return Err(error),
+                error = &mut refusal => return Err(error),
                 frame = receiver.recv() => match frame {
                     Some(frame) => send(&mut stream, &frame).await?,
                     None => return Ok(()),
@@ -180,6 +184,19 @@
     }
 }
 
+/// Reads why the peer ends the stream.
+async fn refusal(mut body: RecvStream) -> PeerError {
+    let mut text = Vec::new();
+    while let Some(Ok(part)) = body.data().await {
+        let _ = body.flow_control().release_capacity(part.len());
+        text.extend_from_slice(&part);
+        if text.len() > LONGEST_REFUSAL_BYTES {
+            break;
+        }
+    }
+    if text.is_empty() { PeerError::Closed } else { PeerError::Refused(String::from_utf8_lossy(&text).into_owned()) }
+}
+
 /// Pings until an answer does not come.
 async fn beat(pings: Option<h2::PingPong>) -> PeerError {
     let Some(mut pings) = pings else { return PeerError::Closed };
@@ -238,7 +255,10 @@
         let given = header(&request, "authorization");
         let node = header(&request, NODE_HEADER);
         if !key.matches(given.trim_start_matches("Bearer ")) || node.is_empty() {
-            respond.send_response(Response::builder().status(401).body(())?, true)?;
+            let error = PeerError::WrongKey(node);
+            warn!("{PEERS} a stream was refused: {error}.");
+            let stream = respond.send_response(Response::builder().status(401).body(())?, false)?;
+            tell_refusal(stream, &error);
             continue;
         }
         let stream = respond.send_response(Response::builder().status(200).body(())?, false)?;
@@ -246,15 +266,20 @@
         let node = NodeName::new(node);
         tokio::spawn(async move {
             // The open half keeps the stream alive for as long as frames come.
-            let _stream = stream;
             if let Err(error) = receive(request.into_body(), &node, &inputs).await {
                 warn!("{PEERS} the stream from {node} ended: {error}.");
+                tell_refusal(stream, &error);
             }
         });
     }
     Ok(())
 }
 
+/// Tells the peer why its stream ends; a peer that is gone needs no word.
+fn tell_refusal(mut stream: SendStream<Bytes>, error: &PeerError) {
+    let _ = stream.send_data(Bytes::from(error.to_string()), true);
+}
+
 fn header<T>(request: &Request<T>, name: &str) -> String {
     let value = request.headers().get(name).and_then(|value| value.to_str().ok());
     value.unwrap_or_default().to_owned()
--- /dev/null
+++ b/crates/node/tests/bad_input.rs
@@ -0,0 +1,225 @@
+//! Bad input from callers, operators, peers and settings: a typed error with its remedy, and the process lives.
+
+use std::fs;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::process::Command;
+
+use bytes::Bytes;
+use http::Request;
+use serde_json::Value;
+use wasabipier_fakes::test_env::{OPERATOR_KEY, PEER_KEY, TestEnv, TestPlan};
+use wasabipier_wire::frame::{MOST_FRAME_BYTES, WireFrame};
+
+const BINARY: &str = env!("CARGO_BIN_EXE_wasabipier");
+const COMPLETE: [&str; 3] = ["x-organisation: lions", "x-request-id: bad-1", "x-deadline-ms: 2000"];
+
+fn env() -> TestEnv {
+    TestEnv::start(TestPlan { nodes: 1, edges: "most_body_bytes = 16384", ..TestPlan::typical(BINARY) })
+}
+
+/// Sends one HTTP request as bytes; gives status and body.
+fn exchange(address: SocketAddr, line: &str, headers: &[&str], body: &[u8]) -> (u16, Value) {
+    let mut stream = TcpStream::connect(address).expect("the node listens");
+    let headers: String = headers.iter().map(|header| format!("{header}\r\n")).collect();
+    let head =
+        format!("{line} HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: {}\r\n{headers}\r\n", body.len());
+    stream.write_all(head.as_bytes()).expect("the head can be sent");
+    stream.write_all(body).expect("the body can be sent");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("an answer comes");
+    let status = answer.get(9..12).and_then(|text| text.parse().ok()).unwrap_or_default();
+    let json = answer.split_once("\r\n\r\n").map(|(_, body)| body).unwrap_or_default();
+    (status, serde_json::from_str(json).unwrap_or_default())
+}
+
+/// Connects as a peer, sends `bytes` in one stream and gives the status and what the node says.
+fn talk_as_peer(address: SocketAddr, key: &str, bytes: &[u8]) -> (u16, String) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let talk = async {
+        let socket = tokio::net::TcpStream::connect(address).await.expect("the node listens");
+        let (client, connection) = h2::client::handshake(socket).await.expect("a handshake");
+        let driver = tokio::spawn(connection);
+        let mut client = client.ready().await.expect("a stream can be opened");
+        let request = Request::post(format!("http://{address}/peer"))
+            .header("authorization", format!("Bearer {key}"))
+            .header("x-node", "entry-9");
+        let (response, mut stream) = client.send_request(request.body(()).expect("a head"), false).expect("it is sent");
+        stream.send_data(Bytes::copy_from_slice(bytes), true).expect("the frame is sent");
+        let response = response.await.expect("the node answers");
+        let status = response.status().as_u16();
+        let mut body = response.into_body();
+        let mut text = Vec::new();
+        while let Some(Ok(part)) = body.data().await {
+            text.extend_from_slice(&part);
+        }
+        driver.abort();
+        (status, String::from_utf8_lossy(&text).into_owned())
+    };
+    runtime.block_on(async { tokio::time::timeout(std::time::Duration::from_secs(10), talk).await.expect("in time") })
+}
+
+fn framed(frame: &[u8]) -> Vec<u8> {
+    let mut bytes = (frame.len() as u32).to_be_bytes().to_vec();
+    bytes.extend(frame);
+    bytes
+}
+
+/// The node still serves, and shows no key.
+fn assert_unharmed(env: &TestEnv, request: &str) {
+    assert_eq!(env.ask(0, "services/clubs", request, "{}").outcome(), "done");
+    let log = env.log("entry-1");
+    assert!(!log.contains(PEER_KEY) && !log.contains(OPERATOR_KEY), "a key in the log:\n{log}");
+    assert!(!log.contains("panicked"), "{log}");
+}
+
+#[test]
+fn caller_is_told_what_to_correct() {
+    // Arrange
+    let env = env();
+    let without = |name: &str| COMPLETE.into_iter().filter(|header| !header.starts_with(name)).collect::<Vec<_>>();
+    let with = |header: &'static str| {
+        let name = header.split(':').next().unwrap_or_default();
+        without(name).into_iter().chain([header]).collect::<Vec<_>>()
+    };
+    let (clubs, large) = ("POST /v1/services/clubs", vec![b' '; 20_000]);
+    let complete = COMPLETE.to_vec();
+    let cases: Vec<(&str, Vec<&str>, &[u8], u16, &str, &str)> = vec![
+        (clubs, without("x-request-id"), b"{}", 400, "missing-header", "`x-request-id` is missing: send it"),
+        (clubs, without("x-organisation"), b"{}", 400, "missing-header", "`x-organisation` is missing: send it"),
+        (clubs, without("x-deadline-ms"), b"{}", 400, "missing-header", "`x-deadline-ms` is missing: send it"),
+        (clubs, with("x-deadline-ms: soon"), b"{}", 400, "bad-header", "send 1 to 600000 milliseconds"),
+        (clubs, with("x-deadline-ms: -5"), b"{}", 400, "bad-header", "send 1 to 600000 milliseconds"),
+        (clubs, with("x-request-id: a/b"), b"{}", 400, "bad-header", "no `/`"),
+        (clubs, with("x-priority: urgent"), b"{}", 400, "bad-header", "send `interactive`, `normal` or `batch`"),
+        (clubs, with("x-organisation: strangers"), b"{}", 403, "unknown-org", "add it to the environment's document"),
+        ("POST /v1/pipelines/none", complete.clone(), b"{}", 404, "unknown-goal", "check the path"),
+        ("POST /v1/services/none", complete.clone(), b"{}", 404, "unknown-goal", "check the path"),
+        ("POST /v2/clubs", complete.clone(), b"{}", 404, "no-such-path", "use POST /v1/pipelines/NAME"),
+        ("GET /v1/services/clubs", complete.clone(), b"{}", 404, "no-such-path", "use POST /v1/pipelines/NAME"),
+        (clubs, complete.clone(), &large, 413, "body-too-large", "more than 16384 bytes: send less"),
+        (clubs, complete.clone(), b"{\"lane\":", 400, "not-json", "send one JSON value"),
+        (clubs, complete.clone(), b"\xff\xfe", 400, "not-json", "send one JSON value"),
+        (clubs, complete.clone(), b"", 400, "not-json", "send one JSON value"),
+    ];
+
+    for (line, headers, body, status, kind, remedy) in cases {
+        // Act
+        let (got, answer) = exchange(env.nodes[0].caller_address, line, &headers, body);
+
+        // Assert
+        let message = answer["error"]["message"].as_str().unwrap_or_default();
+        assert_eq!((got, answer["error"]["kind"].as_str()), (status, Some(kind)), "{line} {headers:?}: {answer}");
+        assert!(message.contains(remedy), "{line} {headers:?}: {message}");
+        assert_eq!(answer["outcome"], "not-run");
+    }
+    assert_eq!(env.runs("clubs", "bad-1"), 0);
+    assert_unharmed(&env, "club-1");
+}
+
+#[test]
+fn operator_is_told_all_faults_at_once() {
+    // Arrange
+    let env = env();
+    let address = env.nodes[0].caller_address;
+    let key = format!("authorization: Bearer {OPERATOR_KEY}");
+    let contradiction = env
+        .document()
+        .replace("stages = encoder", "stages = missing")
+        .replace("warm_limit = 8", "warm_limit = 0")
+        + "[target stray]\nservice = nothing\nversion = v1\ndata_centre = nowhere\naddress = 10.0.0.1:1\nadmission = maybe\n";
+    let call = serde_json::json!({ "seen": 1, "author": "tester", "text": contradiction }).to_string();
+
+    // Act
+    let no_key = exchange(address, "POST /v1/operator/promote", &[], call.as_bytes());
+    let wrong_key = exchange(address, "GET /v1/operator/status", &["authorization: Bearer guess"], b"");
+    let wrong_types = exchange(address, "POST /v1/operator/promote", &[&key], b"{\"seen\": \"one\"}");
+    let wrong_path = exchange(address, "POST /v1/operator/demote", &[&key], b"{}");
+    let faulty = env.try_promote(0, 1, "tester", &contradiction);
+
+    // Assert
+    assert_eq!((no_key.0, wrong_key.0), (401, 401));
+    assert!(
+        no_key.1["error"]["message"].as_str().is_some_and(|text| text.contains("send `Authorization: Bearer KEY`"))
+    );
+    assert_eq!((wrong_types.0, wrong_types.1["error"]["kind"].as_str()), (400, Some("not-json")));
+    assert_eq!(wrong_path.0, 404);
+    let told = format!("{faulty:?}");
+    for fault in ["no service `missing`", "warm_limit", "no service `nothing`", "no data centre `nowhere`", "admission"]
+    {
+        assert!(told.contains(fault), "`{fault}` is not among the faults: {told}");
+    }
+    assert_eq!(env.status(0).map(|status| status.revision), Some(1), "nothing was promoted");
+    assert_unharmed(&env, "club-2");
+}
+
+#[test]
+fn peer_is_told_what_is_wrong_with_its_frames() {
+    // Arrange
+    let env = env();
+    let address = env.nodes[0].peer_address;
+    let good = WireFrame::DocumentWanted(0).encode();
+    let mut other_version = good.clone();
+    other_version[0] = 99;
+    let truncated = framed(&good)[..5].to_vec();
+    let too_large = (MOST_FRAME_BYTES as u32 + 1).to_be_bytes();
+    let cases: Vec<(&str, Vec<u8>, u16, &str)> = vec![
+        ("wrong-peers-key-1", framed(&good), 401, "use the same peers' key"),
+        (PEER_KEY, framed(&other_version), 200, "run the same release on all nodes"),
+        (PEER_KEY, truncated, 200, "the stream ended within a frame"),
+        (PEER_KEY, framed(&[good[0], 0xff, 0xff]), 200, "check that the address is that of a node"),
+        (PEER_KEY, too_large.to_vec(), 200, "split the document"),
+    ];
+
+    for (key, bytes, status, remedy) in cases {
+        // Act
+        let (got, told) = talk_as_peer(address, key, &bytes);
+
+        // Assert
+        assert_eq!(got, status, "{remedy}");
+        assert!(told.contains(remedy), "`{remedy}` was not told: {told:?}");
+        assert!(env.log("entry-1").contains(remedy), "`{remedy}` is not in the log");
+    }
+    TcpStream::connect(address).and_then(|mut stream| stream.write_all(b"GET / HTTP/1.0\r\n\r\n")).expect("it is sent");
+    assert_unharmed(&env, "club-3");
+}
+
+#[test]
+fn faulty_settings_are_reported_whole() {
+    // Arrange
+    let folder = std::env::temp_dir().join(format!("wasabipier-settings-{}", std::process::id()));
+    fs::create_dir_all(&folder).expect("a folder can be made");
+    let path = folder.join("entry.ini");
+    let text = "[node]\nname = entry-1\nenvironment = production\ncaller_address = here\npeer_address = 127.0.0.1:7001\n\
+        colour = green\n[platform]\naddress = 127.0.0.1\n[keys]\npeers = tooshort9\noperators = operators-test-key\n\
+        operator = misplaced-secret-1\n[peers]\nentry-2 = nowhere\n[tuning]\nchoices = 0\n[edges]\ncaller_threads = many\n[edgse]\n";
+    fs::write(&path, text).expect("the settings can be written");
+
+    // Act
+    let output = Command::new(BINARY).arg("--settings").arg(&path).output().expect("the node runs");
+    let missing = Command::new(BINARY).args(["--settings", "/none/entry.ini"]).output().expect("the node runs");
+    fs::remove_dir_all(&folder).expect("the folder can be removed");
+
+    // Assert
+    let told = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert_eq!(output.status.code(), Some(2), "{told}");
+    let faults = [
+        "[node] data_centre:",
+        "[node] caller_address:",
+        "[node] colour:",
+        "[platform] address:",
+        "[keys] peers: too short; use a random text",
+        "[keys] operator:",
+        "[peers] entry-2:",
+        "[tuning] choices:",
+        "[edges] caller_threads:",
+        "[edgse]: unknown section; use one of",
+    ];
+    for fault in faults {
+        assert!(told.contains(fault), "`{fault}` is not told:\n{told}");
+    }
+    assert!(told.lines().all(|line| line.contains("; ")), "each fault has a remedy:\n{told}");
+    assert!(!told.contains("tooshort9") && !told.contains("misplaced-secret-1"), "a key is shown:\n{told}");
+    assert_eq!(missing.status.code(), Some(2));
+    assert!(String::from_utf8_lossy(&missing.stderr).contains("name the file with --settings"));
+}
