--- a/crates/node/tests/bad_input.rs
+++ b/crates/node/tests/bad_input.rs
@@ -14,6 +14,9 @@
 const BINARY: &str = env!("CARGO_BIN_EXE_wasabipier");
 const COMPLETE: [&str; 3] = ["x-organisation: lions", "x-request-id: bad-1", "x-deadline-ms: 2000"];
 
+/// Request line, headers, body, and the status, kind and remedy that must come.
+type CallerCase<'a> = (&'a str, Vec<&'a str>, &'a [u8], u16, &'a str, &'a str);
+
 fn env() -> TestEnv {
     TestEnv::start(TestPlan { nodes: 1, edges: "most_body_bytes = 16384", ..TestPlan::typical(BINARY) })
 }
@@ -21,9 +24,11 @@
 /// Sends one HTTP request as bytes; gives status and body.
 fn exchange(address: SocketAddr, line: &str, headers: &[&str], body: &[u8]) -> (u16, Value) {
     let mut stream = TcpStream::connect(address).expect("the node listens");
-    let headers: String = headers.iter().map(|header| format!("{header}\r\n")).collect();
-    let head =
-        format!("{line} HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: {}\r\n{headers}\r\n", body.len());
+    let headers = headers.join("\r\n");
+    let head = format!(
+        "{line} HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: {}\r\n{headers}\r\n\r\n",
+        body.len()
+    );
     stream.write_all(head.as_bytes()).expect("the head can be sent");
     stream.write_all(body).expect("the body can be sent");
     let mut answer = String::new();
@@ -84,7 +89,7 @@
     };
     let (clubs, large) = ("POST /v1/services/clubs", vec![b' '; 20_000]);
     let complete = COMPLETE.to_vec();
-    let cases: Vec<(&str, Vec<&str>, &[u8], u16, &str, &str)> = vec![
+    let cases: Vec<CallerCase<'_>> = vec![
         (clubs, without("x-request-id"), b"{}", 400, "missing-header", "`x-request-id` is missing: send it"),
         (clubs, without("x-organisation"), b"{}", 400, "missing-header", "`x-organisation` is missing: send it"),
         (clubs, without("x-deadline-ms"), b"{}", 400, "missing-header", "`x-deadline-ms` is missing: send it"),
@@ -131,7 +136,7 @@
     let call = serde_json::json!({ "seen": 1, "author": "tester", "text": contradiction }).to_string();
 
     // Act
-    let no_key = exchange(address, "POST /v1/operator/promote", &[], call.as_bytes());
+    let no_key = exchange(address, "POST /v1/operator/promote", &["x-none: 1"], call.as_bytes());
     let wrong_key = exchange(address, "GET /v1/operator/status", &["authorization: Bearer guess"], b"");
     let wrong_types = exchange(address, "POST /v1/operator/promote", &[&key], b"{\"seen\": \"one\"}");
     let wrong_path = exchange(address, "POST /v1/operator/demote", &[&key], b"{}");
