Prove bookings at most once over real processes: killed and frozen nodes, lost answers, store out

Cause: the promise stood on tests of one process only. Change: eight tests with SIGKILL and SIGSTOP between claim, send and record, with lost answers of the target and of the table service, and with the table service down and back. Environments promote only after all nodes know each other: with eight environments at once the first node took several seats, whose hand-over takes 8.5 s each, and five of eight environments did not serve within 30 s. Ruled out: shorter seat times in the tests, which would prove other figures than the product's.

--- a/crates/fakes/src/test_env.rs
+++ b/crates/fakes/src/test_env.rs
@@ -19,8 +19,9 @@
 
 use crate::engine::FakeEngine;
 use crate::orders::OrderBook;
+use crate::faults::FaultSettings;
 use crate::platform::FakePlatform;
-use crate::server::FakeServer;
+use crate::server::{FakeHandler, FakeServer};
 use crate::service::FakeService;
 use crate::target::TargetState;
 pub use crate::test_caller::{TestAnswer, TestAsk, TestCaller, ask_at};
@@ -134,6 +135,11 @@
         for node in 0..env.nodes.len() {
             env.spawn(node);
         }
+        // Nodes that know of each other take one seat each; else they would have to hand some over first.
+        env.wait_until("all nodes know each other", |env| {
+            (0..env.nodes.len())
+                .all(|node| env.status(node).is_some_and(|status| status.nodes.len() == env.nodes.len()))
+        });
         let revision = env.promote(0, &env.document());
         env.wait_until("all nodes serve", |env| env.all_serve(revision));
         env
@@ -168,7 +174,8 @@
     /// The document of the plan with all targets that run.
     #[must_use]
     pub fn document(&self) -> String {
-        let mut text = String::from("[environment]\nname = production\nseats = 3\n[organisation lions]\n");
+        let seats = self.plan.nodes.max(3);
+        let mut text = format!("[environment]\nname = production\nseats = {seats}\n[organisation lions]\n");
         text.push_str("[organisation swallows]\n");
         for number in 0..3 {
             let _ = writeln!(text, "[data-centre {}]\nregion = khomas\nadmission = open", dc_name(number));
@@ -393,6 +400,25 @@
         TestCaller::new(&self.agent, known, number)
     }
 
+    /// Switches faults of all targets of a service.
+    pub fn fault(&self, service: &str, faults: &FaultSettings) {
+        for target in self.targets.values().filter(|target| target.service == service) {
+            target.state().faults.set(faults.clone());
+        }
+    }
+
+    /// Switches faults of the platform.
+    pub fn platform_fault(&self, faults: &FaultSettings) {
+        self.platform.faults().set(faults.clone());
+    }
+
+    /// Whether a request of `lions` has a claim in the table service.
+    #[must_use]
+    pub fn is_claimed(&self, request: &str) -> bool {
+        let end = format!("lions/{request}");
+        self.platform.with_table(|table| table.rows().any(|(key, _)| key.ends_with(&end)))
+    }
+
     /// How often a request of `lions` ran at the targets of a service.
     #[must_use]
     pub fn runs(&self, service: &str, request: &str) -> u32 {
--- /dev/null
+++ b/crates/node/tests/bookings.rs
@@ -0,0 +1,235 @@
+//! Calls that must not be repeated, while nodes, targets and the table service fail around them.
+
+use std::thread;
+use std::time::Duration;
+
+use rustix::process::Signal;
+use wasabipier_fakes::faults::FaultSettings;
+use wasabipier_fakes::target::TargetSettings;
+use wasabipier_fakes::test_env::{TestAnswer, TestEnv, TestPlan};
+
+const GOAL: &str = "services/bookings";
+const BODY: &str = r#"{"lane":3}"#;
+
+/// Three nodes; a booking takes `work` at its target.
+fn env(work: Duration) -> TestEnv {
+    let mut plan = TestPlan::typical(env!("CARGO_BIN_EXE_wasabipier"));
+    plan.edges = "store_ms = 400";
+    plan.tuning = "peer_dead_ms = 2000";
+    for service in plan.services.iter_mut().filter(|service| service.name == "bookings") {
+        service.settings = TargetSettings { work, ..TargetSettings::default() };
+    }
+    TestEnv::start(plan)
+}
+
+fn no_faults() -> FaultSettings {
+    FaultSettings::default()
+}
+
+/// Waits until a node takes bookings again after the table service was out.
+fn wait_for_store(env: &TestEnv, node: usize) {
+    let number = std::cell::Cell::new(0);
+    env.wait_until("bookings go on", |env| {
+        number.set(number.get() + 1);
+        env.ask(node, GOAL, &format!("probe-{node}-{}", number.get()), BODY).outcome() == "done"
+    });
+}
+
+/// What callers were told fits what ran: never twice, no *done* without a run, no *not run* after one.
+fn assert_true(env: &TestEnv, request: &str, answers: &[&TestAnswer]) {
+    let runs = env.runs("bookings", request);
+    assert!(runs <= 1, "{request} ran {runs} times");
+    let wrong = if runs == 1 { "not-run" } else { "done" };
+    for answer in answers {
+        assert_ne!(answer.outcome(), wrong, "{request} ran {runs} times: {answer:?}");
+    }
+}
+
+fn target_was_called(env: &TestEnv) -> bool {
+    let mut bookings = env.targets.values().filter(|target| target.service == "bookings");
+    bookings.any(|target| target.state().stats()["calls"] != 0)
+}
+
+#[test]
+fn node_killed_between_claim_and_send() {
+    // Arrange
+    let mut env = env(Duration::from_millis(5));
+    env.platform_fault(&FaultSettings { lose_answers: true, ..no_faults() });
+
+    // Act
+    let lost = thread::scope(|scope| {
+        let asking = scope.spawn(|| env.ask(0, GOAL, "b-1", BODY));
+        env.wait_until("the claim stands", |env| env.is_claimed("b-1"));
+        env.signal(0, Signal::KILL);
+        asking.join().expect("the caller ends")
+    });
+    env.kill(0);
+    env.platform_fault(&no_faults());
+    wait_for_store(&env, 1);
+    let second = env.ask_within(1, GOAL, "b-1", BODY, Duration::from_secs(2));
+    let third = env.ask_within(2, GOAL, "b-1", BODY, Duration::from_secs(2));
+
+    // Assert
+    assert_eq!(lost.status, 0, "the first caller lost its node");
+    assert_true(&env, "b-1", &[&second, &third]);
+    assert_eq!((second.outcome(), third.outcome()), ("unknown", "unknown"));
+    assert_eq!(env.runs("bookings", "b-1"), 0);
+}
+
+#[test]
+fn node_killed_between_send_and_record() {
+    // Arrange
+    let mut env = env(Duration::from_millis(300));
+
+    // Act
+    thread::scope(|scope| {
+        let asking = scope.spawn(|| env.ask(0, GOAL, "b-1", BODY));
+        env.wait_until("the target works", target_was_called);
+        env.signal(0, Signal::KILL);
+        let _ = asking.join();
+    });
+    env.kill(0);
+    env.wait_until("the target has done its work", |env| env.runs("bookings", "b-1") == 1);
+    let second = env.ask_within(1, GOAL, "b-1", BODY, Duration::from_secs(2));
+    env.spawn(0);
+    env.wait_until("the new instance serves", |env| {
+        env.status(0).is_some_and(|status| status.revision > 0 && status.nodes[0].state == "serving")
+    });
+    let third = env.ask_within(0, GOAL, "b-1", BODY, Duration::from_secs(2));
+
+    // Assert
+    assert_true(&env, "b-1", &[&second, &third]);
+    assert_eq!((second.outcome(), third.outcome()), ("unknown", "unknown"));
+    assert_eq!(env.runs("bookings", "b-1"), 1);
+}
+
+#[test]
+fn node_killed_before_the_record_could_be_written() {
+    // Arrange
+    let mut env = env(Duration::from_millis(300));
+
+    // Act
+    let first = thread::scope(|scope| {
+        let asking = scope.spawn(|| env.ask(0, GOAL, "b-1", BODY));
+        env.wait_until("the target works", target_was_called);
+        env.platform_fault(&FaultSettings { down: true, ..no_faults() });
+        asking.join().expect("the caller ends")
+    });
+    env.kill(0);
+    env.platform_fault(&no_faults());
+    wait_for_store(&env, 1);
+    let second = env.ask_within(1, GOAL, "b-1", BODY, Duration::from_secs(2));
+
+    // Assert
+    assert_eq!(first.outcome(), "done");
+    assert_true(&env, "b-1", &[&first, &second]);
+    assert_eq!(second.outcome(), "unknown");
+}
+
+#[test]
+fn node_frozen_while_its_target_works() {
+    // Arrange
+    let env = env(Duration::from_millis(300));
+
+    // Act
+    let (first, second) = thread::scope(|scope| {
+        let asking = scope.spawn(|| env.ask(0, GOAL, "b-1", BODY));
+        env.wait_until("the target works", target_was_called);
+        env.signal(0, Signal::STOP);
+        let second = env.ask_within(1, GOAL, "b-1", BODY, Duration::from_millis(1500));
+        env.signal(0, Signal::CONT);
+        (asking.join().expect("the caller ends"), second)
+    });
+    env.wait_until("the record is told elsewhere", |env| {
+        env.ask_within(2, GOAL, "b-1", BODY, Duration::from_secs(1)).outcome() == first.outcome()
+    });
+
+    // Assert
+    assert_true(&env, "b-1", &[&first, &second]);
+    assert_eq!(second.outcome(), "unknown");
+}
+
+#[test]
+fn node_frozen_between_claim_and_send() {
+    // Arrange
+    let env = env(Duration::from_millis(5));
+    env.platform_fault(&FaultSettings { delay_ms: 300, ..no_faults() });
+
+    // Act
+    let (first, second) = thread::scope(|scope| {
+        let asking = scope.spawn(|| env.ask_within(0, GOAL, "b-1", BODY, Duration::from_secs(2)));
+        thread::sleep(Duration::from_millis(150));
+        env.signal(0, Signal::STOP);
+        env.wait_until("the claim stands", |env| env.is_claimed("b-1"));
+        env.platform_fault(&no_faults());
+        let second = env.ask_within(1, GOAL, "b-1", BODY, Duration::from_secs(3));
+        env.signal(0, Signal::CONT);
+        (asking.join().expect("the caller ends"), second)
+    });
+    let third = env.ask_within(2, GOAL, "b-1", BODY, Duration::from_secs(2));
+
+    // Assert
+    assert_true(&env, "b-1", &[&first, &second, &third]);
+    assert_eq!(second.outcome(), "unknown");
+}
+
+#[test]
+fn answer_of_the_target_lost_after_the_work() {
+    // Arrange
+    let env = env(Duration::from_millis(5));
+    env.fault("bookings", &FaultSettings { lose_answers: true, ..no_faults() });
+
+    // Act
+    let first = env.ask_within(0, GOAL, "b-1", BODY, Duration::from_secs(1));
+    env.fault("bookings", &no_faults());
+    let again = env.ask_within(0, GOAL, "b-1", BODY, Duration::from_secs(1));
+    let elsewhere = env.ask_within(1, GOAL, "b-1", BODY, Duration::from_secs(1));
+
+    // Assert
+    assert_eq!(env.runs("bookings", "b-1"), 1);
+    for answer in [&first, &again, &elsewhere] {
+        assert_eq!(answer.outcome(), "unknown", "{answer:?}");
+    }
+}
+
+#[test]
+fn answers_of_the_table_service_lost_after_the_write() {
+    // Arrange
+    let env = env(Duration::from_millis(5));
+    env.platform_fault(&FaultSettings { lose_answers: true, ..no_faults() });
+
+    // Act
+    let first = thread::scope(|scope| {
+        let asking = scope.spawn(|| env.ask(0, GOAL, "b-1", BODY));
+        env.wait_until("the claim stands", |env| env.is_claimed("b-1"));
+        env.platform_fault(&no_faults());
+        asking.join().expect("the caller ends")
+    });
+    wait_for_store(&env, 1);
+    let second = env.ask_within(1, GOAL, "b-1", BODY, Duration::from_secs(2));
+
+    // Assert
+    assert_true(&env, "b-1", &[&first, &second]);
+    assert_eq!((first.outcome(), second.outcome()), ("done", "done"));
+}
+
+#[test]
+fn table_service_down_and_back() {
+    // Arrange
+    let env = env(Duration::from_millis(5));
+    env.platform_fault(&FaultSettings { down: true, ..no_faults() });
+
+    // Act
+    let refused: Vec<TestAnswer> = (0..6).map(|n| env.ask(n % 3, GOAL, &format!("down-{n}"), BODY)).collect();
+    let plan = env.ask(0, "pipelines/season-plan", "plan-1", r#"{"prompt":"nets"}"#);
+    let lookup = env.ask(1, "services/clubs", "club-1", "{}");
+    env.platform_fault(&no_faults());
+    wait_for_store(&env, 0);
+
+    // Assert
+    for (n, answer) in refused.iter().enumerate() {
+        assert_eq!(answer.outcome(), "not-run", "{answer:?}");
+        assert_eq!(env.runs("bookings", &format!("down-{n}")), 0);
+    }
+    assert_eq!((plan.outcome(), lookup.outcome()), ("done", "done"));
+}
