Find silent connections to targets, and close connections of attempts that are given up

Cause: only streams had a bound on silence; a plain call over a kept connection that had gone silent waited out its whole deadline (kept_connections_that_went_silent_cost_no_request: red, TooLate). A cancelled attempt was noticed only between two lines of a stream, so a blocked read went on. Ruled out: reads in short slices (a wake-up for each of 200 attempts every slice); one shared agent, whose shutdown would cut all attempts; a new connection for each call (one more round trip each). Change: an attempt uses one connection alone, taken from a stock of idle ones; giving it up shuts that connection down; a silence drops the target's other idle connections too. At most 1024 attempts at once. The stand-ins' link passes a hang-up on to the other end and refuses connections by dropping its listener, so that a crashed target looks like one. Log lines are flushed one by one.

--- a/crates/fakes/src/link.rs
+++ b/crates/fakes/src/link.rs
@@ -21,6 +21,7 @@
 #[derive(Clone, Debug)]
 pub struct FaultyLink {
     address: SocketAddr,
+    server: SocketAddr,
     state: Arc<LinkState>,
 }
 
@@ -34,15 +35,22 @@
     /// The address cannot be bound.
     pub fn start(listen: SocketAddr, server: SocketAddr) -> std::io::Result<Self> {
         let listener = TcpListener::bind(listen)?;
-        let address = listener.local_addr()?;
-        let state = Arc::new(LinkState::default());
-        let link = Self { address, state: state.clone() };
+        let link = Self { address: listener.local_addr()?, server, state: Arc::default() };
+        link.serve(listener);
+        Ok(link)
+    }
+
+    fn serve(&self, listener: TcpListener) {
+        let link = self.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                accept(&state, stream, server);
+                if link.state.refusing.load(Ordering::SeqCst) {
+                    // Without a listener the kernel refuses connections itself, as it does for a dead process.
+                    return;
+                }
+                accept(&link.state, stream, link.server);
             }
         });
-        Ok(link)
     }
 
     /// Where it listens.
@@ -66,8 +74,18 @@
     }
 
     /// Refuses new connections, or accepts them again.
+    ///
+    /// # Panics
+    ///
+    /// The address was taken by something else meanwhile.
     pub fn refuse(&self, refusing: bool) {
-        self.state.refusing.store(refusing, Ordering::SeqCst);
+        let before = self.state.refusing.swap(refusing, Ordering::SeqCst);
+        match (before, refusing) {
+            // The listener's thread sees the change with this connection.
+            (false, true) => drop(TcpStream::connect(self.address)),
+            (true, false) => self.serve(TcpListener::bind(self.address).expect("the address is still free")),
+            _ => {}
+        }
     }
 
     /// Cuts everything and refuses connections for `span`, like a process that restarts.
@@ -83,11 +101,6 @@
 }
 
 fn accept(state: &Arc<LinkState>, client: TcpStream, server: SocketAddr) {
-    if state.refusing.load(Ordering::SeqCst) {
-        // Closing at once is the nearest to a refused connect that a listening socket can do.
-        let _ = client.shutdown(Shutdown::Both);
-        return;
-    }
     let Ok(upstream) = TcpStream::connect(server) else { return };
     let number = state.opened.fetch_add(1, Ordering::SeqCst);
     let _ = client.set_nodelay(true);
@@ -112,6 +125,8 @@
             continue;
         }
         if to.write_all(&buffer[..count]).is_err() {
+            // The one end is gone: the other must not go on writing to nobody.
+            let _ = from.shutdown(Shutdown::Both);
             break;
         }
     }
--- a/crates/fakes/src/test_env.rs
+++ b/crates/fakes/src/test_env.rs
@@ -114,9 +114,9 @@
     /// Something cannot be started, or does not serve in time.
     #[must_use]
     pub fn start(plan: TestPlan) -> Self {
-        let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let (platform_server, platform) =
-            FakeServer::start(any, |_| FakePlatform::new(Duration::from_millis(500))).expect("the platform starts");
+            FakeServer::start(next_address(), |_| FakePlatform::new(Duration::from_millis(500)))
+                .expect("the platform starts");
         let folder = std::env::temp_dir().join(format!("wasabipier-{}-{}", std::process::id(), next_address().port()));
         fs::create_dir_all(&folder).expect("a folder can be made");
         let agent = ureq::Agent::config_builder()
@@ -151,13 +151,12 @@
     ///
     /// It cannot listen.
     pub fn add_target(&mut self, name: &str, service: &ServicePlan, version: &str, number: usize) {
-        let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let settings = service.settings.clone();
         let (server, handler) = if service.kind == ServiceKind::Generate {
-            let started = FakeServer::start(any, |link| FakeEngine::new(settings, link));
+            let started = FakeServer::start(next_address(), |link| FakeEngine::new(settings, link));
             started.map(|(server, engine)| (server, TargetHandler::Engine(engine)))
         } else {
-            let started = FakeServer::start(any, |link| FakeService::new(settings, link));
+            let started = FakeServer::start(next_address(), |link| FakeService::new(settings, link));
             started.map(|(server, service)| (server, TargetHandler::Service(service)))
         }
         .expect("a target starts");
@@ -362,8 +361,8 @@
             }
             thread::sleep(LOOK_EVERY);
         }
-        for node in &self.nodes {
-            eprintln!("--- {}\n{}", node.name, self.log(&node.name));
+        for (number, node) in self.nodes.iter().enumerate() {
+            eprintln!("--- {}\n{:?}\n{}", node.name, self.status(number), self.log(&node.name));
         }
         panic!("in vain: {what}");
     }
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -2,6 +2,7 @@
 
 mod callers;
 mod cli;
+mod connections;
 mod exit;
 mod input;
 mod ledger;
@@ -26,6 +27,8 @@
 
 fn main() -> ExitCode {
     let args: NodeArgs = argh::from_env();
+    // What a node did last is worth most when it ends without warning.
+    spdlog::default_logger().set_flush_level_filter(spdlog::LevelFilter::All);
     let kind = match NodeSettings::load(&args) {
         Ok(settings) if args.check => {
             println!("{}: settings of node `{}` are valid", args.settings.display(), settings.identity.node);
--- a/crates/node/src/targets.rs
+++ b/crates/node/src/targets.rs
@@ -1,4 +1,4 @@
-//! The targets' edge: one thread for each attempt, over `ureq`.
+//! The targets' edge: one thread for each attempt, up to a bound, over `ureq`.
 
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader};
@@ -18,69 +18,100 @@
     path,
 };
 
+use crate::connections::ConnectionStock;
 use crate::input::{InputSender, NodeInput};
 use crate::part::TARGETS;
 use crate::ports::TargetPort;
 use crate::settings::EdgeSettings;
 
-/// Attempts that run, with the flag that stops each.
-type CancelFlags = Arc<Mutex<HashMap<AttemptId, Arc<AtomicBool>>>>;
+/// What stops a running attempt.
+#[derive(Clone, Debug)]
+struct CancelHandle {
+    flag: Arc<AtomicBool>,
+    agent: Agent,
+}
+
+impl CancelHandle {
+    /// Closes the attempt's connection, also while a read blocks: that is how the target is told.
+    fn cancel(self) {
+        self.flag.store(true, Ordering::SeqCst);
+        self.agent.shutdown();
+    }
+}
+
+/// Attempts that run.
+type RunningAttempts = Arc<Mutex<HashMap<AttemptId, CancelHandle>>>;
 
 /// Sends attempts to targets.
 #[derive(Debug)]
 pub struct TargetEdge {
-    settings: EdgeSettings,
-    shared: Agent,
+    silence: Duration,
+    connections: Arc<ConnectionStock>,
     inputs: InputSender,
-    flags: CancelFlags,
+    running: RunningAttempts,
 }
 
 impl TargetEdge {
+    /// Most attempts, and with them threads, at once.
+    const MOST_RUNNING: usize = 1024;
+
     /// An edge that opens connections as needed.
     #[must_use]
     pub fn new(settings: &EdgeSettings, inputs: InputSender) -> Self {
-        Self { settings: settings.clone(), shared: agent(settings, 8), inputs, flags: CancelFlags::default() }
+        Self {
+            silence: settings.target_silence,
+            connections: Arc::new(ConnectionStock::new(settings.connect_within)),
+            inputs,
+            running: RunningAttempts::default(),
+        }
     }
-}
-
-fn agent(settings: &EdgeSettings, idle: usize) -> Agent {
-    Agent::config_builder()
-        .http_status_as_error(false)
-        .timeout_connect(Some(settings.connect_within))
-        .max_idle_connections_per_host(idle)
-        .no_delay(true)
-        .build()
-        .new_agent()
-}
 
-impl TargetPort for TargetEdge {
-    fn send(&mut self, order: SendOrder) {
+    fn spawn(&self, order: SendOrder) -> std::io::Result<()> {
         let id = order.attempt;
-        let flag = Arc::new(AtomicBool::new(false));
-        self.flags.lock().unwrap_or_else(PoisonError::into_inner).insert(id, flag.clone());
-        let agent = if order.fresh_connection { agent(&self.settings, 0) } else { self.shared.clone() };
+        let fresh = order.fresh_connection;
+        let agent = if fresh { self.connections.open() } else { self.connections.take(order.address) };
+        let handle = CancelHandle { flag: Arc::default(), agent: agent.clone() };
         let attempt = Attempt {
             order,
             agent,
-            flag,
-            silence: self.settings.target_silence,
+            flag: handle.flag.clone(),
+            silence: self.silence,
             accepted: Instant::now(),
             inputs: self.inputs.clone(),
         };
-        let flags = self.flags.clone();
+        let (running, connections) = (self.running.clone(), self.connections.clone());
+        {
+            let mut running = self.running.lock().unwrap_or_else(PoisonError::into_inner);
+            if running.len() >= Self::MOST_RUNNING {
+                return Err(std::io::Error::other("too many attempts at once"));
+            }
+            running.insert(id, handle);
+        }
         let spawned = thread::Builder::new().name("attempt".to_owned()).spawn(move || {
-            attempt.run();
-            flags.lock().unwrap_or_else(PoisonError::into_inner).remove(&id);
+            attempt.run(&connections);
+            running.lock().unwrap_or_else(PoisonError::into_inner).remove(&id);
         });
         if spawned.is_err() {
+            self.running.lock().unwrap_or_else(PoisonError::into_inner).remove(&id);
+        }
+        spawned.map(|_| ())
+    }
+}
+
+impl TargetPort for TargetEdge {
+    fn send(&mut self, order: SendOrder) {
+        let id = order.attempt;
+        if let Err(error) = self.spawn(order) {
+            warn!("{TARGETS} an attempt was not started: {error}.");
             let failed = AttemptEvent::Failed { kind: FailureKind::Unreachable, sent: false };
             let _ = self.inputs.send(NodeInput::Core(Event::Attempt(id, failed)));
         }
     }
 
     fn cancel(&mut self, attempt: AttemptId) {
-        if let Some(flag) = self.flags.lock().unwrap_or_else(PoisonError::into_inner).remove(&attempt) {
-            flag.store(true, Ordering::SeqCst);
+        let handle = self.running.lock().unwrap_or_else(PoisonError::into_inner).remove(&attempt);
+        if let Some(handle) = handle {
+            handle.cancel();
         }
     }
 }
@@ -102,11 +133,19 @@
 }
 
 impl Attempt {
-    fn run(&self) {
+    fn run(self, connections: &ConnectionStock) {
+        let order = &self.order;
         let event = match self.exchange() {
-            Ok(event) => event,
+            Ok(event) => {
+                if !order.fresh_connection {
+                    connections.give_back(order.address, self.agent.clone());
+                }
+                event
+            }
             Err(failure) => {
-                let order = &self.order;
+                if failure.kind == FailureKind::Silent {
+                    connections.drop_idle(order.address);
+                }
                 warn!(
                     "{TARGETS} {} stage {} attempt {} at {} failed: {}.",
                     order.key, order.stage, order.number, order.target, failure.kind
@@ -141,12 +180,15 @@
         let order = &self.order;
         let url = format!("http://{}{}", order.address, path(order.kind));
         let stream = order.kind == ServiceKind::Generate;
+        // A call that may be repeated goes elsewhere when its connection is silent; one that may not has
+        // nowhere to go, and its answer is worth waiting for.
+        let repeatable = !order.fresh_connection;
         let request = self
             .agent
             .post(&url)
             .config()
             .timeout_global(Some(time_left))
-            .timeout_per_read(stream.then_some(self.silence))
+            .timeout_per_read(repeatable.then_some(self.silence))
             .build()
             .header(ORGANISATION_HEADER, order.key.org.as_str())
             .header(REQUEST_HEADER, order.key.request.as_str())
--- /dev/null
+++ b/crates/node/tests/silence.rs
@@ -0,0 +1,132 @@
+//! Connections that break, go silent or are given up, at targets and between peers.
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::thread;
+use std::time::Duration;
+
+use wasabipier_fakes::faults::FaultSettings;
+use wasabipier_fakes::target::TargetSettings;
+use wasabipier_fakes::test_env::{TestAnswer, TestEnv, TestPlan};
+
+const PLAN: &str = "pipelines/season-plan";
+const BODY: &str = r#"{"prompt":"under-13s"}"#;
+
+fn env(tokens: u32, work_ms: u64) -> TestEnv {
+    let mut plan = TestPlan::typical(env!("CARGO_BIN_EXE_wasabipier"));
+    plan.edges = "target_silence_ms = 500";
+    for service in plan.services.iter_mut().filter(|service| service.name == "coachmodel") {
+        service.settings = TargetSettings { tokens, work: Duration::from_millis(work_ms), ..service.settings.clone() };
+    }
+    TestEnv::start(plan)
+}
+
+/// All tokens came once, in order, and make up the answer.
+fn assert_whole(answer: &TestAnswer, whole: &TestAnswer) {
+    assert_eq!(answer.outcome(), "done", "{answer:?}");
+    assert!(answer.tokens.iter().enumerate().all(|(index, token)| token.index == index as u32), "{answer:?}");
+    assert_eq!(answer.text(), whole.text());
+    assert_eq!(answer.end.as_ref().and_then(|end| end.answer.as_str()), Some(whole.text().as_str()));
+}
+
+fn engines_at_work(env: &TestEnv) -> u32 {
+    let engines = env.targets.values().filter(|target| target.service == "coachmodel");
+    engines.map(|engine| engine.state().load().in_flight).sum()
+}
+
+#[test]
+fn stream_that_breaks_is_resumed_at_another_engine() {
+    // Arrange
+    let env = env(12, 5);
+    let whole = env.ask(0, PLAN, "plan-0", BODY);
+    let engine = env.targets["coachmodel-1"].state();
+    engine.faults.set(FaultSettings { break_after_tokens: 5, ..FaultSettings::default() });
+
+    // Act
+    let mut answers = Vec::new();
+    while engine.stats()["crashes"] == 0 {
+        assert!(answers.len() < 100, "the engine gets no work");
+        answers.push(env.ask(answers.len() % 3, PLAN, &format!("plan-{}", answers.len() + 1), BODY));
+    }
+
+    // Assert
+    assert_eq!(whole.tokens.len(), 12, "{whole:?}");
+    for answer in &answers {
+        assert_whole(answer, &whole);
+    }
+}
+
+#[test]
+fn stream_that_goes_silent_is_resumed_at_another_engine() {
+    // Arrange
+    let env = env(30, 20);
+    let whole = env.ask(0, PLAN, "plan-0", BODY);
+
+    // Act
+    let resumed = thread::scope(|scope| {
+        let asking = scope.spawn(|| env.ask(1, PLAN, "plan-1", BODY));
+        env.wait_until("an engine works", |env| engines_at_work(env) > 0);
+        thread::sleep(Duration::from_millis(100));
+        for engine in env.targets.values().filter(|target| target.service == "coachmodel") {
+            engine.state().link.freeze();
+        }
+        asking.join().expect("the caller ends")
+    });
+
+    // Assert
+    assert_whole(&resumed, &whole);
+}
+
+#[test]
+fn kept_connections_that_went_silent_cost_no_request() {
+    // Arrange
+    let env = env(12, 5);
+    for number in 0..30 {
+        assert_eq!(env.ask(number % 3, "services/clubs", &format!("warm-{number}"), "{}").outcome(), "done");
+    }
+
+    // Act
+    for target in env.targets.values().filter(|target| target.service == "clubs") {
+        target.state().link.freeze();
+    }
+    let answers: Vec<TestAnswer> =
+        (0..9).map(|number| env.ask(number % 3, "services/clubs", &format!("club-{number}"), "{}")).collect();
+
+    // Assert
+    for answer in answers {
+        assert_eq!(answer.outcome(), "done", "{answer:?}");
+    }
+}
+
+#[test]
+fn caller_that_hangs_up_stops_the_engine() {
+    // Arrange
+    let env = env(100_000, 20);
+    let mut plan = TcpStream::connect(env.nodes[0].caller_address).expect("the node listens");
+    let head = "POST /v1/pipelines/season-plan HTTP/1.1\r\nhost: x\r\nx-organisation: lions\r\nx-request-id: plan-1\r\n\
+        x-deadline-ms: 6000\r\ncontent-length: 2\r\n\r\n{}";
+    plan.write_all(head.as_bytes()).expect("the request is sent");
+    let mut first = [0; 64];
+    let count = plan.read(&mut first).expect("tokens come");
+
+    // Act
+    env.wait_until("an engine works", |env| engines_at_work(env) == 1);
+    drop(plan);
+
+    // Assert
+    assert!(count > 0);
+    env.wait_until("the engine has stopped", |env| engines_at_work(env) == 0);
+}
+
+#[test]
+fn deadline_stops_the_engine() {
+    // Arrange
+    let env = env(100_000, 20);
+
+    // Act
+    let late = env.ask_within(0, PLAN, "plan-1", BODY, Duration::from_secs(1));
+
+    // Assert
+    assert_ne!(late.outcome(), "done");
+    env.wait_until("the engine has stopped", |env| engines_at_work(env) == 0);
+}
