Take one seat at a time, so that a node does not keep others' seats for a hand-over

Cause: a node without a seat looked at the next one at each tick, also while its first write was under way; on a busy machine it took two or three seats, and its peers waited 8.5 s or more for each: 2 of 5 environments did not serve within 30 s (silence tests, run beside the rest). Ruled out: starting nodes one after another in the tests, which only hides it. Change: no further seat is looked at while one is being read or written.

--- a/crates/core/src/seats.rs
+++ b/crates/core/src/seats.rs
@@ -154,6 +154,10 @@
         if total == 0 || enough || board.now < self.look_at || !board.store.may_ask(board.now) {
             return;
         }
+        // One seat at a time: a node that takes several at once keeps them from others for a whole hand-over.
+        if self.next_seat > 0 && Self::is_asked(board, self.next_seat - 1) {
+            return;
+        }
         let first = self.next_seat;
         let seat = (0..total).map(|step| (first + step) % total).find(|seat| !self.is_taken(board, *seat));
         let Some(seat) = seat else { return };
@@ -168,8 +172,12 @@
         let announces = |beat: &Heartbeat| beat.seats.iter().any(|claim| claim.seat == seat);
         self.own.contains_key(&seat)
             || board.members.alive().any(|(_, beat)| announces(beat))
-            || board.store.is_open(&StorePurpose::ReadSeat(seat))
-            || board.store.is_open(&StorePurpose::WriteSeat(seat))
+            || Self::is_asked(board, seat)
+    }
+
+    fn is_asked(board: &Blackboard, seat: u32) -> bool {
+        let store = &board.store;
+        store.is_open(&StorePurpose::ReadSeat(seat)) || store.is_open(&StorePurpose::WriteSeat(seat))
     }
 
     fn on_row(&mut self, board: &mut Blackboard, seat: u32, row: Option<&Row>, out: &mut Vec<Action>) {
--- a/crates/fakes/src/test_env.rs
+++ b/crates/fakes/src/test_env.rs
@@ -18,8 +18,8 @@
 use wasabipier_wire::platform::WireVm;
 
 use crate::engine::FakeEngine;
-use crate::orders::OrderBook;
 use crate::faults::FaultSettings;
+use crate::orders::OrderBook;
 use crate::platform::FakePlatform;
 use crate::server::{FakeHandler, FakeServer};
 use crate::service::FakeService;
