--- a/crates/node/tests/bad_input.rs
+++ b/crates/node/tests/bad_input.rs
@@ -163,7 +163,7 @@
     // Arrange
     let env = env();
     let address = env.nodes[0].peer_address;
-    let good = WireFrame::DocumentWanted(0).encode();
+    let good = WireFrame::DocumentWanted { wanted: 0, have: 0 }.encode();
     let mut other_version = good.clone();
     other_version[0] = 99;
     let truncated = framed(&good)[..5].to_vec();
