Make the command line whole: document, author, times and typed exits

'document' prints the document with its revision in the first line, and promote takes that as the revision that the operator saw.

--- a/crates/core/src/burn.rs
+++ b/crates/core/src/burn.rs
@@ -3,9 +3,9 @@
 //! Each event brings the budget of its own objective along, so that subjects which mix objectives (an
 //! organisation, a data centre) and objectives that change are counted right, and counts of nodes add up.
 
-pub mod judge;
 pub mod latency;
 pub mod series;
+pub mod tally;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
--- a/crates/core/src/intake.rs
+++ b/crates/core/src/intake.rs
@@ -6,7 +6,7 @@
 
 use crate::action::{Action, AnswerPart};
 use crate::blackboard::Blackboard;
-use crate::burn::judge;
+use crate::burn::tally;
 use crate::conclude;
 use crate::controller::Controller;
 use crate::document::{Document, ServiceKind};
@@ -49,7 +49,7 @@
         Ok(plan) => open(board, ask, content, plan),
         Err(refusal) => {
             board.counters.refused += 1;
-            judge::count_refusal(board, ask, refusal);
+            tally::count_refusal(board, ask, refusal);
             refuse(ask.call, refusal, out);
         }
     }
--- a/crates/core/src/stages.rs
+++ b/crates/core/src/stages.rs
@@ -4,7 +4,7 @@
 
 use crate::action::{Action, AnswerPart};
 use crate::blackboard::Blackboard;
-use crate::burn::judge;
+use crate::burn::tally;
 use crate::conclude;
 use crate::controller::Controller;
 use crate::counting;
@@ -87,7 +87,7 @@
         board.counters.stray_results += 1;
         return;
     };
-    judge::count_attempt(board, &attempt, true);
+    tally::count_attempt(board, &attempt, true);
     learn_success(board, &attempt, report, out);
     let charge = charge_of(&attempt, usage);
     board.counters.charges += 1;
@@ -164,7 +164,7 @@
 
 fn failed(board: &mut Blackboard, attempt: &AttemptRecord, kind: FailureKind, sent: bool, out: &mut Vec<Action>) {
     if kind != FailureKind::Rejected {
-        judge::count_attempt(board, attempt, false);
+        tally::count_attempt(board, attempt, false);
     }
     learn_failure(board, attempt, kind, sent, out);
     let Some(record) = board.requests.get_mut(&attempt.key) else { return };
--- a/crates/ctl/src/burn.rs
+++ b/crates/ctl/src/burn.rs
@@ -13,7 +13,7 @@
 use wasabipier_wire::caller::NodeStatus;
 
 use crate::burn::report::{BurnReport, NodeCover, SilentNode};
-use crate::cli::{BurnArgs, CtlArgs};
+use crate::cli::{BurnArgs, CtlArgs, PROGRAM};
 use crate::client::NodeClient;
 use crate::exit::{CtlError, ExitKind};
 
@@ -39,7 +39,7 @@
     }
     for node in &report.silent_nodes {
         eprintln!(
-            "wasabipierctl: no answer from {} at {}, so its counts are missing; ask again, or look at its log",
+            "{PROGRAM}: no answer from {} at {}, so its counts are missing; ask again, or look at its log",
             node.node, node.address
         );
     }
--- a/crates/ctl/src/charges.rs
+++ b/crates/ctl/src/charges.rs
@@ -1,44 +1,78 @@
-//! Looks charges up in the ledger.
+//! Looks charges up in the ledger, which nodes write to the platform's object store.
 
-use wasabipier_wire::answer::WireCharge;
+use std::net::SocketAddr;
+
+use serde::de::DeserializeOwned;
+use wasabipier_wire::answer::LedgerLine;
 use wasabipier_wire::platform::ObjectsReply;
 
-use crate::cli::ChargesArgs;
-use crate::client::{agent, no_answer};
+use crate::cli::{ChargesArgs, CtlArgs};
+use crate::client::{NodeClient, agent};
 use crate::exit::CtlError;
+use crate::ledger_time::utc;
 
 /// Prints the charges of a request, a line each.
 ///
 /// # Errors
 ///
 /// The object store gives no answer.
-pub fn print(wanted: &ChargesArgs) -> Result<(), CtlError> {
-    let base = format!("http://{}/v1/objects", wanted.platform);
+pub fn show(args: &CtlArgs, wanted: &ChargesArgs) -> Result<(), CtlError> {
+    let platform = match wanted.platform {
+        Some(platform) => platform,
+        None => NodeClient::new(args)?.status()?.platform,
+    };
+    let mut lines = find(platform, wanted)?;
+    lines.sort_by_key(|line| (line.charge.attempt, line.at_ms));
+    if wanted.json {
+        println!("{}", serde_json::to_string_pretty(&lines).unwrap_or_default());
+        return Ok(());
+    }
+    for line in &lines {
+        print_line(line);
+    }
+    let name = format!("{}/{} in environment {}", wanted.organisation, wanted.request, wanted.environment);
+    match lines.len() {
+        0 => println!("no charges of {name}; nodes write them within seconds of the work"),
+        1 => println!("1 charge of {name}"),
+        count => println!("{count} charges of {name}"),
+    }
+    Ok(())
+}
+
+fn find(platform: SocketAddr, wanted: &ChargesArgs) -> Result<Vec<LedgerLine>, CtlError> {
+    let base = format!("http://{platform}/v1/objects");
     let list: ObjectsReply = get(&format!("{base}?prefix=ledger/{}/", wanted.environment))?;
-    let mut found = 0;
+    let mut found = Vec::new();
     for key in list.keys {
-        let lines: Vec<WireCharge> = get(&format!("{base}/{key}"))?;
-        for line in lines.iter().filter(|line| is_wanted(line, wanted)) {
-            found += 1;
-            print_line(line);
-        }
+        let lines: Vec<LedgerLine> = get(&format!("{base}/{key}"))?;
+        found.extend(lines.into_iter().filter(|line| is_wanted(line, wanted)));
     }
-    println!("{found} charges of {}/{}", wanted.organisation, wanted.request);
-    Ok(())
+    Ok(found)
 }
 
-fn is_wanted(line: &WireCharge, wanted: &ChargesArgs) -> bool {
-    line.organisation == wanted.organisation && line.request == wanted.request
+fn is_wanted(line: &LedgerLine, wanted: &ChargesArgs) -> bool {
+    line.charge.organisation == wanted.organisation && line.charge.request == wanted.request
 }
 
-fn print_line(line: &WireCharge) {
+fn print_line(line: &LedgerLine) {
+    let charge = &line.charge;
     println!(
-        "stage {} attempt {} {} at {} version {}: {} in, {} out",
-        line.stage, line.attempt, line.service, line.target, line.version, line.input_units, line.output_units
+        "{} node {} stage {} attempt {}: {} at {}, version {}: {} in, {} out",
+        utc(line.at_ms),
+        line.node,
+        charge.stage,
+        charge.attempt,
+        charge.service,
+        charge.target,
+        charge.version,
+        charge.input_units,
+        charge.output_units
     );
 }
 
-fn get<T: serde::de::DeserializeOwned>(url: &str) -> Result<T, CtlError> {
+fn get<T: DeserializeOwned>(url: &str) -> Result<T, CtlError> {
     let answer = agent().get(url).call();
-    answer.and_then(|mut response| response.body_mut().read_json()).map_err(|error| no_answer(url, &error))
+    answer
+        .and_then(|mut response| response.body_mut().read_json())
+        .map_err(|error| CtlError::NoLedger { place: url.to_owned(), detail: error.to_string() })
 }
--- a/crates/ctl/src/edit.rs
+++ b/crates/ctl/src/edit.rs
@@ -1,4 +1,4 @@
-//! Changes one key of a document and leaves the rest as it was written.
+//! Edits of a document that leave the rest as it was written: one key, and the revision in the first line.
 
 /// `text` with `key = value` in `section`; none if there is no such section.
 #[must_use]
@@ -15,3 +15,22 @@
     }
     Some(lines.join("\n") + "\n")
 }
+
+/// First line of a printed document, before its revision.
+const STAMP: &str = "; revision ";
+
+/// `text` with its revision in the first line.
+#[must_use]
+pub fn stamp(text: &str, revision: u64) -> String {
+    let body = match text.split_once('\n') {
+        Some((first, rest)) if first.starts_with(STAMP) => rest,
+        _ => text,
+    };
+    format!("{STAMP}{revision}\n{body}")
+}
+
+/// The revision in the first line, if there is one.
+#[must_use]
+pub fn stamped(text: &str) -> Option<u64> {
+    text.lines().next()?.strip_prefix(STAMP)?.trim().parse().ok()
+}
--- a/crates/ctl/src/exit.rs
+++ b/crates/ctl/src/exit.rs
@@ -5,6 +5,8 @@
 
 use wasabipier_wire::fault::FaultList;
 
+use crate::cli::{PROGRAM, PlaceKind};
+
 /// How the program ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ExitKind {
@@ -75,7 +77,9 @@
     #[error("the node refused the key: name the file with the operators' key with --key-file")]
     NoKey,
     /// Another operator was first.
-    #[error("revision {revision} by {author} was accepted before; look at it with `status`, then promote again")]
+    #[error(
+        "revision {revision} by {author} was accepted first; nothing was changed: edit that one (`document` prints it), then promote again"
+    )]
     Conflict {
         /// The winner's revision.
         revision: u64,
@@ -89,8 +93,23 @@
     #[error("it is not known whether the document was accepted: look with `status` before promoting again")]
     Unknown,
     /// A name is not in the document.
-    #[error("the document has no section `[{0}]`: check the name with `status`")]
-    NoSection(String),
+    #[error("the document has no {kind} `{name}`: use one of {known}")]
+    NoSuchPlace {
+        /// What was looked for.
+        kind: PlaceKind,
+        /// Its name.
+        name: String,
+        /// Names that there are.
+        known: String,
+    },
+    /// The ledger cannot be read.
+    #[error("no answer from {place}: {detail}; check the address with --platform, or look again later")]
+    NoLedger {
+        /// Where.
+        place: String,
+        /// Why.
+        detail: String,
+    },
     /// It was accepted, but not seen in force everywhere.
     #[error("revision {revision} was accepted, but is not in force everywhere yet: {behind}; look with `status`")]
     Slow {
@@ -105,10 +124,10 @@
 #[must_use]
 pub fn report(error: &CtlError) -> ExitKind {
     for line in error.to_string().lines() {
-        eprintln!("wasabipierctl: {line}");
+        eprintln!("{PROGRAM}: {line}");
     }
     match error {
-        CtlError::Faulty(_) | CtlError::Invalid(_) | CtlError::Unreadable { .. } | CtlError::NoSection(_) => {
+        CtlError::Faulty(_) | CtlError::Invalid(_) | CtlError::Unreadable { .. } | CtlError::NoSuchPlace { .. } => {
             ExitKind::Input
         }
         CtlError::Conflict { .. } => ExitKind::Conflict,
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -1,5 +1,6 @@
 //! `wasabipierctl`: operators' command line.
 
+mod admission;
 mod ask;
 mod burn;
 mod charges;
@@ -8,12 +9,18 @@
 mod commands;
 mod edit;
 mod exit;
+mod ledger_time;
+mod promote;
+mod status;
 
 use std::process::ExitCode;
 
 use crate::cli::CtlArgs;
 
 fn main() -> ExitCode {
-    let args: CtlArgs = argh::from_env();
-    commands::run(&args).unwrap_or_else(|error| exit::report(&error)).into()
+    let kind = match CtlArgs::from_env() {
+        Ok(args) => commands::run(&args).unwrap_or_else(|error| exit::report(&error)),
+        Err(kind) => kind,
+    };
+    kind.into()
 }
--- a/crates/ctl/tests/ctl/main.rs
+++ b/crates/ctl/tests/ctl/main.rs
@@ -1,4 +1,5 @@
 //! The command line over real nodes.
 
 mod burn;
+mod commands;
 mod support;
--- a/crates/node/src/ledger.rs
+++ b/crates/node/src/ledger.rs
@@ -2,11 +2,11 @@
 
 use std::sync::mpsc::{self, Receiver, RecvTimeoutError, Sender};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use spdlog::warn;
 use wasabipier_core::prelude::ChargeLine;
-use wasabipier_wire::answer::WireCharge;
+use wasabipier_wire::answer::{LedgerLine, WireCharge};
 
 use crate::part::LEDGER;
 use crate::ports::LedgerPort;
@@ -19,7 +19,7 @@
 
 #[derive(Debug)]
 enum LedgerInput {
-    Line(WireCharge),
+    Line(LedgerLine),
     Flush(Sender<()>),
 }
 
@@ -27,6 +27,7 @@
 #[derive(Debug)]
 pub struct LedgerEdge {
     sender: Sender<LedgerInput>,
+    node: String,
 }
 
 impl LedgerEdge {
@@ -50,13 +51,16 @@
             lines: Vec::new(),
         };
         thread::Builder::new().name("ledger".to_owned()).spawn(move || writer.run(&receiver))?;
-        Ok(Self { sender })
+        Ok(Self { sender, node: identity.node.to_string() })
     }
 }
 
 impl LedgerPort for LedgerEdge {
     fn keep(&mut self, line: ChargeLine) {
-        let _ = self.sender.send(LedgerInput::Line(WireCharge::from(&line)));
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let line =
+            LedgerLine { at_ms: wall.as_millis() as u64, node: self.node.clone(), charge: WireCharge::from(&line) };
+        let _ = self.sender.send(LedgerInput::Line(line));
     }
 
     fn flush(&mut self) {
@@ -71,7 +75,7 @@
     agent: ureq::Agent,
     every: Duration,
     sequence: u64,
-    lines: Vec<WireCharge>,
+    lines: Vec<LedgerLine>,
 }
 
 impl LedgerWriter {
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -1,6 +1,7 @@
 //! The decision thread: a `stakker` loop around the core, fed by the edges through one channel.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::mpsc::{self, Receiver, RecvTimeoutError, Sender};
 use std::thread;
@@ -37,7 +38,7 @@
     #[error("cannot listen at {address}: {detail}; choose a free address of this VM in the settings")]
     Listen {
         /// The address.
-        address: std::net::SocketAddr,
+        address: SocketAddr,
         /// Why.
         detail: String,
     },
@@ -55,6 +56,8 @@
 
 /// The borders of the decision thread.
 struct NodePorts {
+    /// Where the platform is, for operators who look charges up.
+    platform: SocketAddr,
     targets: Box<dyn TargetPort>,
     peers: Box<dyn PeerPort>,
     store: Box<dyn StorePort>,
@@ -181,7 +184,7 @@
                 let _ = sender.send(self.addresses());
             }
             Question::Status(sender) => {
-                let _ = sender.send(status(board));
+                let _ = sender.send(status(board, self.ports.platform));
             }
             Question::Document(sender) => {
                 let document = &board.document;
@@ -227,7 +230,7 @@
     }
 }
 
-fn status(board: &Blackboard) -> StatusReply {
+fn status(board: &Blackboard, platform: SocketAddr) -> StatusReply {
     let own = NodeStatus {
         node: board.identity.node.to_string(),
         data_centre: board.identity.dc.to_string(),
@@ -254,6 +257,8 @@
         reason: row.reason.to_string(),
     });
     StatusReply {
+        environment: board.document.content.environment.to_string(),
+        platform,
         revision: board.document.revision.0,
         nodes: std::iter::once(own).chain(peers).collect(),
         rollouts: rollouts.collect(),
@@ -285,6 +290,7 @@
     };
     let metrics = metering::install();
     let ports = NodePorts {
+        platform: settings.platform_address,
         targets: Box::new(TargetEdge::new(&settings.edges, sender.clone())),
         peers: Box::new(PeerEdge::start(settings, sender.clone())?),
         store: Box::new(StoreEdge::start(settings, &sender)?),
--- a/crates/wire/src/answer.rs
+++ b/crates/wire/src/answer.rs
@@ -29,6 +29,18 @@
     pub output_units: u64,
 }
 
+/// One line of the charge ledger.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LedgerLine {
+    /// Wall time at which the charge was made, in milliseconds since the Unix epoch.
+    pub at_ms: u64,
+    /// Node that made it.
+    pub node: String,
+    /// The charge.
+    #[serde(flatten)]
+    pub charge: WireCharge,
+}
+
 impl From<&ChargeLine> for WireCharge {
     fn from(line: &ChargeLine) -> Self {
         Self {
--- a/crates/wire/src/caller.rs
+++ b/crates/wire/src/caller.rs
@@ -112,6 +112,10 @@
 /// What a node knows of the environment: `GET /v1/operator/status`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StatusReply {
+    /// Environment.
+    pub environment: String,
+    /// Address of the platform's services.
+    pub platform: SocketAddr,
     /// Revision in force at the node that answers.
     pub revision: u64,
     /// Every node that it knows to be alive, itself first.
