Give the node's command line typed exits and its name in errors

A missing option ended the node with 1 and without its name, a code that no page lists; a missing key file told to check a path instead of the option that names it.

--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -35,7 +35,7 @@
     /// The key's file cannot be read.
     pub fn new(args: &CtlArgs) -> Result<Self, CtlError> {
         let key = fs::read_to_string(&args.key_file)
-            .map_err(|source| CtlError::Unreadable { path: args.key_file.clone(), source })?;
+            .map_err(|source| CtlError::NoKeyFile { path: args.key_file.clone(), source })?;
         Ok(Self { node: args.node, bearer: format!("Bearer {}", key.trim()), agent: agent() })
     }
 
--- a/crates/ctl/src/exit.rs
+++ b/crates/ctl/src/exit.rs
@@ -48,6 +48,14 @@
         /// Why.
         source: std::io::Error,
     },
+    /// The file with the operators' key cannot be read.
+    #[error("cannot read the operators' key from {path}: {source}; name its file with --key-file")]
+    NoKeyFile {
+        /// The file.
+        path: PathBuf,
+        /// Why.
+        source: std::io::Error,
+    },
     /// A file cannot be written.
     #[error("cannot write {path}: {source}; choose another file")]
     Unwritable {
@@ -127,9 +135,11 @@
         eprintln!("{PROGRAM}: {line}");
     }
     match error {
-        CtlError::Faulty(_) | CtlError::Invalid(_) | CtlError::Unreadable { .. } | CtlError::NoSuchPlace { .. } => {
-            ExitKind::Input
-        }
+        CtlError::Faulty(_)
+        | CtlError::Invalid(_)
+        | CtlError::Unreadable { .. }
+        | CtlError::NoKeyFile { .. }
+        | CtlError::NoSuchPlace { .. } => ExitKind::Input,
         CtlError::Conflict { .. } => ExitKind::Conflict,
         CtlError::Unknown => ExitKind::Unknown,
         _ => ExitKind::Failure,
--- a/crates/node/src/exit.rs
+++ b/crates/node/src/exit.rs
@@ -8,7 +8,7 @@
 pub enum ExitKind {
     /// All done; a stop cut nothing.
     Success,
-    /// The settings have faults.
+    /// The command line or the settings have faults.
     Settings,
     /// The node could not start.
     Start,
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -26,7 +26,10 @@
 use crate::settings::NodeSettings;
 
 fn main() -> ExitCode {
-    let args: NodeArgs = argh::from_env();
+    let args = match NodeArgs::from_env() {
+        Ok(args) => args,
+        Err(kind) => return kind.into(),
+    };
     // What a node did last is worth most when it ends without warning.
     spdlog::default_logger().set_flush_level_filter(spdlog::LevelFilter::All);
     let kind = match NodeSettings::load(&args) {
