--- a/crates/ctl/src/admission.rs
+++ b/crates/ctl/src/admission.rs
@@ -32,15 +32,29 @@
     let section = format!("{kind} {name}");
     let text = edit::set(&document.text, &section, "admission", &admission.to_string());
     let text = text.ok_or_else(|| unknown(&content, kind, name))?;
+    let changed = parse_document(&text).map_err(CtlError::Faulty)?;
     let call = PromoteCall { seen: document.revision, author: author.to_owned(), text };
     let nodes = promote::accept(client, &call)?;
     match admission {
-        Admission::Out => println!("{kind} {name} is out: no node of {nodes} sends new work there"),
+        Admission::Out => {
+            println!("{kind} {name} is out: no node of {nodes} sends new work there");
+            warn_of_closed(&changed);
+        }
         Admission::Open => println!("{kind} {name} is back: its targets take work again in steps"),
     }
     Ok(())
 }
 
+/// Names the services whose targets are all out.
+fn warn_of_closed(document: &Document) {
+    for service in document.services.keys() {
+        let mut targets = document.targets.values().filter(|target| target.service == *service);
+        if !targets.any(|target| document.admits(target)) {
+            println!("service {service} has no target left that takes work: its calls fail until one is brought back");
+        }
+    }
+}
+
 fn current(document: &Document, kind: PlaceKind, name: &str) -> Result<Admission, CtlError> {
     let found = match kind {
         PlaceKind::DataCentre => document.dcs.get(&DcName::new(name)).map(|spec| spec.admission),
--- a/crates/ctl/src/ask.rs
+++ b/crates/ctl/src/ask.rs
@@ -30,21 +30,34 @@
         .header(DEADLINE_HEADER, ask.deadline_ms.to_string())
         .send(&ask.body)
         .map_err(|error| no_answer(&url, &error))?;
-    let mut done = false;
+    println!("{address} answers {}:", response.status().as_u16());
+    let mut printer = AnswerPrinter::default();
     for line in BufReader::new(response.body_mut().as_reader()).lines() {
         let line = line.map_err(|error| CtlError::NoAnswer { place: url.clone(), detail: error.to_string() })?;
-        done |= print_line(&line);
+        printer.print(&line);
     }
-    Ok(if done { ExitKind::Success } else { ExitKind::Failure })
+    Ok(if printer.done { ExitKind::Success } else { ExitKind::Failure })
 }
 
-/// Prints one line of an answer; tells whether it says that the request was done.
-fn print_line(line: &str) -> bool {
-    if let Ok(token) = serde_json::from_str::<TokenReply>(line) {
-        print!("{}", token.token);
-        let _ = std::io::stdout().flush();
-        return false;
+/// Prints an answer line by line: tokens as running text, the end as it came.
+#[derive(Debug, Default)]
+struct AnswerPrinter {
+    streaming: bool,
+    done: bool,
+}
+
+impl AnswerPrinter {
+    fn print(&mut self, line: &str) {
+        if let Ok(token) = serde_json::from_str::<TokenReply>(line) {
+            print!("{}", token.token);
+            let _ = std::io::stdout().flush();
+            self.streaming = true;
+            return;
+        }
+        if self.streaming {
+            println!();
+        }
+        println!("{line}");
+        self.done |= serde_json::from_str::<FinalReply>(line).is_ok_and(|reply| reply.outcome == "done");
     }
-    println!("\n{line}");
-    serde_json::from_str::<FinalReply>(line).is_ok_and(|reply| reply.outcome == "done")
 }
