--- a/crates/ctl/tests/ctl/support.rs
+++ b/crates/ctl/tests/ctl/support.rs
@@ -2,7 +2,6 @@
 
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
-use std::sync::{Mutex, PoisonError};
 
 use wasabipier_fakes::test_env::{OPERATOR_KEY, TestEnv, TestPlan};
 
@@ -46,9 +45,6 @@
 
 /// An environment of three nodes; the node's binary is built beside the command line's.
 pub fn environment() -> TestEnv {
-    // One at a time: a port that is free for one start may not be for another.
-    static STARTING: Mutex<()> = Mutex::new(());
-    let _starting = STARTING.lock().unwrap_or_else(PoisonError::into_inner);
     let node = Path::new(BINARY).with_file_name("wasabipier");
     assert!(node.exists(), "{} is missing: run `cargo test --workspace`", node.display());
     TestEnv::start(TestPlan::typical(node.to_string_lossy().into_owned().leak()))
