Refuse early, shed the least worthy, share one deadline, retry and hedge within a budget

Cause: past saturation the node ran early stages for requests whose last stage could not be reached, and a full queue refused a newcomer however much better it was. A failed attempt was sent again at once, and a slow one was waited for until the deadline. A pace measured from recent dispatches was not built: it is low after a quiet time and refuses the first burst. Change: deadlines.rs (log buckets with fading; places counted from own permits; those bound for a service), admission.rs (a full queue gives up the latest of the heaviest organisation's least urgent), retries.rs (delay with jitter after the first), hedges.rs (one per stage, never for streams or claimed calls, only when nobody waits, loser cancelled and not charged), a share of the deadline per stage after which an affordable retry replaces the attempt.

--- a/crates/core/examples/rollout_runs.rs
+++ b/crates/core/examples/rollout_runs.rs
@@ -391,6 +391,8 @@
         permit: Permit::Own,
         started: Moment(now_ms.saturating_sub(took_ms)),
         ends: Moment(u64::MAX),
+        share_ends: Moment(u64::MAX),
+        hedge_at: None,
         streams: false,
         claimed: false,
         progress: Moment(now_ms),
--- a/crates/core/src/blackboard.rs
+++ b/crates/core/src/blackboard.rs
@@ -7,6 +7,7 @@
 use crate::burn::BurnTable;
 use crate::clock::{Moment, WallTime};
 use crate::counters::Counters;
+use crate::deadlines::StageTable;
 use crate::document::AcceptedDocument;
 use crate::harmful::HarmfulTable;
 use crate::leases::LeaseTable;
@@ -17,6 +18,7 @@
 use crate::queue::QueueTable;
 use crate::ready::ReadyTable;
 use crate::requests::RequestTable;
+use crate::retries::RetryTable;
 use crate::store_table::StoreTable;
 use crate::targets::TargetTable;
 use crate::tuning::Tuning;
@@ -67,6 +69,10 @@
     pub requests: RequestTable,
     /// Requests that wait for a target.
     pub queues: QueueTable,
+    /// What is usual for the calls of each service.
+    pub stage_times: StageTable,
+    /// Requests that wait before they are queued again.
+    pub retries: RetryTable,
     /// When to look at running attempts again.
     pub watches: WatchTable,
     /// What retries and hedges may spend.
@@ -103,6 +109,8 @@
             permits: PermitTable::default(),
             requests: RequestTable::default(),
             queues: QueueTable::default(),
+            stage_times: StageTable::default(),
+            retries: RetryTable::default(),
             watches: WatchTable::default(),
             budget: RetryBudget::new(tuning.retry_share, tuning.retry_burst),
             harmful: HarmfulTable::default(),
--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -20,9 +20,15 @@
         self.saved = (self.saved + self.share).min(self.burst);
     }
 
+    /// Whether there is one.
+    #[must_use]
+    pub fn is_affordable(&self) -> bool {
+        self.saved >= 1.0
+    }
+
     /// Takes one retry, if there is one.
     pub fn spend(&mut self) -> bool {
-        if self.saved < 1.0 {
+        if !self.is_affordable() {
             return false;
         }
         self.saved -= 1.0;
--- a/crates/core/src/counters.rs
+++ b/crates/core/src/counters.rs
@@ -33,6 +33,10 @@
     pub messages: u64,
     /// Done requests that the caller got within its deadline.
     pub in_time: u64,
+    /// Second attempts beside slow ones.
+    pub hedges: u64,
+    /// Requests that gave up their place in a full queue.
+    pub displaced: u64,
     /// Attempts that were given up because nothing came from them.
     pub silent_attempts: u64,
     /// Requests whose content was refused as harmful.
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -4,8 +4,10 @@
 use crate::blackboard::Blackboard;
 use crate::conclude;
 use crate::controller::Controller;
+use crate::deadlines;
 use crate::document::ServiceKind;
 use crate::event::{AttemptEvent, Event};
+use crate::hedges;
 use crate::names::{OrgName, RequestKey, ServiceName};
 use crate::outcome::RefusalKind;
 use crate::picker::{self, Choice};
@@ -52,7 +54,7 @@
     let weight = |org: &OrgName| document.content.orgs.get(org).map_or(1.0, |spec| spec.weight);
     while board.ready.any(service) {
         let Some(waiting) = board.queues.of(service).peek().cloned() else { return };
-        if waiting.deadline <= board.now || board.requests.get(&waiting.key).is_none() {
+        if board.requests.get(&waiting.key).is_none_or(|record| deadlines::is_lost(board, record)) {
             board.queues.of(service).pop(weight);
             conclude::fail(board, &waiting.key, RefusalKind::TooLate, out);
             continue;
@@ -70,7 +72,8 @@
     choice
 }
 
-fn send(board: &mut Blackboard, key: &RequestKey, choice: &Choice, out: &mut Vec<Action>) {
+/// Sends an attempt of a request to the target of `choice`.
+pub fn send(board: &mut Blackboard, key: &RequestKey, choice: &Choice, out: &mut Vec<Action>) {
     let limit = board.targets.get(&choice.target).map_or(0, |view| view.limit_at(&board.tuning, board.now));
     let view = board.targets.get(&choice.target);
     let cold = view.is_some_and(|view| view.warmth.seems_cold(&board.tuning, board.now));
@@ -78,13 +81,17 @@
     let Some(permit) = board.permits.take(&choice.target, limit, board.now) else { return };
     let id = board.next_attempt();
     let document = board.document.clone();
+    let Some(record) = board.requests.get(key) else { return };
+    let streams = document.content.services[record.service()].kind == ServiceKind::Generate;
+    let time_left = board.now.until(record.deadline).min(board.tuning.longest_call);
+    let share_ends = deadlines::share_ends(board, record, board.now + time_left);
+    let hedge_at = hedges::hedge_at(board, record, streams);
     let Some(record) = board.requests.get_mut(key) else { return };
     record.attempts += 1;
     record.stage_attempts += 1;
     record.state = RequestState::Running;
     let service = record.service().clone();
     let spec = &document.content.services[&service];
-    let time_left = board.now.until(record.deadline).min(board.tuning.longest_call);
     let order = SendOrder {
         attempt: id,
         key: key.clone(),
@@ -111,7 +118,9 @@
         permit,
         started: board.now,
         ends: board.now + time_left,
-        streams: spec.kind == ServiceKind::Generate,
+        share_ends,
+        hedge_at,
+        streams,
         claimed: record.claim.is_some(),
         progress: board.now,
         tokens: 0,
@@ -119,7 +128,7 @@
         flowing: false,
     };
     board.counters.attempts += 1;
-    board.watches.set(id, watches::silent_at(board, &attempt));
+    board.watches.set(id, watches::next_look(board, &attempt));
     board.requests.start_attempt(id, attempt);
     out.push(Action::Send(Box::new(order)));
 }
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -68,6 +68,8 @@
     Rejected,
     /// The answer could not be read.
     Malformed,
+    /// The call ran past its share of the deadline.
+    Late,
 }
 
 /// What became of an attempt.
--- a/crates/core/src/intake.rs
+++ b/crates/core/src/intake.rs
@@ -5,10 +5,12 @@
 use std::time::Duration;
 
 use crate::action::{Action, AnswerPart};
+use crate::admission;
 use crate::blackboard::Blackboard;
 use crate::burn::tally;
 use crate::conclude;
 use crate::controller::Controller;
+use crate::deadlines;
 use crate::document::{Document, ServiceKind};
 use crate::event::{Ask, Event, Goal};
 use crate::message::NodeState;
@@ -45,7 +47,7 @@
     if join_known(board, ask, content, out) {
         return;
     }
-    match admit(board, ask, content) {
+    match admit(board, ask, content, out) {
         Ok(plan) => open(board, ask, content, plan),
         Err(refusal) => {
             board.counters.refused += 1;
@@ -89,7 +91,7 @@
     true
 }
 
-fn admit(board: &mut Blackboard, ask: &Ask, content: Fingerprint) -> Result<Plan, RefusalKind> {
+fn admit(board: &mut Blackboard, ask: &Ask, content: Fingerprint, out: &mut Vec<Action>) -> Result<Plan, RefusalKind> {
     if board.state != NodeState::Serving {
         return Err(RefusalKind::NotReady);
     }
@@ -102,12 +104,16 @@
         board.counters.harmful_refused += 1;
         return Err(RefusalKind::Harmful);
     }
-    if board.queues.of(&plan.stages[0]).len() >= board.tuning.queue_bound {
-        return Err(RefusalKind::Overloaded);
-    }
     if !plan.repeatable && !board.store.is_healthy() {
         return Err(RefusalKind::ClaimUnavailable);
     }
+    let left = ask.deadline.min(plan.longest);
+    if deadlines::is_hopeless(board, &plan.stages, ask.priority, left) {
+        return Err(RefusalKind::TooLate);
+    }
+    if !admission::make_room(board, &plan.stages[0], ask, left, out) {
+        return Err(RefusalKind::Overloaded);
+    }
     Ok(plan)
 }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -23,6 +23,7 @@
 
 pub mod readiness;
 
+pub mod admission;
 pub mod intake;
 pub mod requests;
 
@@ -55,6 +56,10 @@
 pub mod stages;
 pub mod watches;
 
+pub mod deadlines;
+pub mod hedges;
+pub mod retries;
+
 pub mod delta;
 pub mod documents;
 pub mod leases;
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -5,6 +5,7 @@
 use crate::claims::ClaimController;
 use crate::clock::{Moment, WallTime};
 use crate::controller::Controller;
+use crate::deadlines::PlaceController;
 use crate::dispatch::DispatchController;
 use crate::documents::DocumentController;
 use crate::event::Event;
@@ -16,6 +17,7 @@
 use crate::names::NodeName;
 use crate::orders::OrderController;
 use crate::readiness::ReadinessController;
+use crate::retries::RetryController;
 use crate::rollouts::RolloutController;
 use crate::seats::SeatController;
 use crate::stages::StageController;
@@ -69,9 +71,11 @@
             Box::<SeatController>::default(),
             Box::<LeaseController>::default(),
             Box::<OrderController>::default(),
+            Box::<PlaceController>::default(),
             Box::<IntakeController>::default(),
             Box::<StageController>::default(),
             Box::<WatchController>::default(),
+            Box::<RetryController>::default(),
             Box::<ClaimController>::default(),
             Box::<LendingController>::default(),
             Box::<DispatchController>::default(),
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -23,6 +23,17 @@
     waiting: BTreeSet<Waiting>,
 }
 
+/// The request that a queue can best do without.
+#[derive(Clone, Debug, PartialEq)]
+pub struct WorstWaiting {
+    /// Its urgency.
+    pub priority: Priority,
+    /// The request.
+    pub waiting: Waiting,
+    /// Requests of its organisation in the queue, over the organisation's weight.
+    pub lane_load: f64,
+}
+
 /// Requests of one urgency, served by start-time fair queuing over organisations.
 #[derive(Clone, Debug, Default)]
 struct Level {
@@ -71,6 +82,18 @@
         }
     }
 
+    fn lane_load(&self, org: &OrgName, weight: impl Fn(&OrgName) -> f64) -> f64 {
+        self.lanes.get(org).map_or(0.0, |lane| lane.waiting.len() as f64 / weight(org).max(0.001))
+    }
+
+    /// The latest deadline of the organisation with the most requests for its weight.
+    fn worst(&self, weight: impl Fn(&OrgName) -> f64) -> Option<(f64, Waiting)> {
+        let loads = self.order.iter().map(|(_, org)| (self.lane_load(org, &weight), org));
+        let (load, org) = loads.max_by(|one, other| one.0.total_cmp(&other.0).then(one.1.cmp(other.1)))?;
+        let waiting = self.lanes.get(org)?.waiting.last()?;
+        Some((load, waiting.clone()))
+    }
+
     fn remove(&mut self, waiting: &Waiting) -> bool {
         let Some(lane) = self.lanes.get_mut(&waiting.key.org) else { return false };
         let removed = lane.waiting.remove(waiting);
@@ -115,6 +138,22 @@
         }
     }
 
+    /// The request to give up for a better one: of the least urgent, the latest of the heaviest organisation.
+    #[must_use]
+    pub fn worst(&self, weight: impl Fn(&OrgName) -> f64) -> Option<WorstWaiting> {
+        const PRIORITIES: [Priority; 3] = [Priority::Batch, Priority::Normal, Priority::Interactive];
+        PRIORITIES.into_iter().find_map(|priority| {
+            let (lane_load, waiting) = self.levels[priority as usize].worst(&weight)?;
+            Some(WorstWaiting { priority, waiting, lane_load })
+        })
+    }
+
+    /// Requests of an organisation at one urgency, over the organisation's weight.
+    #[must_use]
+    pub fn lane_load(&self, priority: Priority, org: &OrgName, weight: impl Fn(&OrgName) -> f64) -> f64 {
+        self.levels[priority as usize].lane_load(org, weight)
+    }
+
     /// Requests that wait.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -140,6 +179,12 @@
         self.queues.entry(service.clone()).or_default()
     }
 
+    /// Requests that wait for a service.
+    #[must_use]
+    pub fn len_of(&self, service: &ServiceName) -> usize {
+        self.queues.get(service).map_or(0, ServiceQueue::len)
+    }
+
     /// The first service after `previous` with requests that wait.
     #[must_use]
     pub fn next_busy(&self, previous: Option<&ServiceName>) -> Option<ServiceName> {
--- a/crates/core/src/ready.rs
+++ b/crates/core/src/ready.rs
@@ -11,8 +11,9 @@
 use crate::names::{ServiceName, TargetName, VersionName};
 
 /// Where a target belongs.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 struct ReadySlot {
+    service: ServiceName,
     pool: usize,
     place: Option<usize>,
 }
@@ -37,7 +38,8 @@
             if pool == next {
                 self.pools.push(Vec::new());
             }
-            self.slots.insert(name.clone(), ReadySlot { pool, place: None });
+            let service = spec.service.clone();
+            self.slots.insert(name.clone(), ReadySlot { service, pool, place: None });
             self.wake(name);
         }
     }
@@ -48,6 +50,11 @@
         self.slots.contains_key(target)
     }
 
+    /// Targets that operators admit work to, with their services.
+    pub fn admitted(&self) -> impl Iterator<Item = (&ServiceName, &TargetName)> {
+        self.slots.iter().map(|(target, slot)| (&slot.service, target))
+    }
+
     /// The pool of a version, if any target of it is admitted.
     #[must_use]
     pub fn pool(&self, service: &ServiceName, version: &VersionName) -> Option<usize> {
--- a/crates/core/src/requests.rs
+++ b/crates/core/src/requests.rs
@@ -22,6 +22,8 @@
     Queued,
     /// An attempt runs.
     Running,
+    /// Its attempt failed, and it waits before it is queued again.
+    Delayed,
     /// Another node runs it; this one waits for the outcome.
     Following,
 }
@@ -135,6 +137,10 @@
     pub started: Moment,
     /// When it must have ended.
     pub ends: Moment,
+    /// When its share of the deadline is used up.
+    pub share_ends: Moment,
+    /// When a second attempt beside it is worth its cost.
+    pub hedge_at: Option<Moment>,
     /// Whether it brings a stream of tokens.
     pub streams: bool,
     /// Whether its request must not be repeated.
@@ -217,6 +223,9 @@
 pub struct RequestTable {
     records: BTreeMap<RequestKey, RequestRecord>,
     attempts: BTreeMap<AttemptId, AttemptRecord>,
+    in_flight: BTreeMap<ServiceName, u32>,
+    /// Requests by urgency that run at a service, wait for it or will come to it.
+    bound: BTreeMap<ServiceName, [u32; 3]>,
     draining: BTreeMap<AttemptId, DrainingAttempt>,
     draining_order: BTreeSet<(Moment, AttemptId)>,
     calls: BTreeMap<CallId, RequestKey>,
@@ -236,6 +245,9 @@
             self.calls.insert(*call, record.key.clone());
         }
         self.deadlines.insert((record.deadline, record.key.clone()));
+        for stage in &record.stages {
+            self.bound.entry(stage.clone()).or_default()[record.priority as usize] += 1;
+        }
         self.records.insert(record.key.clone(), record);
     }
 
@@ -287,6 +299,9 @@
     pub fn end(&mut self, key: &RequestKey, answer: &FinalAnswer, now: Moment) -> Option<RequestRecord> {
         let record = self.records.remove(key)?;
         self.deadlines.remove(&(record.deadline, key.clone()));
+        for stage in &record.stages[record.stage as usize..] {
+            self.unbind(stage, record.priority);
+        }
         for call in &record.callers {
             self.calls.remove(call);
         }
@@ -326,6 +341,7 @@
         if let Some(record) = self.records.get_mut(&attempt.key) {
             record.running.push(id);
         }
+        *self.in_flight.entry(attempt.service.clone()).or_default() += 1;
         self.attempts.insert(id, attempt);
     }
 
@@ -335,6 +351,42 @@
         self.attempts.get(&id)
     }
 
+    /// Moves a request on to its next stage.
+    pub fn next_stage(&mut self, key: &RequestKey, previous: Arc<str>) {
+        let Some(record) = self.records.get_mut(key) else { return };
+        let (service, priority) = (record.service().clone(), record.priority);
+        record.previous = previous;
+        record.stage += 1;
+        record.stage_attempts = 0;
+        record.tokens.clear();
+        record.failed_at.clear();
+        record.sent = true;
+        self.unbind(&service, priority);
+    }
+
+    fn unbind(&mut self, service: &ServiceName, priority: Priority) {
+        if let Some(counts) = self.bound.get_mut(service) {
+            counts[priority as usize] -= 1;
+        }
+    }
+
+    /// Requests as urgent or more so that run at a service, wait for it or will come to it.
+    #[must_use]
+    pub fn bound_for(&self, service: &ServiceName, priority: Priority) -> u32 {
+        self.bound.get(service).map_or(0, |counts| counts[..=priority as usize].iter().sum())
+    }
+
+    /// Attempts that run at targets of a service.
+    #[must_use]
+    pub fn in_flight(&self, service: &ServiceName) -> u32 {
+        self.in_flight.get(service).copied().unwrap_or_default()
+    }
+
+    /// One attempt, to change what is still to be looked at.
+    pub fn attempt_mut(&mut self, id: AttemptId) -> Option<&mut AttemptRecord> {
+        self.attempts.get_mut(&id)
+    }
+
     /// Notes a token of an attempt; gives its request.
     pub fn progress(&mut self, id: AttemptId, flows_after: Duration, now: Moment) -> Option<StreamProgress<'_>> {
         let attempt = self.attempts.get_mut(&id)?;
@@ -371,6 +423,9 @@
     /// Removes an attempt that ended.
     pub fn end_attempt(&mut self, id: AttemptId) -> Option<AttemptRecord> {
         let attempt = self.attempts.remove(&id)?;
+        if let Some(count) = self.in_flight.get_mut(&attempt.service) {
+            *count -= 1;
+        }
         if let Some(record) = self.records.get_mut(&attempt.key) {
             record.running.retain(|other| *other != id);
         }
--- /dev/null
+++ b/crates/core/src/retries.rs
@@ -0,0 +1,59 @@
+//! Retries that wait: spread out, so that those who failed together do not come back together.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use crate::action::Action;
+use crate::blackboard::Blackboard;
+use crate::clock::Moment;
+use crate::controller::Controller;
+use crate::event::Event;
+use crate::names::RequestKey;
+use crate::requests::RequestState;
+use crate::stages;
+
+/// Requests by the moment at which they are queued again.
+#[derive(Clone, Debug, Default)]
+pub struct RetryTable {
+    due: BTreeSet<(Moment, RequestKey)>,
+}
+
+impl RetryTable {
+    /// Queues a request again at the given moment.
+    pub fn set(&mut self, key: RequestKey, at: Moment) {
+        self.due.insert((at, key));
+    }
+
+    fn pop_due(&mut self, now: Moment) -> Option<RequestKey> {
+        let (at, _) = self.due.first()?;
+        if *at > now {
+            return None;
+        }
+        self.due.pop_first().map(|(_, key)| key)
+    }
+}
+
+/// Queues requests again when their delay is over.
+#[derive(Debug, Default)]
+pub struct RetryController;
+
+impl Controller for RetryController {
+    fn on_event(&mut self, board: &mut Blackboard, event: &Event, _out: &mut Vec<Action>) {
+        if !matches!(event, Event::Tick) {
+            return;
+        }
+        while let Some(key) = board.retries.pop_due(board.now) {
+            // The request may have ended meanwhile.
+            if board.requests.get(&key).is_some_and(|record| record.state == RequestState::Delayed) {
+                stages::requeue(board, &key);
+            }
+        }
+    }
+}
+
+/// Delay before attempt `number` of a stage, doubled with each, with jitter.
+#[must_use]
+pub fn delay(board: &mut Blackboard, number: u32) -> Duration {
+    let doubled = board.tuning.retry_delay * 2_u32.pow(number.saturating_sub(1).min(8));
+    doubled.mul_f64(0.5 + board.random.f64())
+}
--- a/crates/core/src/stages.rs
+++ b/crates/core/src/stages.rs
@@ -9,11 +9,13 @@
 use crate::controller::Controller;
 use crate::counting;
 use crate::event::{AttemptEvent, Event, FailureKind};
+use crate::hedges;
 use crate::intake::is_stream;
 use crate::message::PeerMessage;
 use crate::names::{AttemptId, Fingerprint, NodeName, RequestKey, TargetName};
 use crate::outcome::{ChargeLine, FinalAnswer, LoadReport, Outcome, RefusalKind, Usage};
 use crate::requests::{AttemptRecord, RequestState};
+use crate::retries;
 
 /// Moves requests from stage to stage.
 #[derive(Debug, Default)]
@@ -88,6 +90,7 @@
         return;
     };
     tally::count_attempt(board, &attempt, true);
+    hedges::stop_losers(board, &attempt, out);
     learn_success(board, &attempt, report, out);
     let charge = charge_of(&attempt, usage);
     board.counters.charges += 1;
@@ -103,12 +106,7 @@
         conclude::conclude(board, &attempt.key, &answer, out);
         return;
     }
-    record.previous = whole;
-    record.stage += 1;
-    record.stage_attempts = 0;
-    record.tokens.clear();
-    record.failed_at.clear();
-    record.sent = true;
+    board.requests.next_stage(&attempt.key, whole);
     requeue(board, &attempt.key);
 }
 
@@ -124,7 +122,8 @@
     }
 }
 
-fn requeue(board: &mut Blackboard, key: &RequestKey) {
+/// Queues a request at the stage where it stands.
+pub(crate) fn requeue(board: &mut Blackboard, key: &RequestKey) {
     let Some(record) = board.requests.get_mut(key) else { return };
     record.state = RequestState::Queued;
     let (service, priority, waiting) = (record.service().clone(), record.priority, record.waiting());
@@ -134,6 +133,7 @@
 fn learn_success(board: &mut Blackboard, attempt: &AttemptRecord, report: &LoadReport, out: &mut Vec<Action>) {
     let now = board.now;
     on_report(board, &attempt.target, report, out);
+    board.stage_times.learn(&attempt.service, now.since(attempt.started));
     let view = board.targets.get_mut(&attempt.target);
     if view.is_some_and(|view| view.learn_success(attempt.served(now), &board.tuning, now)) {
         tell_cold(board, &attempt.target, out);
@@ -156,9 +156,10 @@
 }
 
 /// Gives an attempt up of which nothing comes any more; its request goes on elsewhere.
-pub(crate) fn give_up(board: &mut Blackboard, id: AttemptId, out: &mut Vec<Action>) {
+pub(crate) fn give_up(board: &mut Blackboard, id: AttemptId, kind: FailureKind, out: &mut Vec<Action>) {
     if let Some(attempt) = conclude::cancel_attempt(board, id, out) {
-        failed(board, &attempt, FailureKind::Silent, true, out);
+        board.stage_times.learn(&attempt.service, board.now.since(attempt.started));
+        failed(board, &attempt, kind, true, out);
     }
 }
 
@@ -179,6 +180,10 @@
         conclude::fail(board, &attempt.key, RefusalKind::Unsettled, out);
         return;
     }
+    if !record.running.is_empty() {
+        // The other one of a hedge goes on.
+        return;
+    }
     retry(board, &attempt.key, record_content(board, &attempt.key), ran, out);
 }
 
@@ -203,7 +208,20 @@
         return;
     }
     board.counters.retries += 1;
-    requeue(board, key);
+    retry_later(board, key, costs);
+}
+
+/// Queues a request again: at once after a first failure, as another target takes it, later with delay.
+fn retry_later(board: &mut Blackboard, key: &RequestKey, ran: bool) {
+    let Some(attempts) = board.requests.get(key).map(|record| record.stage_attempts) else { return };
+    if ran && attempts < 2 {
+        return requeue(board, key);
+    }
+    let at = board.now + retries::delay(board, attempts);
+    if let Some(record) = board.requests.get_mut(key) {
+        record.state = RequestState::Delayed;
+        board.retries.set(key.clone(), at);
+    }
 }
 
 fn learn_failure(
--- a/crates/core/src/targets.rs
+++ b/crates/core/src/targets.rs
@@ -119,7 +119,7 @@
 
     /// Learns from a failure: rests the target, longer with each in a row; tells whether it turned cold.
     pub fn learn_failure(&mut self, kind: FailureKind, now: Moment) -> bool {
-        if kind == FailureKind::Rejected {
+        if matches!(kind, FailureKind::Rejected | FailureKind::Late) {
             return false;
         }
         self.failures += 1;
--- a/crates/core/src/tuning.rs
+++ b/crates/core/src/tuning.rs
@@ -23,6 +23,12 @@
     pub stream_silence: Duration,
     /// Silence before the first token of a stream after which its attempt is given up.
     pub first_token_silence: Duration,
+    /// Whether requests that are likely to miss their deadline are refused at once.
+    pub early_refusal: bool,
+    /// Whether unusually slow calls get a second attempt beside them.
+    pub hedging: bool,
+    /// Delay before the second retry of a stage, doubled with each, before jitter.
+    pub retry_delay: Duration,
     /// Most attempts of one stage.
     pub most_attempts: u32,
     /// Most requests queued for one service.
@@ -69,6 +75,9 @@
             longest_call: Duration::from_secs(6),
             stream_silence: Duration::from_secs(1),
             first_token_silence: Duration::from_secs(2),
+            early_refusal: true,
+            hedging: true,
+            retry_delay: Duration::from_millis(20),
             most_attempts: 3,
             queue_bound: 400,
             retry_share: 0.1,
--- a/crates/core/src/watches.rs
+++ b/crates/core/src/watches.rs
@@ -6,7 +6,8 @@
 use crate::blackboard::Blackboard;
 use crate::clock::Moment;
 use crate::controller::Controller;
-use crate::event::Event;
+use crate::event::{Event, FailureKind};
+use crate::hedges;
 use crate::names::AttemptId;
 use crate::requests::AttemptRecord;
 use crate::stages;
@@ -53,20 +54,56 @@
 
 fn look(board: &mut Blackboard, id: AttemptId, out: &mut Vec<Action>) {
     let Some(attempt) = board.requests.attempt(id) else { return };
-    let silent_at = silent_at(board, attempt);
-    if board.now < silent_at {
-        board.watches.set(id, silent_at);
+    let now = board.now;
+    if now >= silent_at(board, attempt) {
+        board.counters.silent_attempts += 1;
+        stages::give_up(board, id, FailureKind::Silent, out);
         return;
     }
-    board.counters.silent_attempts += 1;
-    stages::give_up(board, id, out);
+    if attempt.hedge_at.is_some_and(|at| at <= now) {
+        hedges::hedge(board, id, out);
+    } else if may_retry_late(board, attempt) {
+        stages::give_up(board, id, FailureKind::Late, out);
+        return;
+    }
+    pass(board, id);
+}
+
+/// Notes what was looked at, and looks again when there is more.
+fn pass(board: &mut Blackboard, id: AttemptId) {
+    let now = board.now;
+    let Some(attempt) = board.requests.attempt_mut(id) else { return };
+    attempt.hedge_at = attempt.hedge_at.filter(|at| *at > now);
+    if attempt.share_ends <= now {
+        attempt.share_ends = attempt.ends;
+    }
+    let Some(attempt) = board.requests.attempt(id) else { return };
+    let next = next_look(board, attempt);
+    board.watches.set(id, next);
+}
+
+/// Whether an attempt has used up its share, and another one is affordable.
+fn may_retry_late(board: &Blackboard, attempt: &AttemptRecord) -> bool {
+    let late = !attempt.streams && !attempt.claimed && board.now >= attempt.share_ends;
+    let again = board
+        .requests
+        .get(&attempt.key)
+        .is_some_and(|record| record.running.len() == 1 && record.stage_attempts < board.tuning.most_attempts);
+    late && again && board.budget.is_affordable() && board.ready.any(&attempt.service)
+}
+
+/// When an attempt is looked at next, if it makes no further progress.
+#[must_use]
+pub fn next_look(board: &Blackboard, attempt: &AttemptRecord) -> Moment {
+    let silent = silent_at(board, attempt);
+    let share = if attempt.streams || attempt.claimed { silent } else { attempt.share_ends };
+    silent.min(share).min(attempt.hedge_at.unwrap_or(silent))
 }
 
 /// When an attempt that makes no further progress is given up.
 ///
 /// Only a request that may be sent again is given up early: for a claimed one nothing would be gained.
-#[must_use]
-pub fn silent_at(board: &Blackboard, attempt: &AttemptRecord) -> Moment {
+fn silent_at(board: &Blackboard, attempt: &AttemptRecord) -> Moment {
     if !attempt.streams || attempt.claimed {
         return attempt.ends;
     }
