Serve callers until the addresses handed out have lapsed, and write the last answers before the end

Cause: a node that was asked to stop refused all new work at once, while callers still held its address: each_node_is_replaced_in_turn_and_no_request_is_cut red with 'not-ready' in the first seconds. The process also ended while callers' threads could still be writing what the core had ended. Change: a leaving node takes work until it is closed, one second for peers to hear of it and the time that addresses are kept; the end waits for open calls, 2 s at most. A load driver that keeps to the addresses it was given, and tests of planned stops, a second signal and a data centre out and back.

--- a/crates/core/src/blackboard.rs
+++ b/crates/core/src/blackboard.rs
@@ -55,6 +55,8 @@
     pub random: fastrand::Rng,
     /// Whether this node takes new work.
     pub state: NodeState,
+    /// Whether callers that still come are turned away: answers with this node's address have lapsed.
+    pub closed: bool,
     /// The document in force here; revision 0 until there is one.
     pub document: Arc<AcceptedDocument>,
     /// Peers.
@@ -102,6 +104,7 @@
             identity,
             random: fastrand::Rng::with_seed(seed),
             state: NodeState::Starting,
+            closed: false,
             document: Arc::default(),
             members: MemberTable::default(),
             targets: TargetTable::default(),
--- a/crates/core/src/intake.rs
+++ b/crates/core/src/intake.rs
@@ -92,7 +92,9 @@
 }
 
 fn admit(board: &mut Blackboard, ask: &Ask, content: Fingerprint, out: &mut Vec<Action>) -> Result<Plan, RefusalKind> {
-    if board.state != NodeState::Serving {
+    // A leaving node serves until the addresses that were handed out have lapsed.
+    let takes_new = board.state == NodeState::Serving || (board.state == NodeState::Leaving && !board.closed);
+    if !takes_new {
         return Err(RefusalKind::NotReady);
     }
     let document = &board.document.content;
--- a/crates/core/src/readiness.rs
+++ b/crates/core/src/readiness.rs
@@ -32,9 +32,10 @@
         board.state = if ready { NodeState::Serving } else { NodeState::Starting };
     }
 
-    fn leave(&mut self, board: &Blackboard, closes: Moment, out: &mut Vec<Action>) {
+    fn leave(&mut self, board: &mut Blackboard, closes: Moment, out: &mut Vec<Action>) {
+        board.closed |= board.now >= closes;
         let idle = board.requests.is_empty() && board.requests.settlements.is_empty();
-        if board.now >= closes && idle && !self.stopped {
+        if board.closed && idle && !self.stopped {
             self.stopped = true;
             out.push(Action::Stopped);
         }
@@ -49,6 +50,8 @@
         }
         if matches!(event, Event::StopAsked) && self.closes.is_none() {
             self.closes = Some(board.now + Self::TOLD_WITHIN + board.tuning.addresses_kept);
+            // A node that was not ready has no caller to wait for.
+            board.closed = board.state != NodeState::Serving;
             board.state = NodeState::Leaving;
         }
         self.judge(board, out);
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod target;
 pub mod test_caller;
 pub mod test_env;
+pub mod test_load;
 pub mod test_plan;
--- a/crates/fakes/src/link.rs
+++ b/crates/fakes/src/link.rs
@@ -13,6 +13,7 @@
     /// Connections opened before this count are frozen.
     frozen_before: AtomicU64,
     opened: AtomicU64,
+    open: AtomicU64,
     refusing: AtomicBool,
     streams: Mutex<Vec<TcpStream>>,
 }
@@ -59,6 +60,12 @@
         self.address
     }
 
+    /// Connections that are open at both ends.
+    #[must_use]
+    pub fn open_connections(&self) -> u64 {
+        self.state.open.load(Ordering::SeqCst)
+    }
+
     /// Breaks all connections that are open.
     pub fn cut(&self) {
         let mut streams = self.state.streams.lock().unwrap_or_else(PoisonError::into_inner);
@@ -103,13 +110,17 @@
 fn accept(state: &Arc<LinkState>, client: TcpStream, server: SocketAddr) {
     let Ok(upstream) = TcpStream::connect(server) else { return };
     let number = state.opened.fetch_add(1, Ordering::SeqCst);
+    state.open.fetch_add(1, Ordering::SeqCst);
     let _ = client.set_nodelay(true);
     let _ = upstream.set_nodelay(true);
     let ends = [client.try_clone(), client.try_clone(), upstream.try_clone(), upstream.try_clone()];
     let [Ok(keep_client), Ok(client_out), Ok(keep_upstream), Ok(upstream_out)] = ends else { return };
     state.streams.lock().unwrap_or_else(PoisonError::into_inner).extend([keep_client, keep_upstream]);
     let (to, back) = (state.clone(), state.clone());
-    thread::spawn(move || forward(&to, number, client, upstream_out));
+    thread::spawn(move || {
+        forward(&to, number, client, upstream_out);
+        to.open.fetch_sub(1, Ordering::SeqCst);
+    });
     thread::spawn(move || forward(&back, number, upstream, client_out));
 }
 
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -3,9 +3,10 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{self, Receiver};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use metrics_exporter_prometheus::PrometheusHandle;
 use serde_json::Value;
@@ -86,15 +87,38 @@
     pub operator_key: SecretKey,
     metrics: PrometheusHandle,
     most_body_bytes: u64,
+    open_calls: OpenCalls,
+}
+
+/// Calls whose answers are not yet written.
+#[derive(Clone, Debug, Default)]
+pub struct OpenCalls(Arc<AtomicUsize>);
+
+impl OpenCalls {
+    /// Time for the last answers of a node that stops.
+    const WRITTEN_WITHIN: Duration = Duration::from_secs(2);
+    const LOOK_EVERY: Duration = Duration::from_millis(5);
+
+    /// Waits until all answers are written: what the decision thread has ended may still be on its way.
+    pub fn wait(&self) {
+        let started = Instant::now();
+        while self.0.load(Ordering::SeqCst) > 0 && started.elapsed() < Self::WRITTEN_WITHIN {
+            thread::sleep(Self::LOOK_EVERY);
+        }
+    }
 }
 
 impl CallerEdge {
-    /// Starts to listen.
+    /// Starts to listen; gives the count of calls that a stop waits for.
     ///
     /// # Errors
     ///
     /// The address cannot be bound or a thread is refused.
-    pub fn start(settings: &NodeSettings, metrics: PrometheusHandle, inputs: InputSender) -> Result<(), StartError> {
+    pub fn start(
+        settings: &NodeSettings,
+        metrics: PrometheusHandle,
+        inputs: InputSender,
+    ) -> Result<OpenCalls, StartError> {
         let address = settings.identity.caller_address;
         let listen = |detail: String| StartError::Listen { address, detail };
         let listener = bind(address).map_err(|error| listen(error.to_string()))?;
@@ -105,17 +129,21 @@
             operator_key: settings.operator_key.clone(),
             metrics,
             most_body_bytes: settings.edges.most_body_bytes,
+            open_calls: OpenCalls::default(),
         });
+        let open_calls = edge.open_calls.clone();
         for number in 0..settings.edges.caller_threads {
             let (server, edge) = (server.clone(), edge.clone());
             thread::Builder::new().name(format!("caller-{number}")).spawn(move || {
                 while let Ok(request) = server.recv() {
+                    edge.open_calls.0.fetch_add(1, Ordering::SeqCst);
                     edge.serve(request);
+                    edge.open_calls.0.fetch_sub(1, Ordering::SeqCst);
                 }
             })?;
         }
         info!("{CALLERS} listening at {address}.");
-        Ok(())
+        Ok(open_calls)
     }
 
     fn serve(&self, request: Request) {
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -296,7 +296,7 @@
         ledger: Box::new(LedgerEdge::start(settings)?),
     };
     platform::start(settings, sender.clone())?;
-    CallerEdge::start(settings, metrics, sender.clone())?;
+    let open_calls = CallerEdge::start(settings, metrics, sender.clone())?;
     signals::start(sender.clone())?;
     let identity = &settings.identity;
     info!("{NODE} {} started in {} for callers at {}.", identity.node, identity.dc, identity.caller_address);
