Prove racing operators, silent peer links, a start without the store and an isolated node

Cause: these failures were decided in the core only. Change: four tests over real processes. A peer's accepted stream without a frame for 60 s is dropped: the node that dialled replaces a silent connection by its pings, the other end kept it for good. A node may listen for peers at another address than the one it is reached at (peer_listen), which the tests use to put a link in front of it.

--- a/crates/fakes/src/test_env.rs
+++ b/crates/fakes/src/test_env.rs
@@ -19,6 +19,7 @@
 
 use crate::engine::FakeEngine;
 use crate::faults::FaultSettings;
+use crate::link::FaultyLink;
 use crate::orders::OrderBook;
 use crate::platform::FakePlatform;
 use crate::server::{FakeHandler, FakeServer};
@@ -87,6 +88,9 @@
     pub caller_address: SocketAddr,
     /// Address for peers.
     pub peer_address: SocketAddr,
+    /// Link in front of the address at which the node listens for peers.
+    pub peer_link: FaultyLink,
+    peer_listen: SocketAddr,
     child: Option<Child>,
 }
 
@@ -231,8 +235,8 @@
     fn settings(&self, node: usize) -> String {
         let own = &self.nodes[node];
         let mut text = format!(
-            "[node]\nname = {}\ndata_centre = {}\nenvironment = production\ncaller_address = {}\npeer_address = {}\n",
-            own.name, own.dc, own.caller_address, own.peer_address
+            "[node]\nname = {}\ndata_centre = {}\nenvironment = production\ncaller_address = {}\npeer_address = {}\npeer_listen = {}\n",
+            own.name, own.dc, own.caller_address, own.peer_address, own.peer_listen
         );
         let _ = writeln!(text, "[platform]\naddress = {}", self.platform_server.address());
         let _ = writeln!(text, "[keys]\npeers = {PEER_KEY}\noperators = {OPERATOR_KEY}\n[peers]");
@@ -441,11 +445,15 @@
 }
 
 fn new_node(number: usize) -> TestNode {
+    let peer_listen = next_address();
+    let peer_link = FaultyLink::start(next_address(), peer_listen).expect("a link can be set up");
     TestNode {
         name: format!("entry-{}", number + 1),
         dc: dc_name(number),
         caller_address: next_address(),
-        peer_address: next_address(),
+        peer_address: peer_link.address(),
+        peer_link,
+        peer_listen,
         child: None,
     }
 }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -28,6 +28,8 @@
 /// Interval of pings, and time for their answers: a silent connection is replaced within both.
 const PING_EVERY: Duration = Duration::from_millis(500);
 const PONG_WITHIN: Duration = Duration::from_secs(1);
+/// Time without a frame after which an accepted stream is dropped; its node opens a new one if it lives.
+const SILENT_AFTER: Duration = Duration::from_secs(60);
 /// Pause before a new connection.
 const RECONNECT_AFTER: Duration = Duration::from_millis(200);
 /// Most bytes read of a peer's words on why it ends a stream.
@@ -74,7 +76,7 @@
     pub fn start(settings: &NodeSettings, inputs: InputSender) -> Result<Self, StartError> {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
         let handle = runtime.handle().clone();
-        let address = settings.identity.peer_address;
+        let address = settings.peer_listen.unwrap_or(settings.identity.peer_address);
         let listener = runtime
             .block_on(TcpListener::bind(address))
             .map_err(|error| StartError::Listen { address, detail: error.to_string() })?;
@@ -287,7 +289,8 @@
 
 async fn receive(mut body: RecvStream, node: &NodeName, inputs: &InputSender) -> Result<(), PeerError> {
     let mut buffer = BytesMut::new();
-    while let Some(part) = body.data().await {
+    // The node that dialled drops a silent connection by its pings; this end must not keep it for good.
+    while let Some(part) = timeout(SILENT_AFTER, body.data()).await.map_err(|_| PeerError::Silent)? {
         let part = part?;
         body.flow_control().release_capacity(part.len())?;
         buffer.extend_from_slice(&part);
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -66,6 +66,8 @@
     pub peer_key: SecretKey,
     /// Key that operators must show.
     pub operator_key: SecretKey,
+    /// Address to listen at for peers, if they reach this node under another one.
+    pub peer_listen: Option<SocketAddr>,
     /// Peers to start with.
     pub peers: Vec<PeerSpec>,
     /// Times and bounds of the decisions.
@@ -125,7 +127,10 @@
     fn parse(text: &str) -> Result<Self, FaultList> {
         let mut reader = IniReader::parse(text)?;
         reader.check_sections(&["node", "platform", "keys", "peers", "tuning", "edges"], &[]);
-        reader.check_keys("node", &["name", "data_centre", "environment", "caller_address", "peer_address"]);
+        reader.check_keys(
+            "node",
+            &["name", "data_centre", "environment", "caller_address", "peer_address", "peer_listen"],
+        );
         reader.check_keys("platform", &["address"]);
         reader.check_keys("keys", &["peers", "operators"]);
         let settings = Self {
@@ -134,6 +139,7 @@
             platform_address: read_address(&mut reader, "platform", "address"),
             peer_key: read_key(&mut reader, "peers"),
             operator_key: read_key(&mut reader, "operators"),
+            peer_listen: read_peer_listen(&mut reader),
             peers: read_peers(&mut reader),
             tuning: read_tuning(&mut reader),
             edges: read_edges(&mut reader),
@@ -147,6 +153,11 @@
     reader.required(section, key, unset, "an IP number and port, such as 10.0.0.1:7000")
 }
 
+fn read_peer_listen(reader: &mut IniReader) -> Option<SocketAddr> {
+    reader.text("node", "peer_listen")?;
+    Some(read_address(reader, "node", "peer_listen"))
+}
+
 fn read_identity(reader: &mut IniReader) -> Identity {
     Identity {
         node: NodeName::new(reader.required_text("node", "name", "entry-1")),
--- /dev/null
+++ b/crates/node/tests/control.rs
@@ -0,0 +1,127 @@
+//! What nodes keep up together while operators race, links go silent and the table service is out.
+
+use std::thread;
+
+use rustix::process::Signal;
+use wasabipier_fakes::faults::FaultSettings;
+use wasabipier_fakes::target::TargetSettings;
+use wasabipier_fakes::test_env::{TestEnv, TestPlan};
+use wasabipier_wire::caller::{AddressesReply, PromoteReply};
+
+const LOOKUP: &str = "services/clubs";
+
+fn env() -> TestEnv {
+    let mut plan = TestPlan::typical(env!("CARGO_BIN_EXE_wasabipier"));
+    plan.edges = "store_ms = 400";
+    plan.tuning = "isolated_ms = 2000";
+    for service in &mut plan.services {
+        service.settings = TargetSettings { cold_bears: 6, ..service.settings.clone() };
+    }
+    TestEnv::start(plan)
+}
+
+fn down() -> FaultSettings {
+    FaultSettings { down: true, ..FaultSettings::default() }
+}
+
+fn revision(env: &TestEnv, node: usize) -> u64 {
+    env.status(node).map_or(0, |status| status.revision)
+}
+
+fn state(env: &TestEnv, node: usize) -> String {
+    env.status(node).map(|status| status.nodes[0].state.clone()).unwrap_or_default()
+}
+
+#[test]
+fn one_of_two_operators_wins_and_the_other_is_told_who() {
+    // Arrange
+    let env = env();
+    let text = env.document();
+    let seen = revision(&env, 0);
+
+    // Act
+    let replies: Vec<Option<PromoteReply>> = thread::scope(|scope| {
+        let race = |node, author: &'static str| {
+            let (env, text) = (&env, format!("{}; by {author}\n", text));
+            scope.spawn(move || env.try_promote(node, seen, author, &text))
+        };
+        let racers = [race(0, "anna"), race(2, "bento")];
+        racers.into_iter().map(|racer| racer.join().expect("the operator ends")).collect()
+    });
+
+    // Assert
+    let conflict = |winner: &str| Some(PromoteReply::Conflict { revision: seen + 1, author: winner.to_owned() });
+    let accepted = Some(PromoteReply::Accepted { revision: seen + 1 });
+    let anna_won = [accepted.clone(), conflict("anna")];
+    let bento_won = [conflict("bento"), accepted];
+    assert!(replies == anna_won || replies == bento_won, "{replies:?}");
+    env.wait_until("it is in force everywhere", |env| (0..3).all(|node| revision(env, node) == seen + 1));
+}
+
+#[test]
+fn node_that_starts_while_the_store_is_out_serves() {
+    // Arrange
+    let mut env = env();
+    let seen = revision(&env, 0);
+    env.kill(2);
+    env.platform_fault(&down());
+
+    // Act
+    env.spawn(2);
+    env.wait_until("it has the document from its peers", |env| revision(env, 2) == seen && state(env, 2) == "serving");
+    let plan = env.ask(2, "pipelines/season-plan", "plan-1", r#"{"prompt":"nets"}"#);
+    let booking = env.ask(2, "services/bookings", "booking-1", "{}");
+
+    // Assert
+    assert_eq!(plan.outcome(), "done", "{plan:?}");
+    assert_eq!(booking.outcome(), "not-run", "{booking:?}");
+    assert_eq!(env.runs("bookings", "booking-1"), 0);
+}
+
+#[test]
+fn node_without_store_and_peers_takes_no_new_work() {
+    // Arrange
+    let env = env();
+    env.platform_fault(&down());
+
+    // Act
+    env.signal(1, Signal::STOP);
+    env.signal(2, Signal::STOP);
+    env.wait_until("it takes itself out", |env| state(env, 0) == "starting");
+    let refused = env.ask(0, LOOKUP, "club-1", "{}");
+    let addresses: Option<AddressesReply> = env.get(0, "v1/addresses");
+    env.signal(1, Signal::CONT);
+    env.signal(2, Signal::CONT);
+    env.wait_until("it serves again", |env| state(env, 0) == "serving");
+    let served = env.ask(0, LOOKUP, "club-2", "{}");
+
+    // Assert
+    assert_eq!((refused.status, refused.outcome()), (503, "not-run"), "{refused:?}");
+    assert_eq!(env.runs("clubs", "club-1"), 0);
+    let own = env.nodes[0].caller_address.to_string();
+    assert!(addresses.is_some_and(|reply| !reply.addresses.contains(&own)));
+    assert_eq!(served.outcome(), "done", "{served:?}");
+}
+
+#[test]
+fn silent_peer_links_are_replaced_and_no_peer_is_declared_dead() {
+    // Arrange
+    let env = env();
+    let told = "the connection to entry-2 ended: it did not answer in time";
+
+    // Act
+    env.nodes[1].peer_link.freeze();
+    env.wait_until("the silence is found", |env| {
+        let known = |node| env.status(node).map_or(0, |status| status.nodes.len());
+        assert_eq!((0..3).map(known).min(), Some(3), "a live peer was declared dead");
+        env.log("entry-1").contains(told) && env.log("entry-3").contains(told)
+    });
+    let accepted = env.promote(0, &env.document());
+
+    // Assert
+    env.wait_until("the document came over new connections", |env| {
+        let known = |node| env.status(node).map_or(0, |status| status.nodes.len());
+        assert_eq!((0..3).map(known).min(), Some(3), "a live peer was declared dead");
+        revision(env, 1) == accepted
+    });
+}
