--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -29,7 +29,7 @@
 const PING_EVERY: Duration = Duration::from_millis(500);
 const PONG_WITHIN: Duration = Duration::from_secs(1);
 /// Time without a frame after which an accepted stream is dropped; its node opens a new one if it lives.
-const SILENT_AFTER: Duration = Duration::from_secs(60);
+const SILENT_AFTER: Duration = Duration::from_mins(1);
 /// Pause before a new connection.
 const RECONNECT_AFTER: Duration = Duration::from_millis(200);
 /// Most bytes read of a peer's words on why it ends a stream.
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -300,7 +300,11 @@
     signals::start(sender.clone())?;
     let identity = &settings.identity;
     info!("{NODE} {} started in {} for callers at {}.", identity.node, identity.dc, identity.caller_address);
-    Ok(turn(config, ports, sender, &receiver))
+    let kind = turn(config, ports, sender, &receiver);
+    if kind == ExitKind::Success {
+        open_calls.wait();
+    }
+    Ok(kind)
 }
 
 fn turn(config: NodeConfig, ports: NodePorts, inputs: InputSender, receiver: &Receiver<NodeInput>) -> ExitKind {
--- a/crates/node/tests/control.rs
+++ b/crates/node/tests/control.rs
@@ -42,7 +42,7 @@
     // Act
     let replies: Vec<Option<PromoteReply>> = thread::scope(|scope| {
         let race = |node, author: &'static str| {
-            let (env, text) = (&env, format!("{}; by {author}\n", text));
+            let (env, text) = (&env, format!("{text}; by {author}\n"));
             scope.spawn(move || env.try_promote(node, seen, author, &text))
         };
         let racers = [race(0, "anna"), race(2, "bento")];
