End quietly when the reader of the output goes away

'wasabipierctl status | head -4' panicked with a broken pipe. All output goes through one module that ends the program instead. Ruled out: the default action of SIGPIPE, which needs unsafe code.

--- a/crates/ctl/src/admission.rs
+++ b/crates/ctl/src/admission.rs
@@ -9,6 +9,7 @@
 use crate::client::NodeClient;
 use crate::edit;
 use crate::exit::CtlError;
+use crate::output::say;
 use crate::promote;
 
 /// Sets the admission of a data centre or target and waits until it is in force everywhere.
@@ -26,7 +27,7 @@
     let document = client.document()?;
     let content = parse_document(&document.text).map_err(CtlError::Faulty)?;
     if current(&content, kind, name)? == admission {
-        println!("revision {}: {kind} {name} is {admission} already; nothing was changed", document.revision);
+        say!("revision {}: {kind} {name} is {admission} already; nothing was changed", document.revision);
         return Ok(());
     }
     let section = format!("{kind} {name}");
@@ -37,10 +38,10 @@
     let nodes = promote::accept(client, &call)?;
     match admission {
         Admission::Out => {
-            println!("{kind} {name} is out: no node of {nodes} sends new work there");
+            say!("{kind} {name} is out: no node of {nodes} sends new work there");
             warn_of_closed(&changed);
         }
-        Admission::Open => println!("{kind} {name} is back: its targets take work again in steps"),
+        Admission::Open => say!("{kind} {name} is back: its targets take work again in steps"),
     }
     Ok(())
 }
@@ -50,7 +51,7 @@
     for service in document.services.keys() {
         let mut targets = document.targets.values().filter(|target| target.service == *service);
         if !targets.any(|target| document.admits(target)) {
-            println!("service {service} has no target left that takes work: its calls fail until one is brought back");
+            say!("service {service} has no target left that takes work: its calls fail until one is brought back");
         }
     }
 }
--- a/crates/ctl/src/ask.rs
+++ b/crates/ctl/src/ask.rs
@@ -1,6 +1,6 @@
 //! Asks as a caller does.
 
-use std::io::{BufRead, BufReader, Write};
+use std::io::{BufRead, BufReader};
 
 use wasabipier_wire::caller::{
     AddressesReply, DEADLINE_HEADER, FinalReply, ORGANISATION_HEADER, REQUEST_HEADER, TokenReply,
@@ -9,6 +9,7 @@
 use crate::cli::{AskArgs, CtlArgs};
 use crate::client::no_answer;
 use crate::exit::{CtlError, ExitKind};
+use crate::output::{self, say};
 
 /// Asks and prints the answer as it comes.
 ///
@@ -30,7 +31,7 @@
         .header(DEADLINE_HEADER, ask.deadline_ms.to_string())
         .send(&ask.body)
         .map_err(|error| no_answer(&url, &error))?;
-    println!("{address} answers {}:", response.status().as_u16());
+    say!("{address} answers {}:", response.status().as_u16());
     let mut printer = AnswerPrinter::default();
     for line in BufReader::new(response.body_mut().as_reader()).lines() {
         let line = line.map_err(|error| CtlError::NoAnswer { place: url.clone(), detail: error.to_string() })?;
@@ -49,15 +50,14 @@
 impl AnswerPrinter {
     fn print(&mut self, line: &str) {
         if let Ok(token) = serde_json::from_str::<TokenReply>(line) {
-            print!("{}", token.token);
-            let _ = std::io::stdout().flush();
+            output::write(format_args!("{}", token.token));
             self.streaming = true;
             return;
         }
         if self.streaming {
-            println!();
+            say!("");
         }
-        println!("{line}");
+        say!("{line}");
         self.done |= serde_json::from_str::<FinalReply>(line).is_ok_and(|reply| reply.outcome == "done");
     }
 }
--- a/crates/ctl/src/burn.rs
+++ b/crates/ctl/src/burn.rs
@@ -16,6 +16,7 @@
 use crate::cli::{BurnArgs, CtlArgs, PROGRAM};
 use crate::client::NodeClient;
 use crate::exit::{CtlError, ExitKind};
+use crate::output::{self, say};
 
 /// Nodes that are asked at once.
 const ASKED_AT_ONCE: usize = 32;
@@ -30,12 +31,12 @@
     if let Some(path) = &wanted.svg {
         let picture = picture::draw(&report);
         fs::write(path, picture).map_err(|source| CtlError::Unwritable { path: path.clone(), source })?;
-        println!("{}: written", path.display());
+        say!("{}: written", path.display());
     }
     if wanted.json {
-        println!("{}", report.json());
+        say!("{}", report.json());
     } else if wanted.svg.is_none() {
-        print!("{}", text::table(&report));
+        output::write(format_args!("{}", text::table(&report)));
     }
     for node in &report.silent_nodes {
         eprintln!(
--- a/crates/ctl/src/charges.rs
+++ b/crates/ctl/src/charges.rs
@@ -10,6 +10,7 @@
 use crate::client::{NodeClient, agent};
 use crate::exit::CtlError;
 use crate::ledger_time::utc;
+use crate::output::say;
 
 /// Prints the charges of a request, a line each.
 ///
@@ -24,7 +25,7 @@
     let mut lines = find(platform, wanted)?;
     lines.sort_by_key(|line| (line.charge.attempt, line.at_ms));
     if wanted.json {
-        println!("{}", serde_json::to_string_pretty(&lines).unwrap_or_default());
+        say!("{}", serde_json::to_string_pretty(&lines).unwrap_or_default());
         return Ok(());
     }
     for line in &lines {
@@ -32,9 +33,9 @@
     }
     let name = format!("{}/{} in environment {}", wanted.organisation, wanted.request, wanted.environment);
     match lines.len() {
-        0 => println!("no charges of {name}; nodes write them within seconds of the work"),
-        1 => println!("1 charge of {name}"),
-        count => println!("{count} charges of {name}"),
+        0 => say!("no charges of {name}; nodes write them within seconds of the work"),
+        1 => say!("1 charge of {name}"),
+        count => say!("{count} charges of {name}"),
     }
     Ok(())
 }
@@ -56,7 +57,7 @@
 
 fn print_line(line: &LedgerLine) {
     let charge = &line.charge;
-    println!(
+    say!(
         "{} node {} stage {} attempt {}: {} at {}, version {}: {} in, {} out",
         utc(line.at_ms),
         line.node,
--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -6,6 +6,7 @@
 use argh::FromArgs;
 
 use crate::exit::ExitKind;
+use crate::output::say;
 
 /// Name of the program in its messages.
 pub const PROGRAM: &str = "wasabipierctl";
@@ -47,7 +48,7 @@
         let args: Vec<&str> = args.iter().map(String::as_str).collect();
         Self::from_args(&[PROGRAM], &args).map_err(|exit| {
             if exit.status.is_ok() {
-                println!("{}", exit.output);
+                say!("{}", exit.output);
                 return ExitKind::Success;
             }
             eprintln!("{PROGRAM}: {}", exit.output.trim_end());
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -9,6 +9,7 @@
 use crate::cli::{CtlArgs, CtlCommand};
 use crate::client::NodeClient;
 use crate::exit::{CtlError, ExitKind};
+use crate::output::{self, say};
 use crate::{admission, ask, burn, charges, edit, promote, status};
 
 /// Runs the command of the command line.
@@ -46,7 +47,7 @@
 
 fn check_document(path: &Path) -> Result<(), CtlError> {
     let document = parse_document(&read(path)?).map_err(CtlError::Faulty)?;
-    println!("{}: valid: {}", path.display(), summary(&document));
+    say!("{}: valid: {}", path.display(), summary(&document));
     Ok(())
 }
 
@@ -64,6 +65,6 @@
 
 fn print_document(client: &NodeClient) -> Result<(), CtlError> {
     let document = client.document()?;
-    print!("{}", edit::stamp(&document.text, document.revision));
+    output::write(format_args!("{}", edit::stamp(&document.text, document.revision)));
     Ok(())
 }
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -10,6 +10,7 @@
 mod edit;
 mod exit;
 mod ledger_time;
+mod output;
 mod promote;
 mod status;
 
--- a/crates/ctl/src/promote.rs
+++ b/crates/ctl/src/promote.rs
@@ -11,6 +11,7 @@
 use crate::commands::read;
 use crate::edit;
 use crate::exit::CtlError;
+use crate::output::say;
 
 /// Time for a document to be in force everywhere.
 const IN_FORCE_WITHIN: Duration = Duration::from_secs(8);
@@ -40,7 +41,7 @@
 /// It was not accepted, or is not in force everywhere in time.
 pub fn accept(client: &NodeClient, call: &PromoteCall) -> Result<usize, CtlError> {
     let revision = client.promote(call)?;
-    println!("revision {revision}: accepted");
+    say!("revision {revision}: accepted");
     let started = Instant::now();
     loop {
         let status = client.status()?;
@@ -48,7 +49,7 @@
             status.nodes.iter().filter(|node| node.revision < revision).map(|node| node.node.as_str()).collect();
         if behind.is_empty() {
             let count = status.nodes.len();
-            println!("revision {revision}: in force at {count} of {count} nodes");
+            say!("revision {revision}: in force at {count} of {count} nodes");
             return Ok(count);
         }
         if started.elapsed() > IN_FORCE_WITHIN {
--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -7,6 +7,7 @@
 use crate::cli::StatusArgs;
 use crate::client::NodeClient;
 use crate::exit::CtlError;
+use crate::output::say;
 
 /// Asks a node and prints what it knows.
 ///
@@ -16,12 +17,12 @@
 pub fn show(client: &NodeClient, wanted: &StatusArgs) -> Result<(), CtlError> {
     let status = client.status()?;
     if wanted.json {
-        println!("{}", serde_json::to_string_pretty(&status).unwrap_or_default());
+        say!("{}", serde_json::to_string_pretty(&status).unwrap_or_default());
         return Ok(());
     }
     let document = client.document()?;
     let in_force = status.nodes.iter().filter(|node| node.revision >= status.revision).count();
-    println!(
+    say!(
         "environment {}, revision {} by {}, in force at {in_force} of {} nodes",
         status.environment,
         document.revision,
@@ -37,10 +38,10 @@
 }
 
 fn print_nodes(nodes: &[NodeStatus]) {
-    println!("{:<16} {:<16} {:<21} {:<9} {:>8}  SEATS", "NODE", "DATA CENTRE", "ADDRESS", "STATE", "REVISION");
+    say!("{:<16} {:<16} {:<21} {:<9} {:>8}  SEATS", "NODE", "DATA CENTRE", "ADDRESS", "STATE", "REVISION");
     for node in nodes {
         let seats: Vec<String> = node.seats.iter().map(ToString::to_string).collect();
-        println!(
+        say!(
             "{:<16} {:<16} {:<21} {:<9} {:>8}  {}",
             node.node,
             node.data_centre,
@@ -53,21 +54,25 @@
 }
 
 fn print_places(document: &Document) {
-    println!("{:<16} {:<16} {:>7}  ADMISSION", "DATA CENTRE", "REGION", "TARGETS");
+    say!("{:<16} {:<16} {:>7}  ADMISSION", "DATA CENTRE", "REGION", "TARGETS");
     for (name, spec) in &document.dcs {
         let targets = document.targets.values().filter(|target| target.dc == *name).count();
-        println!("{:<16} {:<16} {targets:>7}  {}", name.as_str(), spec.region, spec.admission);
+        say!("{:<16} {:<16} {targets:>7}  {}", name.as_str(), spec.region, spec.admission);
     }
     for (name, spec) in document.targets.iter().filter(|(_, spec)| spec.admission == Admission::Out) {
-        println!("target {name} of {} in {} is out", spec.service, spec.dc);
+        say!("target {name} of {} in {} is out", spec.service, spec.dc);
     }
 }
 
 fn print_rollouts(status: &StatusReply) {
     for rollout in &status.rollouts {
-        println!(
+        say!(
             "version {}/{} {} step {} {}",
-            rollout.service, rollout.version, rollout.state, rollout.step, rollout.reason
+            rollout.service,
+            rollout.version,
+            rollout.state,
+            rollout.step,
+            rollout.reason
         );
     }
 }
