--- a/crates/core/src/burn.rs
+++ b/crates/core/src/burn.rs
@@ -4,8 +4,8 @@
 //! organisation, a data centre) and objectives that change are counted right, and counts of nodes add up.
 
 pub mod latency;
+pub mod scoring;
 pub mod series;
-pub mod tally;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
--- a/crates/core/src/conclude.rs
+++ b/crates/core/src/conclude.rs
@@ -2,7 +2,7 @@
 
 use crate::action::{Action, AnswerPart};
 use crate::blackboard::Blackboard;
-use crate::burn::tally;
+use crate::burn::scoring;
 use crate::counting;
 use crate::message::PeerMessage;
 use crate::names::{AttemptId, RequestKey, TargetName};
@@ -18,13 +18,13 @@
         let Some(stopped) = cancel_attempt(board, attempt, out) else { continue };
         counting::count_stopped(board, &stopped);
         if late {
-            tally::count_attempt(board, &stopped, false);
+            scoring::count_attempt(board, &stopped, false);
         }
     }
     let Some(record) = board.requests.end(key, answer, board.now) else { return };
     board.queues.of(record.service()).remove(record.priority, &record.waiting());
     count(board, answer, board.now <= record.deadline);
-    tally::count_request(board, &record, answer);
+    scoring::count_request(board, &record, answer);
     if let Some(claim) = record.claim {
         let until = board.now + board.tuning.keep_ended;
         let settlement = Settlement { claim, content: record.content, answer: answer.clone(), until };
--- a/crates/core/src/intake.rs
+++ b/crates/core/src/intake.rs
@@ -7,7 +7,7 @@
 use crate::action::{Action, AnswerPart};
 use crate::admission;
 use crate::blackboard::Blackboard;
-use crate::burn::tally;
+use crate::burn::scoring;
 use crate::conclude;
 use crate::controller::Controller;
 use crate::deadlines;
@@ -51,7 +51,7 @@
         Ok(plan) => open(board, ask, content, plan),
         Err(refusal) => {
             board.counters.refused += 1;
-            tally::count_refusal(board, ask, refusal);
+            scoring::count_refusal(board, ask, refusal);
             refuse(ask.call, refusal, out);
         }
     }
--- a/crates/core/src/stages.rs
+++ b/crates/core/src/stages.rs
@@ -5,7 +5,7 @@
 
 use crate::action::{Action, AnswerPart};
 use crate::blackboard::Blackboard;
-use crate::burn::tally;
+use crate::burn::scoring;
 use crate::clock::TickPace;
 use crate::conclude;
 use crate::controller::Controller;
@@ -100,7 +100,7 @@
         board.counters.stray_results += 1;
         return;
     };
-    tally::count_attempt(board, &attempt, true);
+    scoring::count_attempt(board, &attempt, true);
     hedges::stop_losers(board, &attempt, out);
     learn_success(board, &attempt, report, out);
     let charge = charge_of(&attempt, usage);
@@ -176,7 +176,7 @@
 
 fn failed(board: &mut Blackboard, attempt: &AttemptRecord, kind: FailureKind, sent: bool, out: &mut Vec<Action>) {
     if kind != FailureKind::Rejected {
-        tally::count_attempt(board, attempt, false);
+        scoring::count_attempt(board, attempt, false);
     }
     learn_failure(board, attempt, kind, sent, out);
     let Some(record) = board.requests.get_mut(&attempt.key) else { return };
--- a/crates/ctl/tests/ctl/main.rs
+++ b/crates/ctl/tests/ctl/main.rs
@@ -2,4 +2,5 @@
 
 mod burn;
 mod commands;
+mod pages;
 mod support;
--- a/crates/node/src/metering.rs
+++ b/crates/node/src/metering.rs
@@ -35,6 +35,10 @@
         ("wasabipier_store_writes_total", counts.store_writes),
         ("wasabipier_store_reads_total", counts.store_reads),
         ("wasabipier_charges_total", counts.charges),
+        ("wasabipier_hedges_total", counts.hedges),
+        ("wasabipier_requests_displaced_total", counts.displaced),
+        ("wasabipier_attempts_silent_total", counts.silent_attempts),
+        ("wasabipier_peer_messages_total", counts.messages),
     ];
     for (name, value) in totals {
         counter!(name).absolute(value);
