Give nodes of tests 64 caller threads instead of 256

Eight tests at once with three nodes each took over 6,000 threads, and beside other runs the machine refused more: 'Resource temporarily unavailable', then 'all nodes know each other' in vain, in 5 of 8 tests. No test has more than a few callers at a node at once.

--- a/crates/fakes/src/test_env.rs
+++ b/crates/fakes/src/test_env.rs
@@ -243,7 +243,11 @@
         for peer in &self.nodes {
             let _ = writeln!(text, "{} = {}", peer.name, peer.peer_address);
         }
-        let _ = writeln!(text, "[tuning]\n{}\n[edges]\nvms_every_ms = 500\n{}", self.plan.tuning, self.plan.edges);
+        let _ = writeln!(
+            text,
+            "[tuning]\n{}\n[edges]\ncaller_threads = 64\nvms_every_ms = 500\n{}",
+            self.plan.tuning, self.plan.edges
+        );
         text
     }
 
