--- a/crates/core/examples/rollout_runs.rs
+++ b/crates/core/examples/rollout_runs.rs
@@ -390,6 +390,7 @@
         phase: if cold { TargetPhase::Cold } else { TargetPhase::Warm },
         permit: Permit::Own,
         started: Moment(now_ms.saturating_sub(took_ms)),
+        resume_from: 0,
         ends: Moment(u64::MAX),
         share_ends: Moment(u64::MAX),
         hedge_at: None,
--- a/crates/core/src/claims.rs
+++ b/crates/core/src/claims.rs
@@ -78,8 +78,17 @@
         StoreReply::Written(version) => claimed(board, key, *version),
         StoreReply::Conflict(Some(row)) => found(board, key, row, out),
         // The row went between the write and its answer, or the write may have been lost: look.
-        StoreReply::Conflict(None) | StoreReply::Lost => read_claim(board, key, out),
+        StoreReply::Conflict(None) | StoreReply::Lost => {
+            if let Some(claim) = board.requests.get_mut(key).and_then(|record| record.claim.as_mut()) {
+                claim.doubtful = true;
+            }
+            read_claim(board, key, out);
+        }
         StoreReply::NotSent | StoreReply::Read(_) => {
+            // A claim that was never sent leaves nothing to settle.
+            if let Some(record) = board.requests.get_mut(key) {
+                record.claim = record.claim.filter(|claim| claim.doubtful);
+            }
             conclude::fail(board, key, RefusalKind::ClaimUnavailable, out);
         }
     }
@@ -100,7 +109,10 @@
             found_for_settlement(board, key, row);
         }
         // A delayed write may still land: claiming again under the same nonce is safe either way.
-        StoreReply::Read(None) => start_claim(board, key, out),
+        StoreReply::Read(None) => {
+            start_claim(board, key, out);
+            write_end(board, key, None, out);
+        }
         _ => {
             let claiming = board.requests.get(key).is_some_and(|record| record.state == RequestState::Claiming);
             if claiming {
@@ -133,7 +145,8 @@
     if record.state != RequestState::Claiming && record.state != RequestState::Following {
         return;
     }
-    if record.claim.is_some_and(|hold| hold.nonce == claim.nonce) {
+    let is_own = record.claim.is_some_and(|hold| hold.nonce == claim.nonce);
+    if is_own && claim.state == ClaimState::Running {
         claimed(board, key, row.version);
         return;
     }
@@ -188,7 +201,9 @@
     match message {
         PeerMessage::OutcomeWanted(key) => {
             let running = board.requests.get(key).is_some();
-            let answer = board.requests.ended(key).map(|ended| Box::new(ended.answer.clone()));
+            // Under the same id other content may have run here without a claim.
+            let ended = board.requests.ended(key).filter(|ended| ended.under_claim);
+            let answer = ended.map(|ended| Box::new(ended.answer.clone()));
             let told = PeerMessage::OutcomeTold { key: key.clone(), running, answer };
             out.push(Action::Tell(from.clone(), Box::new(told)));
         }
@@ -232,7 +247,19 @@
         return;
     }
     let Some(settlement) = board.requests.settlements.get(key) else { return };
-    let Some(version) = settlement.claim.version else { return read_claim(board, key, out) };
+    match settlement.claim.version {
+        Some(version) => write_end(board, key, Some(version), out),
+        None => read_claim(board, key, out),
+    }
+}
+
+/// Records how a claimed request ended; without a row, so that a claim that is still on its way cannot land.
+fn write_end(board: &mut Blackboard, key: &RequestKey, expected: Option<RowVersion>, out: &mut Vec<Action>) {
+    let purpose = StorePurpose::Settle(key.clone());
+    let Some(settlement) = board.requests.settlements.get(key) else { return };
+    if board.store.is_open(&purpose) {
+        return;
+    }
     let row = ClaimRow {
         nonce: settlement.claim.nonce,
         owner: board.identity.node.clone(),
@@ -240,7 +267,7 @@
         content: settlement.content,
         state: ClaimState::Ended(Box::new(settlement.answer.clone())),
     };
-    let op = StoreOp::Write { key: RowKey::Claim(key.clone()), expected: Some(version), value: RowValue::Claim(row) };
+    let op = StoreOp::Write { key: RowKey::Claim(key.clone()), expected, value: RowValue::Claim(row) };
     board.store.send(purpose, op, &mut board.counters, out);
 }
 
@@ -256,10 +283,11 @@
 
 fn on_settled(board: &mut Blackboard, key: &RequestKey, reply: &StoreReply) {
     match reply {
-        // A conflict means that an earlier try of the same record took effect: nobody else writes it.
-        StoreReply::Written(_) | StoreReply::Conflict(_) => {
+        StoreReply::Written(_) => {
             board.requests.settlements.remove(key);
         }
+        // An earlier try took effect, or a claim that was on its way: the row tells.
+        StoreReply::Conflict(Some(row)) => found_for_settlement(board, key, row),
         _ => {}
     }
 }
--- a/crates/core/src/conclude.rs
+++ b/crates/core/src/conclude.rs
@@ -8,7 +8,7 @@
 use crate::names::{AttemptId, RequestKey, TargetName};
 use crate::outcome::{FinalAnswer, Outcome, RefusalKind};
 use crate::permits::Permit;
-use crate::requests::{AttemptRecord, Settlement};
+use crate::requests::{AttemptRecord, RequestState, Settlement};
 
 /// Ends a request with `answer`; does nothing if it has ended before.
 pub fn conclude(board: &mut Blackboard, key: &RequestKey, answer: &FinalAnswer, out: &mut Vec<Action>) {
@@ -27,7 +27,11 @@
     scoring::count_request(board, &record, answer);
     if let Some(claim) = record.claim {
         let until = board.now + board.tuning.keep_ended;
-        let settlement = Settlement { claim, content: record.content, answer: answer.clone(), until };
+        // Nothing is sent before a claim stands: should this one be found to, the end is certain.
+        let unsure = record.state == RequestState::Claiming;
+        let certain = || FinalAnswer::refused(Outcome::NotRun, RefusalKind::ClaimUnavailable);
+        let answer = if unsure { certain() } else { answer.clone() };
+        let settlement = Settlement { claim, content: record.content, answer, until };
         board.requests.settlements.insert(key.clone(), settlement);
         board.requests.fresh_settlements.push(key.clone());
     }
@@ -39,6 +43,10 @@
 /// Ends a request that got no answer: *not run* if that is certain, *unknown* otherwise.
 pub fn fail(board: &mut Blackboard, key: &RequestKey, refusal: RefusalKind, out: &mut Vec<Action>) {
     let Some(record) = board.requests.get(key) else { return };
+    if record.state == RequestState::Claiming && record.claim.is_some() {
+        // Another node may hold the claim: only the row could tell.
+        return conclude(board, key, &FinalAnswer::refused(Outcome::Unknown, RefusalKind::Unsettled), out);
+    }
     let outcome = if record.sent || !record.running.is_empty() { Outcome::Unknown } else { Outcome::NotRun };
     let mut answer = FinalAnswer::refused(outcome, refusal);
     answer.charges.clone_from(&record.charges);
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -59,12 +59,24 @@
             conclude::fail(board, &waiting.key, RefusalKind::TooLate, out);
             continue;
         }
+        if is_harmful(board, &waiting.key) {
+            board.queues.of(service).pop(weight);
+            board.counters.harmful_refused += 1;
+            conclude::fail(board, &waiting.key, RefusalKind::Harmful, out);
+            continue;
+        }
         let Some(choice) = choose_for(board, service, &waiting.key) else { return };
         board.queues.of(service).pop(weight);
         send(board, &waiting.key, &choice, out);
     }
 }
 
+/// Whether the content of a request was found to bring targets down while it waited.
+fn is_harmful(board: &Blackboard, key: &RequestKey) -> bool {
+    let content = board.requests.get(key).map(|record| record.content);
+    content.is_some_and(|content| board.harmful.downed(content) >= board.tuning.harmful_after)
+}
+
 fn choose_for(board: &mut Blackboard, service: &ServiceName, key: &RequestKey) -> Option<Choice> {
     let avoid = std::mem::take(&mut board.requests.get_mut(key)?.failed_at);
     let choice = picker::choose(board, service, &avoid);
@@ -121,6 +133,7 @@
         share_ends,
         hedge_at,
         streams,
+        resume_from: record.tokens.len() as u32,
         claimed: record.claim.is_some(),
         progress: board.now,
         tokens: 0,
--- a/crates/core/src/documents.rs
+++ b/crates/core/src/documents.rs
@@ -33,6 +33,8 @@
     earlier: VecDeque<Arc<AcceptedDocument>>,
     /// When a peer was last asked for a document, so that one is asked at a time.
     asked: Option<(Revision, Moment)>,
+    /// Promotions asked for while another was under way, in order.
+    waiting: VecDeque<Promotion>,
 }
 
 impl Controller for DocumentController {
@@ -57,6 +59,8 @@
 }
 
 impl DocumentController {
+    /// Promotions that may wait for the one under way.
+    const MOST_WAITING: usize = 16;
     /// Earlier documents kept.
     const KEPT: usize = 8;
     /// Time for a peer to give a document before another one is asked.
@@ -103,7 +107,9 @@
     }
 
     fn read(&mut self, board: &mut Blackboard, out: &mut Vec<Action>) {
-        if board.now < self.read_at || !board.store.may_ask(board.now) || !is_reader(board) {
+        // Without a read now and then, a node that is no reader would never learn that the store is back.
+        let reads = is_reader(board) || !board.store.is_healthy();
+        if board.now < self.read_at || !board.store.may_ask(board.now) || !reads {
             return;
         }
         self.read_at = board.now + board.tuning.document_read_every;
@@ -127,22 +133,29 @@
         document: &Arc<AcceptedDocument>,
         out: &mut Vec<Action>,
     ) {
-        if self.promotion.is_some() {
-            let conflict = PromoteAnswer::Conflict {
-                revision: board.document.revision,
-                author: Arc::from("a promotion under way"),
-            };
-            out.push(Action::Promoted(call, conflict));
+        if self.waiting.len() >= Self::MOST_WAITING {
+            out.push(Action::Promoted(call, PromoteAnswer::NotAccepted));
             return;
         }
-        self.promotion = Some(Promotion { call, document: document.clone(), written: false });
-        send_read(board, StorePurpose::ConfirmPromote, out);
+        // One at a time: who wins is known only when the one under way has ended.
+        self.waiting.push_back(Promotion { call, document: document.clone(), written: false });
+        if self.promotion.is_none() {
+            self.start_next(board, out);
+        }
+    }
+
+    fn start_next(&mut self, board: &mut Blackboard, out: &mut Vec<Action>) {
+        self.promotion = self.waiting.pop_front();
+        if self.promotion.is_some() {
+            send_read(board, StorePurpose::ConfirmPromote, out);
+        }
     }
 
-    fn answer(&mut self, answer: PromoteAnswer, out: &mut Vec<Action>) {
+    fn answer(&mut self, board: &mut Blackboard, answer: PromoteAnswer, out: &mut Vec<Action>) {
         if let Some(promotion) = self.promotion.take() {
             out.push(Action::Promoted(promotion.call, answer));
         }
+        self.start_next(board, out);
     }
 
     fn on_written(&mut self, board: &mut Blackboard, reply: &StoreReply, out: &mut Vec<Action>) {
@@ -152,9 +165,9 @@
                 let document = promotion.document.clone();
                 let revision = document.revision;
                 self.install(board, &document);
-                self.answer(PromoteAnswer::Accepted(revision), out);
+                self.answer(board, PromoteAnswer::Accepted(revision), out);
             }
-            StoreReply::NotSent if !promotion.written => self.answer(PromoteAnswer::NotAccepted, out),
+            StoreReply::NotSent if !promotion.written => self.answer(board, PromoteAnswer::NotAccepted, out),
             _ => {
                 promotion.written = true;
                 send_read(board, StorePurpose::ConfirmPromote, out);
@@ -167,8 +180,8 @@
         let Some(promotion) = self.promotion.clone() else { return };
         let row = match reply {
             StoreReply::Read(row) => row,
-            _ if promotion.written => return self.answer(PromoteAnswer::Unknown, out),
-            _ => return self.answer(PromoteAnswer::NotAccepted, out),
+            _ if promotion.written => return self.answer(board, PromoteAnswer::Unknown, out),
+            _ => return self.answer(board, PromoteAnswer::NotAccepted, out),
         };
         let standing = row.as_ref().and_then(|row| match &row.value {
             RowValue::Document(document) => Some((row.version, document.clone())),
@@ -179,12 +192,15 @@
         };
         self.install(board, &document);
         if document.nonce == promotion.document.nonce {
-            self.answer(PromoteAnswer::Accepted(document.revision), out);
+            self.answer(board, PromoteAnswer::Accepted(document.revision), out);
         } else if document.revision.0 + 1 == promotion.document.revision.0 {
             self.write(board, Some(version), out);
+        } else if promotion.written && document.revision > promotion.document.revision {
+            // It may have been accepted and followed by another.
+            self.answer(board, PromoteAnswer::Unknown, out);
         } else {
             let (revision, author) = (document.revision, document.author.clone());
-            self.answer(PromoteAnswer::Conflict { revision, author }, out);
+            self.answer(board, PromoteAnswer::Conflict { revision, author }, out);
         }
     }
 
--- a/crates/core/src/intake.rs
+++ b/crates/core/src/intake.rs
@@ -16,7 +16,7 @@
 use crate::message::NodeState;
 use crate::names::{CallId, Fingerprint, ServiceName, stable_hash};
 use crate::outcome::{FinalAnswer, Outcome, RefusalKind};
-use crate::requests::{ClaimHold, RequestRecord, RequestState};
+use crate::requests::{ClaimHold, EndedRecord, RequestRecord, RequestState};
 
 /// What a goal means in the document.
 #[derive(Clone, Debug)]
@@ -64,23 +64,31 @@
 
 /// Answers from what this node knows of the same id; tells whether it did.
 fn join_known(board: &mut Blackboard, ask: &Ask, content: Fingerprint, out: &mut Vec<Action>) -> bool {
-    if let Some(ended) = board.requests.ended(&ask.key) {
-        if ended.content != content {
+    // A request that runs comes before an earlier one of the same id that was not run.
+    if let Some(record) = board.requests.get(&ask.key) {
+        if record.content != content {
             refuse(ask.call, RefusalKind::IdReused, out);
             return true;
         }
-        // A repeatable request that was not run may simply be tried again.
-        if ended.answer.outcome == Outcome::NotRun && !is_claimed(&board.document.content, &ask.goal) {
-            return false;
-        }
-        out.push(Action::Answer(ask.call, AnswerPart::Final(Box::new(ended.answer.clone()))));
+        join_running(board, ask, out);
         return true;
     }
-    let Some(record) = board.requests.get(&ask.key) else { return false };
-    if record.content != content {
+    let Some(ended) = board.requests.ended(&ask.key) else { return false };
+    let unsettled = board.requests.settlements.get(&ask.key);
+    let reused = unsettled.is_some_and(|settlement| settlement.content != content);
+    if !reused && !is_final(board, ask, ended) {
+        return false;
+    }
+    if reused || ended.content != content {
         refuse(ask.call, RefusalKind::IdReused, out);
         return true;
     }
+    out.push(Action::Answer(ask.call, AnswerPart::Final(Box::new(ended.answer.clone()))));
+    true
+}
+
+fn join_running(board: &mut Blackboard, ask: &Ask, out: &mut Vec<Action>) {
+    let Some(record) = board.requests.get(&ask.key) else { return };
     if record.at_last_stage() && is_stream(&board.document.content, record.service()) {
         for (index, text) in record.tokens.iter().enumerate() {
             let part = AnswerPart::Token { index: index as u32, text: text.clone() };
@@ -88,7 +96,19 @@
         }
     }
     board.requests.join(&ask.key, ask.call);
-    true
+}
+
+/// Whether a request that ended at this node stays as it ended.
+///
+/// A repeatable one that was not run may simply be tried again. A claimed one that is not done may have
+/// run at another node since, unless the claim of this node stands.
+fn is_final(board: &Blackboard, ask: &Ask, ended: &EndedRecord) -> bool {
+    if !is_claimed(&board.document.content, &ask.goal) {
+        return ended.answer.outcome != Outcome::NotRun;
+    }
+    let settlement = board.requests.settlements.get(&ask.key);
+    let settled = settlement.is_some_and(|settlement| settlement.claim.version.is_some());
+    ended.answer.outcome == Outcome::Done || ended.under_claim || settled
 }
 
 fn admit(board: &mut Blackboard, ask: &Ask, content: Fingerprint, out: &mut Vec<Action>) -> Result<Plan, RefusalKind> {
@@ -122,7 +142,7 @@
 fn open(board: &mut Blackboard, ask: &Ask, content: Fingerprint, plan: Plan) {
     board.counters.accepted += 1;
     board.budget.earn();
-    let claim = (!plan.repeatable).then(|| ClaimHold { nonce: board.nonce(), version: None });
+    let claim = (!plan.repeatable).then(|| claim_for(board, ask));
     let state = if plan.repeatable { RequestState::Queued } else { RequestState::Claiming };
     let record = RequestRecord {
         key: ask.key.clone(),
@@ -153,6 +173,12 @@
     board.requests.insert(record);
 }
 
+/// A claim that may still take effect is taken up again, so that its row is known when it shows.
+fn claim_for(board: &mut Blackboard, ask: &Ask) -> ClaimHold {
+    let earlier = board.requests.settlements.remove(&ask.key).map(|settlement| settlement.claim);
+    earlier.unwrap_or_else(|| ClaimHold { nonce: board.nonce(), version: None, doubtful: false })
+}
+
 /// A request that nobody waits for is stopped, unless it must not be repeated: then its end is worth recording.
 fn caller_gone(board: &mut Blackboard, call: CallId, out: &mut Vec<Action>) {
     let Some(key) = board.requests.leave(call) else { return };
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -9,6 +9,7 @@
 use crate::dispatch::DispatchController;
 use crate::documents::DocumentController;
 use crate::event::Event;
+use crate::harmful::HarmfulController;
 use crate::intake::IntakeController;
 use crate::leases::LeaseController;
 use crate::lending::LendingController;
@@ -76,6 +77,7 @@
             Box::<StageController>::default(),
             Box::<WatchController>::default(),
             Box::<RetryController>::default(),
+            Box::<HarmfulController>::default(),
             Box::<ClaimController>::default(),
             Box::<LendingController>::default(),
             Box::<DispatchController>::default(),
--- a/crates/core/src/requests.rs
+++ b/crates/core/src/requests.rs
@@ -35,6 +35,8 @@
     pub nonce: Nonce,
     /// Version of its row, once known.
     pub version: Option<RowVersion>,
+    /// Whether a write of it may have taken effect, or may still do so.
+    pub doubtful: bool,
 }
 
 /// One request.
@@ -141,6 +143,8 @@
     pub share_ends: Moment,
     /// When a second attempt beside it is worth its cost.
     pub hedge_at: Option<Moment>,
+    /// Tokens that the stage had before it.
+    pub resume_from: u32,
     /// Whether it brings a stream of tokens.
     pub streams: bool,
     /// Whether its request must not be repeated.
@@ -201,6 +205,8 @@
     pub content: Fingerprint,
     /// How it ended.
     pub answer: FinalAnswer,
+    /// Whether it ended under a claim that stands, so that no other node can have run it.
+    pub under_claim: bool,
     /// When.
     pub ended: Moment,
 }
@@ -239,6 +245,9 @@
 }
 
 impl RequestTable {
+    /// Time beyond an attempt's end until its target has surely dropped it: the order travels, and clocks differ.
+    const DRAIN_MARGIN: Duration = Duration::from_millis(200);
+
     /// Adds a request.
     pub fn insert(&mut self, record: RequestRecord) {
         for call in &record.callers {
@@ -305,7 +314,8 @@
         for call in &record.callers {
             self.calls.remove(call);
         }
-        let ended = EndedRecord { content: record.content, answer: answer.clone(), ended: now };
+        let under_claim = record.claim.is_some_and(|claim| claim.version.is_some());
+        let ended = EndedRecord { content: record.content, answer: answer.clone(), under_claim, ended: now };
         if let Some(old) = self.ended.insert(key.clone(), ended) {
             self.ended_order.remove(&(old.ended, key.clone()));
         }
@@ -402,7 +412,8 @@
 
     /// Keeps the permit of an attempt that was given up in use, until its end is sure.
     pub fn drain(&mut self, id: AttemptId, attempt: &AttemptRecord) {
-        let (target, permit, ends) = (attempt.target.clone(), attempt.permit.clone(), attempt.ends);
+        let (target, permit) = (attempt.target.clone(), attempt.permit.clone());
+        let ends = attempt.ends + Self::DRAIN_MARGIN;
         self.draining_order.insert((ends, id));
         self.draining.insert(id, DrainingAttempt { target, permit, ends });
     }
--- a/crates/core/src/seats.rs
+++ b/crates/core/src/seats.rs
@@ -1,6 +1,6 @@
 //! Holds seats in the table service: takes free ones, yields to peers without, takes over those of VMs that are gone.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use crate::action::Action;
@@ -44,6 +44,8 @@
     pace: TickPace,
     next_seat: u32,
     yield_after: Moment,
+    /// Seats of which a write may still take effect: it is outrun by another before the seat is used.
+    doubtful: BTreeSet<u32>,
 }
 
 impl SeatController {
@@ -51,6 +53,8 @@
     const TICK_EVERY: Duration = Duration::from_millis(100);
     /// Interval between looks at seats that nobody announces.
     const LOOK_EVERY: Duration = Duration::from_millis(500);
+    /// The same while this node has enough: a row may still name an earlier instance of it.
+    const LOOK_AGAIN_EVERY: Duration = Duration::from_secs(5);
     /// Time that a VM must be missing from the platform's list before its seat is taken over.
     const GONE_FOR: Duration = Duration::from_secs(10);
     /// Time beyond the longest call until calls of a seat's last holder have surely ended.
@@ -146,8 +150,7 @@
     /// Looks at one seat that nobody is known to hold.
     fn look(&mut self, board: &mut Blackboard, out: &mut Vec<Action>) {
         let total = board.document.content.seats;
-        let enough = self.own.len() as u32 >= Self::fair_count(board);
-        if total == 0 || enough || board.now < self.look_at || !board.store.may_ask(board.now) {
+        if total == 0 || board.now < self.look_at || !board.store.may_ask(board.now) {
             return;
         }
         // One seat at a time: a node that takes several at once keeps them from others for a whole hand-over.
@@ -157,8 +160,13 @@
         let first = self.next_seat;
         let seat = (0..total).map(|step| (first + step) % total).find(|seat| !self.is_taken(board, *seat));
         let Some(seat) = seat else { return };
-        // Without any seat the next is looked at without delay.
-        self.look_at = board.now + if self.own.is_empty() { Duration::ZERO } else { Self::LOOK_EVERY };
+        // Without any seat all are looked at in a row.
+        self.look_at = board.now
+            + match self.own.len() as u32 {
+                0 if seat + 1 < total => Duration::ZERO,
+                held if held < Self::fair_count(board) => Self::LOOK_EVERY,
+                _ => Self::LOOK_AGAIN_EVERY,
+            };
         self.next_seat = seat + 1;
         let op = StoreOp::Read { key: RowKey::Seat(seat) };
         board.store.send(StorePurpose::ReadSeat(seat), op, &mut board.counters, out);
@@ -182,12 +190,24 @@
         let Some(row) = row else { return write(board, seat, None, own, out) };
         let RowValue::Seat(standing) = &row.value else { return };
         let is_mine = standing.owner == own.owner && standing.instance == own.instance;
+        if is_mine && self.doubtful.remove(&seat) {
+            return write(board, seat, Some(row.version), standing.clone(), out);
+        }
         if is_mine {
             self.hold(board, seat, standing, row.version);
             return;
         }
+        if !self.listed.is_empty() && !self.listed.contains(&standing.owner) {
+            // Its VM may have gone before this node started.
+            self.gone.entry(standing.owner.clone()).or_insert(board.now);
+        }
         let rested = standing.rested && standing.owner.as_str().is_empty();
-        if self.may_take_over(board, standing) {
+        let enough = self.own.len() as u32 >= Self::fair_count(board);
+        if enough && standing.owner == own.owner {
+            // Only this node knows for sure that its earlier instance is gone.
+            let free = SeatRow { owner: NodeName::new(""), epoch: standing.epoch, rested: false, ..own };
+            write(board, seat, Some(row.version), free, out);
+        } else if !enough && self.may_take_over(board, standing) {
             write(board, seat, Some(row.version), SeatRow { epoch: standing.epoch + 1, rested, ..own }, out);
         }
     }
@@ -261,6 +281,9 @@
     }
 
     fn on_store(&mut self, board: &mut Blackboard, purpose: &StorePurpose, reply: &StoreReply, out: &mut Vec<Action>) {
+        if let (StorePurpose::WriteSeat(seat), StoreReply::Lost) = (purpose, reply) {
+            self.doubtful.insert(*seat);
+        }
         match (purpose, reply) {
             (StorePurpose::ReadSeat(seat), StoreReply::Read(row)) => self.on_row(board, *seat, row.as_ref(), out),
             // Written, lost or beaten: the row itself tells who holds the seat.
--- a/crates/core/src/stages.rs
+++ b/crates/core/src/stages.rs
@@ -11,6 +11,7 @@
 use crate::controller::Controller;
 use crate::counting;
 use crate::event::{AttemptEvent, Event, FailureKind};
+use crate::harmful;
 use crate::hedges;
 use crate::intake::is_stream;
 use crate::message::PeerMessage;
@@ -100,6 +101,10 @@
         board.counters.stray_results += 1;
         return;
     };
+    if !is_whole(board, &attempt, body) {
+        failed(board, &attempt, FailureKind::Malformed, true, out);
+        return;
+    }
     scoring::count_attempt(board, &attempt, true);
     hedges::stop_losers(board, &attempt, out);
     learn_success(board, &attempt, report, out);
@@ -114,6 +119,10 @@
     if record.at_last_stage() {
         let charges = record.charges.clone();
         let answer = FinalAnswer { outcome: Outcome::Done, refusal: None, body: whole, charges };
+        let content = record.content;
+        if board.harmful.acquit(content) {
+            harmful::spread(board, content, out);
+        }
         conclude::conclude(board, &attempt.key, &answer, out);
         return;
     }
@@ -121,6 +130,13 @@
     requeue(board, &attempt.key);
 }
 
+/// Whether the tokens of a stream that came are all that its attempt made.
+fn is_whole(board: &Blackboard, attempt: &AttemptRecord, body: &Arc<str>) -> bool {
+    let Some(record) = board.requests.get(&attempt.key) else { return true };
+    let own = record.tokens.get(attempt.resume_from as usize..).unwrap_or_default();
+    !attempt.streams || own.concat() == **body
+}
+
 fn charge_of(attempt: &AttemptRecord, usage: Usage) -> ChargeLine {
     ChargeLine {
         key: attempt.key.clone(),
@@ -153,15 +169,15 @@
 }
 
 fn on_failed(board: &mut Blackboard, id: AttemptId, kind: FailureKind, sent: bool, out: &mut Vec<Action>) {
-    // Behind a silent connection the target may be running it still.
-    let silent = kind == FailureKind::Silent && sent;
-    let ended = if silent { conclude::drain_attempt(board, id) } else { conclude::end_attempt(board, id, out) };
+    // Behind a silent or broken connection the target may be running it still.
+    let uncertain = sent && matches!(kind, FailureKind::Silent | FailureKind::Broken);
+    let ended = if uncertain { conclude::drain_attempt(board, id) } else { conclude::end_attempt(board, id, out) };
     if let Some(attempt) = ended {
         failed(board, &attempt, kind, sent, out);
         return;
     }
     // The end of an attempt that was given up before: nobody waits for it, but its permit is free now.
-    if silent || !conclude::end_draining(board, id, out) {
+    if kind == FailureKind::Silent || !conclude::end_draining(board, id, out) {
         board.counters.stray_results += 1;
     }
 }
@@ -261,12 +277,7 @@
     if !board.harmful.note(content, attempt.target.clone()) {
         return;
     }
-    let targets = board.harmful.targets(content);
-    let peers: Vec<NodeName> = board.members.alive().map(|(node, _)| node.clone()).collect();
-    for node in peers {
-        let message = PeerMessage::Harmful { content, targets: targets.clone() };
-        out.push(Action::Tell(node, Box::new(message)));
-    }
+    harmful::spread(board, content, out);
 }
 
 fn on_report(board: &mut Blackboard, target: &TargetName, report: &LoadReport, out: &mut Vec<Action>) {
@@ -287,17 +298,9 @@
 
 fn on_peer(board: &mut Blackboard, _from: &NodeName, message: &PeerMessage) {
     let now = board.now;
-    match message {
-        PeerMessage::TargetCold { target, instance } => {
-            if let Some(view) = board.targets.get_mut(target) {
-                view.warmth.hear_cold(*instance, now);
-            }
-        }
-        PeerMessage::Harmful { content, targets } => {
-            for target in targets {
-                board.harmful.note(*content, target.clone());
-            }
-        }
-        _ => {}
+    if let PeerMessage::TargetCold { target, instance } = message
+        && let Some(view) = board.targets.get_mut(target)
+    {
+        view.warmth.hear_cold(*instance, now);
     }
 }
--- a/crates/core/tests/support/fixture.rs
+++ b/crates/core/tests/support/fixture.rs
@@ -169,10 +169,16 @@
         self.handle(&Event::Attempt(attempt, AttemptEvent::Token { index, text }));
     }
 
-    /// Tells that an attempt finished.
+    /// Tells that an attempt finished; a stream's end carries the text of the tokens that it sent.
     pub fn finish(&mut self, attempt: AttemptId) {
+        let requests = &self.core.board().requests;
+        let stream = requests.attempt(attempt).filter(|attempt| attempt.streams);
+        let sent = stream.and_then(|stream| {
+            let record = requests.get(&stream.key)?;
+            Some(record.tokens[stream.resume_from as usize..].concat())
+        });
         let finished = AttemptEvent::Finished {
-            body: Arc::from("\"ok\""),
+            body: Arc::from(sent.unwrap_or_else(|| "\"ok\"".to_owned())),
             usage: Usage::default(),
             report: LoadReport::default(),
         };
