Measure what a node's process spends on tokens and calls, and let links forget closed connections

Cause: docs/CAPACITY.md needs slopes of a real process. The first run failed after some 5,000 calls: the stand-ins' links kept a copy of each connection for good, until 20,000 files were open and the accepting thread of a stand-in died.

Ruled out: a fault of the node: its own files stayed few.

--- a/crates/fakes/src/link.rs
+++ b/crates/fakes/src/link.rs
@@ -1,5 +1,6 @@
 //! A TCP link that forwards bytes, and can cut, freeze or refuse connections.
 
+use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -15,7 +16,7 @@
     opened: AtomicU64,
     open: AtomicU64,
     refusing: AtomicBool,
-    streams: Mutex<Vec<TcpStream>>,
+    streams: Mutex<BTreeMap<u64, [TcpStream; 2]>>,
 }
 
 /// A TCP link in front of a server.
@@ -69,7 +70,7 @@
     /// Breaks all connections that are open.
     pub fn cut(&self) {
         let mut streams = self.state.streams.lock().unwrap_or_else(PoisonError::into_inner);
-        for stream in streams.drain(..) {
+        for stream in std::mem::take(&mut *streams).into_values().flatten() {
             let _ = stream.shutdown(Shutdown::Both);
         }
     }
@@ -115,10 +116,11 @@
     let _ = upstream.set_nodelay(true);
     let ends = [client.try_clone(), client.try_clone(), upstream.try_clone(), upstream.try_clone()];
     let [Ok(keep_client), Ok(client_out), Ok(keep_upstream), Ok(upstream_out)] = ends else { return };
-    state.streams.lock().unwrap_or_else(PoisonError::into_inner).extend([keep_client, keep_upstream]);
+    state.streams.lock().unwrap_or_else(PoisonError::into_inner).insert(number, [keep_client, keep_upstream]);
     let (to, back) = (state.clone(), state.clone());
     thread::spawn(move || {
         forward(&to, number, client, upstream_out);
+        to.streams.lock().unwrap_or_else(PoisonError::into_inner).remove(&number);
         to.open.fetch_sub(1, Ordering::SeqCst);
     });
     thread::spawn(move || forward(&back, number, upstream, client_out));
--- a/crates/fakes/src/test_env.rs
+++ b/crates/fakes/src/test_env.rs
@@ -263,6 +263,12 @@
         self.platform.set_vms(vms.collect());
     }
 
+    /// Number of a node's process.
+    #[must_use]
+    pub fn pid(&self, node: usize) -> Option<u32> {
+        self.nodes[node].child.as_ref().map(Child::id)
+    }
+
     /// Sends a signal to a node's process.
     ///
     /// # Panics
