Refuse a request at once when a stage has no target that takes work

Tried as a new user: with both retrievers taken out, a season plan ran its encoder, waited six seconds, charged the encoder and ended unknown.

The targets' table keeps which services are open when a document comes into force; intake refuses with 'no-target' as not run. Ruled out: to look through all targets for each request, which grows with the fleet; to fail at the stage, after earlier ones were paid.

Before: 6.0 s, unknown, one charge. After: refused before any stage runs (test in the command line's package).

--- a/crates/core/src/intake.rs
+++ b/crates/core/src/intake.rs
@@ -122,6 +122,9 @@
         return Err(RefusalKind::UnknownOrg);
     }
     let plan = plan(document, &ask.goal).ok_or(RefusalKind::UnknownGoal)?;
+    if !plan.stages.iter().all(|stage| board.targets.is_open(stage)) {
+        return Err(RefusalKind::NoTarget);
+    }
     if board.harmful.downed(content) >= board.tuning.harmful_after {
         board.counters.harmful_refused += 1;
         return Err(RefusalKind::Harmful);
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -29,6 +29,9 @@
     /// The document does not name the pipeline or service.
     #[error("unknown pipeline or service: check the path against the environment's document")]
     UnknownGoal,
+    /// All targets of a stage are taken out.
+    #[error("no target of one of its services takes work: bring a target or data centre back")]
+    NoTarget,
     /// The work cannot finish within the deadline.
     #[error("cannot finish in time: ask with a longer deadline or when load is lower")]
     TooLate,
--- a/crates/core/src/targets.rs
+++ b/crates/core/src/targets.rs
@@ -1,6 +1,6 @@
 //! Targets: what is known of their load, warmth and health at this node.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use crate::clock::Moment;
@@ -31,6 +31,8 @@
 pub struct TargetTable {
     views: BTreeMap<TargetName, TargetView>,
     by_version: BTreeMap<ServiceName, BTreeMap<VersionName, Vec<TargetName>>>,
+    /// Services of which operators let work go to a target.
+    open: BTreeSet<ServiceName>,
 }
 
 impl TargetTable {
@@ -38,6 +40,7 @@
     pub fn install(&mut self, document: &Document, now: Moment) {
         let mut views = BTreeMap::new();
         self.by_version.clear();
+        self.open.clear();
         for (name, spec) in &document.targets {
             let service = &document.services[&spec.service];
             let mut view = self.views.remove(name).unwrap_or_else(|| TargetView::cold(service, now));
@@ -45,6 +48,9 @@
             views.insert(name.clone(), view);
             let versions = self.by_version.entry(spec.service.clone()).or_default();
             versions.entry(spec.version.clone()).or_default().push(name.clone());
+            if document.admits(spec) {
+                self.open.insert(spec.service.clone());
+            }
         }
         self.views = views;
     }
@@ -66,6 +72,12 @@
         self.by_version.get(service).and_then(|versions| versions.get(version)).map_or(&[], Vec::as_slice)
     }
 
+    /// Whether any target of a service may get work, as far as operators say.
+    #[must_use]
+    pub fn is_open(&self, service: &ServiceName) -> bool {
+        self.open.contains(service)
+    }
+
     /// All targets by name.
     pub fn iter(&self) -> impl Iterator<Item = (&TargetName, &TargetView)> {
         self.views.iter()
--- a/crates/ctl/tests/ctl/commands.rs
+++ b/crates/ctl/tests/ctl/commands.rs
@@ -102,3 +102,20 @@
     assert!(stages[3].contains("coachmodel") && stages[3].starts_with("20"), "{found:?}");
     assert!(none.code == Some(0) && none.out.starts_with("no charges of lions/plan-2"), "{none:?}");
 }
+
+#[test]
+fn request_without_a_target_is_refused_before_any_stage_runs() {
+    // Arrange
+    let env = environment();
+    let out = ctl(&env, &["take-out", "target", "reranker-1"]);
+
+    // Act
+    let answer = env.ask(1, "pipelines/season-plan", "plan-1", "{}");
+
+    // Assert
+    assert!(out.out.contains("service reranker has no target left"), "{out:?}");
+    let error = answer.end.as_ref().and_then(|end| end.error.clone());
+    assert_eq!((answer.status, answer.outcome()), (503, "not-run"), "{answer:?}");
+    assert_eq!(error.map(|error| error.kind), Some("no-target".to_owned()));
+    assert_eq!(env.runs("encoder", "plan-1"), 0);
+}
--- a/crates/node/src/callers.rs
+++ b/crates/node/src/callers.rs
@@ -328,7 +328,9 @@
         Some(RefusalKind::Harmful | RefusalKind::Rejected) => 422,
         Some(RefusalKind::Overloaded) => 429,
         Some(RefusalKind::TooLate | RefusalKind::Unsettled) => 504,
-        Some(RefusalKind::NotReady | RefusalKind::ClaimUnavailable | RefusalKind::AttemptsFailed) => 503,
+        Some(
+            RefusalKind::NotReady | RefusalKind::NoTarget | RefusalKind::ClaimUnavailable | RefusalKind::AttemptsFailed,
+        ) => 503,
     }
 }
 
