Look at the claim before refusing for want of a target

The fuzz found it: a booking that had run at another node, asked again while its targets were out, was told 'not run'. Only repeatable requests are refused at the door for want of a target.

--- a/crates/core/src/intake.rs
+++ b/crates/core/src/intake.rs
@@ -122,7 +122,8 @@
         return Err(RefusalKind::UnknownOrg);
     }
     let plan = plan(document, &ask.goal).ok_or(RefusalKind::UnknownGoal)?;
-    if !plan.stages.iter().all(|stage| board.targets.is_open(stage)) {
+    // Of a claimed one, another node may know the outcome: its claim is looked at first.
+    if plan.repeatable && !plan.stages.iter().all(|stage| board.targets.is_open(stage)) {
         return Err(RefusalKind::NoTarget);
     }
     if board.harmful.downed(content) >= board.tuning.harmful_after {
