Measure the whole system against a baseline, and stop a resolver thread for each call

Cause: no figure covered the whole system. The first runs brought down callers' threads: the HTTP library's resolver starts a thread for every call that has a timeout, and panics when the machine refuses one. In a node that would have lost the attempt's end, and its permit until the deadline. Ruled out: an example (cargo gives the node's path only to tests and benches); one process for each stand-in (37 more processes). Tuning has round_robin for the baseline; retry_share, retry_burst, early_refusal and hedging can be set. All HTTP clients read IP numbers without a look-up. Stand-ins end their threads with their environment.

--- a/crates/core/src/picker.rs
+++ b/crates/core/src/picker.rs
@@ -50,6 +50,11 @@
     avoid: &BTreeSet<TargetName>,
 ) -> Option<TargetName> {
     let pool = board.ready.pool(service, version)?;
+    if board.tuning.round_robin {
+        let ready = board.ready.targets(pool);
+        let turn = (board.counters.attempts as usize).checked_rem(ready.len())?;
+        return ready.get(turn).cloned().filter(|target| check(board, target));
+    }
     let mut best: Option<(Rating, TargetName)> = None;
     let mut looks = 0;
     while looks < board.tuning.choices {
--- a/crates/core/src/tuning.rs
+++ b/crates/core/src/tuning.rs
@@ -49,6 +49,8 @@
     pub idle_cold_after: Duration,
     /// Targets that are looked at for one choice.
     pub choices: usize,
+    /// Whether targets take turns, whatever their load: a baseline to measure against.
+    pub round_robin: bool,
     /// Time within which a borrowed permit must be used.
     pub lend_for: Duration,
     /// Targets that one content may bring down before it is refused.
@@ -88,6 +90,7 @@
             belief_for: Duration::from_secs(5),
             idle_cold_after: Duration::from_mins(1),
             choices: 4,
+            round_robin: false,
             lend_for: Duration::from_millis(500),
             harmful_after: 2,
             keep_ended: Duration::from_mins(1),
--- a/crates/fakes/src/server.rs
+++ b/crates/fakes/src/server.rs
@@ -28,10 +28,21 @@
 pub struct FakeServer {
     /// The link in front of it.
     pub link: FaultyLink,
+    inner: ServerHandle,
+}
+
+/// The server behind the link.
+#[derive(Clone)]
+struct ServerHandle(Arc<Server>);
+
+impl std::fmt::Debug for ServerHandle {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("ServerHandle")
+    }
 }
 
 impl FakeServer {
-    const WORKERS: usize = 64;
+    const WORKERS: usize = 32;
 
     /// Starts a stand-in at `listen` (port 0 for any); `make` gets its link.
     ///
@@ -55,7 +66,16 @@
                 }
             });
         }
-        Ok((Self { link }, handler))
+        Ok((Self { link, inner: ServerHandle(inner) }, handler))
+    }
+
+    /// Ends its threads.
+    pub fn stop(&self) {
+        self.link.refuse(true);
+        self.link.cut();
+        for _ in 0..Self::WORKERS {
+            self.inner.0.unblock();
+        }
     }
 
     /// Where it listens.
--- a/crates/fakes/src/test_caller.rs
+++ b/crates/fakes/src/test_caller.rs
@@ -93,13 +93,15 @@
     known: Vec<SocketAddr>,
     lapses: Instant,
     next: usize,
+    /// How often it asks with the same id when it gets no answer at all.
+    pub most_asks: u32,
 }
 
 impl TestCaller {
     /// A caller that starts with these addresses, and asks there for better ones.
     #[must_use]
     pub fn new(agent: &ureq::Agent, known: Vec<SocketAddr>, next: usize) -> Self {
-        Self { agent: agent.clone(), known, lapses: Instant::now(), next }
+        Self { agent: agent.clone(), known, lapses: Instant::now(), next, most_asks: 1 }
     }
 
     /// The address to use now.
@@ -126,9 +128,17 @@
         }
     }
 
-    /// Asks at one of the addresses.
+    /// Asks at one of the addresses, and at others if there is no answer.
     pub fn ask(&mut self, ask: &TestAsk) -> TestAnswer {
-        let address = self.address();
-        ask_at(&self.agent, address, ask)
+        let mut answer = TestAnswer::default();
+        for _ in 0..self.most_asks {
+            let address = self.address();
+            answer = ask_at(&self.agent, address, ask);
+            if answer.end.is_some() {
+                break;
+            }
+            self.lapses = Instant::now();
+        }
+        answer
     }
 }
--- a/crates/fakes/src/test_env.rs
+++ b/crates/fakes/src/test_env.rs
@@ -14,6 +14,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 use serde::de::DeserializeOwned;
 use wasabipier_core::document::ServiceKind;
+use wasabipier_wire::agent::ip_agent;
 use wasabipier_wire::caller::{PromoteCall, PromoteReply, StatusReply};
 use wasabipier_wire::platform::WireVm;
 
@@ -48,6 +49,7 @@
     pub dc: String,
     /// Address.
     pub address: SocketAddr,
+    server: FakeServer,
     handler: TargetHandler,
 }
 
@@ -123,12 +125,9 @@
                 .expect("the platform starts");
         let folder = std::env::temp_dir().join(format!("wasabipier-{}-{}", std::process::id(), next_address().port()));
         fs::create_dir_all(&folder).expect("a folder can be made");
-        let agent = ureq::Agent::config_builder()
-            .http_status_as_error(false)
-            .timeout_global(Some(PATIENCE))
-            .build()
-            .new_agent();
-        let nodes = (0..plan.nodes).map(new_node).collect();
+        let config = ureq::Agent::config_builder().http_status_as_error(false).timeout_global(Some(PATIENCE)).build();
+        let agent = ip_agent(config);
+        let nodes = (0..plan.nodes).map(|number| new_node(plan.region, number)).collect();
         let mut env = Self { platform, platform_server, targets: BTreeMap::new(), nodes, plan, folder, agent };
         for service in env.plan.services.clone() {
             for number in 1..=service.targets {
@@ -167,8 +166,9 @@
         let target = TestTarget {
             service: service.name,
             version: version.to_owned(),
-            dc: dc_name(number),
+            dc: dc_name(self.plan.region, number),
             address: server.address(),
+            server,
             handler,
         };
         self.targets.insert(name.to_owned(), target);
@@ -178,15 +178,20 @@
     #[must_use]
     pub fn document(&self) -> String {
         let seats = self.plan.nodes.max(3);
-        let mut text = format!("[environment]\nname = production\nseats = {seats}\n[organisation lions]\n");
-        text.push_str("[organisation swallows]\n");
+        let mut text = format!("[environment]\nname = production\nseats = {seats}\n");
+        let region = self.plan.region;
+        for (org, weight) in self.plan.orgs {
+            let _ = writeln!(text, "[organisation {org}]\nweight = {weight}");
+        }
         for number in 0..3 {
-            let _ = writeln!(text, "[data-centre {}]\nregion = khomas\nadmission = open", dc_name(number));
+            let dc = dc_name(region, number);
+            let _ = writeln!(text, "[data-centre {dc}]\nregion = {region}\nadmission = open");
         }
         for service in &self.plan.services {
             let (name, kind, extra) = (service.name, service.kind, service.extra);
             let repeatable = if service.repeatable { "yes" } else { "no" };
-            let (cold, warm) = (service.settings.cold_bears, service.settings.warm_bears);
+            let bears = (service.settings.cold_bears, service.settings.warm_bears);
+            let (cold, warm) = self.plan.limit.map_or(bears, |limit| (limit, limit));
             let _ = writeln!(text, "[service {name}]\nkind = {kind}\nrepeatable = {repeatable}\nstable = v1");
             let _ = writeln!(text, "cold_limit = {cold}\nwarm_limit = {warm}\n{extra}");
         }
@@ -202,7 +207,7 @@
             .map(|service| service.name)
             .collect();
         if !stages.is_empty() {
-            let _ = writeln!(text, "[pipeline season-plan]\nstages = {}", stages.join(" "));
+            let _ = writeln!(text, "[pipeline {}]\nstages = {}", self.plan.pipeline, stages.join(" "));
         }
         text
     }
@@ -446,20 +451,24 @@
         for node in 0..self.nodes.len() {
             self.kill(node);
         }
+        self.platform_server.stop();
+        for target in self.targets.values() {
+            target.server.stop();
+        }
         let _ = fs::remove_dir_all(&self.folder);
     }
 }
 
-fn dc_name(number: usize) -> String {
-    format!("khomas-{}", ["a", "b", "c"][number % 3])
+fn dc_name(region: &str, number: usize) -> String {
+    format!("{region}-{}", ["a", "b", "c"][number % 3])
 }
 
-fn new_node(number: usize) -> TestNode {
+fn new_node(region: &str, number: usize) -> TestNode {
     let peer_listen = next_address();
     let peer_link = FaultyLink::start(next_address(), peer_listen).expect("a link can be set up");
     TestNode {
         name: format!("entry-{}", number + 1),
-        dc: dc_name(number),
+        dc: dc_name(region, number),
         caller_address: next_address(),
         peer_address: peer_link.address(),
         peer_link,
--- a/crates/fakes/src/test_plan.rs
+++ b/crates/fakes/src/test_plan.rs
@@ -43,6 +43,14 @@
     pub nodes: usize,
     /// Services.
     pub services: Vec<ServicePlan>,
+    /// Region, which names the data centres.
+    pub region: &'static str,
+    /// Organisations with their weights; `lions` is among them.
+    pub orgs: &'static [(&'static str, u32)],
+    /// The pipeline over all services that are not plain.
+    pub pipeline: &'static str,
+    /// Calls at once that the document allows at each target, in place of what the stand-ins bear.
+    pub limit: Option<u32>,
     /// Lines for the `[tuning]` section of all nodes.
     pub tuning: &'static str,
     /// Lines for the `[edges]` section of all nodes.
@@ -62,6 +70,16 @@
             ServicePlan { name: "bookings", repeatable: false, targets: 2, ..ServicePlan::default() },
             ServicePlan { targets: 2, ..ServicePlan::default() },
         ];
-        Self { binary, nodes: 3, services, tuning: "", edges: "" }
+        Self {
+            binary,
+            nodes: 3,
+            services,
+            region: "khomas",
+            orgs: &[("lions", 1), ("swallows", 1)],
+            pipeline: "season-plan",
+            limit: None,
+            tuning: "",
+            edges: "",
+        }
     }
 }
--- /dev/null
+++ b/crates/node/benches/experiment/report.rs
@@ -0,0 +1,174 @@
+//! What a run showed, and the table of all runs.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::fs;
+use std::time::Duration;
+
+use wasabipier_fakes::test_env::TestEnv;
+use wasabipier_fakes::test_load::LoadRecord;
+
+use crate::users::UserPlan;
+
+/// Heading of the section that this experiment writes.
+const HEADING: &str = "## Whole system\n";
+/// Time after a return that is looked at on its own.
+const RETURN: Duration = Duration::from_secs(4);
+const PAGE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/MEASUREMENTS.md");
+
+/// Share of requests that ended well.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Share {
+    good: u32,
+    all: u32,
+}
+
+impl Share {
+    fn count(&mut self, good: bool) {
+        self.all += 1;
+        self.good += u32::from(good);
+    }
+
+    fn text(self) -> String {
+        format!("{:.1} % of {}", 100.0 * f64::from(self.good) / f64::from(self.all.max(1)), self.all)
+    }
+}
+
+/// What one run showed.
+#[derive(Clone, Debug, Default)]
+pub struct RunReport {
+    name: String,
+    setting: &'static str,
+    /// When the data centre was out, from the start.
+    pub out_at: Duration,
+    /// When it was back.
+    pub back_at: Duration,
+    /// Calls that reached it more than three seconds after it was out.
+    pub late_calls: u64,
+    /// Calls beyond what targets bore as it came back.
+    pub overloads_at_return: u64,
+    /// How the good version ended, and when.
+    pub good: Option<(String, Duration)>,
+    /// How the bad version ended, and when.
+    pub bad: Option<(String, Duration)>,
+    in_time: Share,
+    in_time_while_out: Share,
+    in_time_after_return: Share,
+    booked_right: Share,
+    booked_unknown: u32,
+    booked_twice: u32,
+    told_wrong: u32,
+    tail_ms: u128,
+    calls_by_stage: BTreeMap<&'static str, (u64, u64)>,
+    overloads: u64,
+}
+
+impl RunReport {
+    /// An empty report.
+    pub fn new(user: &UserPlan, baseline: bool) -> Self {
+        let setting = if baseline { "baseline" } else { "wasabipier" };
+        Self { name: user.name.to_owned(), setting, ..Self::default() }
+    }
+
+    /// Judges what became of the requests.
+    pub fn judge_requests(&mut self, env: &TestEnv, user: &UserPlan, records: &[LoadRecord]) {
+        let booking = format!("services/{}", user.booking());
+        let mut took: Vec<u128> = Vec::new();
+        for record in records {
+            let in_time = record.answer.outcome() == "done" && record.took <= record.ask.deadline;
+            self.in_time.count(in_time);
+            if (self.out_at..self.back_at).contains(&record.due) {
+                self.in_time_while_out.count(in_time);
+            } else if (self.back_at..self.back_at + RETURN).contains(&record.due) {
+                self.in_time_after_return.count(in_time);
+            }
+            if record.ask.goal == booking {
+                self.judge_booking(env, user, record);
+            }
+            took.push(record.took.as_millis());
+        }
+        took.sort_unstable();
+        self.tail_ms = took.get(took.len() * 99 / 100).copied().unwrap_or_default();
+        for service in user.services() {
+            let targets = env.targets.values().filter(|target| target.service == service.name);
+            let calls = targets.filter_map(|target| target.state().stats()["calls"].as_u64()).sum();
+            let lines = records.iter().filter_map(|record| record.answer.end.as_ref()).flat_map(|end| &end.charges);
+            let charged = lines.filter(|charge| charge.service == service.name).count() as u64;
+            self.calls_by_stage.insert(service.name, (calls, charged));
+        }
+        let stats = env.targets.values().map(|target| target.state().stats());
+        self.overloads = stats.filter_map(|stats| stats["overloads"].as_u64()).sum();
+    }
+
+    fn judge_booking(&mut self, env: &TestEnv, user: &UserPlan, record: &LoadRecord) {
+        let key = format!("{}/{}", record.ask.org, record.ask.request);
+        let targets = env.targets.values().filter(|target| target.service == user.booking());
+        let runs: u32 = targets.map(|target| target.state().runs().get(&key).copied().unwrap_or_default()).sum();
+        let outcome = record.answer.outcome();
+        let right = (runs == 1 && outcome == "done") || (runs == 0 && outcome == "not-run");
+        self.booked_right.count(right);
+        self.booked_unknown += u32::from(outcome == "unknown" || outcome.is_empty());
+        self.booked_twice += u32::from(runs > 1);
+        self.told_wrong += u32::from((runs == 0 && outcome == "done") || (runs > 0 && outcome == "not-run"));
+    }
+
+    fn cost(&self) -> String {
+        let text = |(name, (calls, charged)): (&&str, &(u64, u64))| {
+            format!("{name} {:.2}", *calls as f64 / (*charged).max(1) as f64)
+        };
+        self.calls_by_stage.iter().map(text).collect::<Vec<_>>().join(", ")
+    }
+}
+
+fn ended(end: Option<&(String, Duration)>) -> String {
+    end.map_or("not measured or undecided".to_owned(), |(state, at)| format!("{state} after {:.1} s", at.as_secs_f64()))
+}
+
+/// Prints the table and writes it into the page.
+pub fn write(reports: &[RunReport], seed: u64, seconds: u64) {
+    let table = table(reports, seed, seconds);
+    println!("{table}");
+    let page = fs::read_to_string(PAGE).unwrap_or_default();
+    let (before, after) = match page.split_once(HEADING) {
+        Some((before, rest)) => (before, rest.find("\n## ").map_or("", |end| &rest[end + 1..])),
+        None => (page.as_str(), ""),
+    };
+    let gap = if before.ends_with("\n\n") || before.is_empty() { "" } else { "\n" };
+    let tail = if after.is_empty() { String::new() } else { format!("\n{after}") };
+    if let Err(error) = fs::write(PAGE, format!("{before}{gap}{table}{tail}")) {
+        eprintln!("{PAGE}: {error}; write the table there by hand");
+    }
+}
+
+fn table(reports: &[RunReport], seed: u64, seconds: u64) -> String {
+    let mut text = format!(
+        "{HEADING}\n`cargo bench -p wasabipier --bench experiment -- --seed {seed} --seconds {seconds}`, 10 cores and \
+        32 GiB shared\nwith other work, all on loopback. Seven nodes a user as processes, stand-ins as threads of one \
+        more; bursts\nof 400 requests a second between 80. In each run, at the same times: a data centre is taken out \
+        and\nback, an engine crashes, links go silent, a node is killed, the store loses its answers for a tenth\nof \
+        the time. Callers ask again with the same id when they get no answer. The baseline takes targets\nin turn, \
+        without limits, early refusal, hedges or a retry budget; claims are the same.\nCost is calls \
+        at targets for each one charged to a caller.\n\n"
+    );
+    let mut row = |name: &str, value: &dyn Fn(&RunReport) -> String| {
+        let cells: Vec<String> = reports.iter().map(value).collect();
+        let _ = writeln!(text, "| {name} | {} |", cells.join(" | "));
+    };
+    row("", &|report| format!("{}, {}", report.name, report.setting));
+    row("---", &|_| "---".to_owned());
+    row("done within the deadline", &|report| report.in_time.text());
+    row("the same while a data centre is out", &|report| report.in_time_while_out.text());
+    row("the same after its return", &|report| report.in_time_after_return.text());
+    row("99th percentile, all answers", &|report| format!("{} ms", report.tail_ms));
+    row("bookings: ran once and told so, or did not and told so", &|report| report.booked_right.text());
+    row("bookings told unknown, or nothing", &|report| report.booked_unknown.to_string());
+    row("bookings run twice", &|report| report.booked_twice.to_string());
+    row("bookings told wrongly", &|report| report.told_wrong.to_string());
+    row("calls at the data centre from 3 s after it was out", &|report| report.late_calls.to_string());
+    row("calls beyond what targets bear, at its return", &|report| report.overloads_at_return.to_string());
+    row("the same over the whole run", &|report| report.overloads.to_string());
+    row("good version", &|report| ended(report.good.as_ref()));
+    row("bad version (30 % of its calls fail)", &|report| ended(report.bad.as_ref()));
+    row("cost by stage", &RunReport::cost);
+    text
+}
--- a/crates/node/src/connections.rs
+++ b/crates/node/src/connections.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use ureq::Agent;
+use wasabipier_wire::agent::ip_agent;
 
 /// A connection that no attempt uses.
 #[derive(Debug)]
@@ -45,13 +46,13 @@
     /// A connection that is opened for its attempt.
     #[must_use]
     pub fn open(&self) -> Agent {
-        Agent::config_builder()
+        let config = Agent::config_builder()
             .http_status_as_error(false)
             .timeout_connect(Some(self.connect_within))
             .max_idle_connections_per_host(1)
             .no_delay(true)
-            .build()
-            .new_agent()
+            .build();
+        ip_agent(config)
     }
 
     /// Keeps a connection whose attempt has succeeded.
--- a/crates/node/src/ledger.rs
+++ b/crates/node/src/ledger.rs
@@ -6,6 +6,7 @@
 
 use spdlog::warn;
 use wasabipier_core::prelude::ChargeLine;
+use wasabipier_wire::agent::ip_agent;
 use wasabipier_wire::answer::{LedgerLine, WireCharge};
 
 use crate::part::LEDGER;
@@ -45,7 +46,7 @@
                 "http://{}/v1/objects/ledger/{}/{}/{}",
                 settings.platform_address, settings.environment, identity.node, identity.instance
             ),
-            agent: config.new_agent(),
+            agent: ip_agent(config),
             every: settings.edges.ledger_every,
             sequence: 0,
             lines: Vec::new(),
--- a/crates/node/src/orders.rs
+++ b/crates/node/src/orders.rs
@@ -10,6 +10,7 @@
 use wasabipier_core::document::LoadSpec;
 use wasabipier_core::event::OrderReply;
 use wasabipier_core::prelude::*;
+use wasabipier_wire::agent::ip_agent;
 use wasabipier_wire::target::{ORDERS_PATH, OrderCall, STATE_PATH, WireLoadSpec};
 
 use crate::input::{InputSender, NodeInput};
@@ -45,7 +46,7 @@
             .timeout_global(Some(ANSWER_WITHIN))
             .timeout_connect(Some(settings.edges.connect_within))
             .build();
-        let worker = OrderWorker { agent: config.new_agent(), inputs };
+        let worker = OrderWorker { agent: ip_agent(config), inputs };
         thread::Builder::new().name("orders".to_owned()).spawn(move || worker.run(&receiver))?;
         Ok(Self { tasks })
     }
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -5,6 +5,7 @@
 use spdlog::warn;
 use wasabipier_core::event::{VmEntry, VmState};
 use wasabipier_core::prelude::*;
+use wasabipier_wire::agent::ip_agent;
 use wasabipier_wire::platform::{VmsReply, WireVm};
 
 use crate::input::{InputSender, NodeInput};
@@ -20,7 +21,7 @@
     let url = format!("http://{}/v1/vms", settings.platform_address);
     let edges = settings.edges.clone();
     let config = ureq::Agent::config_builder().timeout_global(Some(edges.store_within)).build();
-    let agent = config.new_agent();
+    let agent = ip_agent(config);
     thread::Builder::new().name("vm-list".to_owned()).spawn(move || {
         loop {
             let list = agent.get(&url).call().and_then(|mut response| response.body_mut().read_json::<VmsReply>());
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -202,6 +202,11 @@
         "addresses_kept_ms",
         "keep_ended_ms",
         "ramp_step_ms",
+        "retry_share",
+        "retry_burst",
+        "early_refusal",
+        "hedging",
+        "round_robin",
     ];
     reader.check_keys("tuning", &known);
     let tuning = Tuning::default();
@@ -216,6 +221,11 @@
         addresses_kept: reader.millis("tuning", "addresses_kept_ms", tuning.addresses_kept, 100..=MINUTE_MS),
         keep_ended: reader.millis("tuning", "keep_ended_ms", tuning.keep_ended, 1000..=60 * MINUTE_MS),
         ramp_step: reader.millis("tuning", "ramp_step_ms", tuning.ramp_step, 10..=MINUTE_MS),
+        retry_share: reader.bounded("tuning", "retry_share", tuning.retry_share, 0.0..=1000.0),
+        retry_burst: reader.bounded("tuning", "retry_burst", tuning.retry_burst, 0.0..=1_000_000.0),
+        early_refusal: reader.yes("tuning", "early_refusal", tuning.early_refusal),
+        hedging: reader.yes("tuning", "hedging", tuning.hedging),
+        round_robin: reader.yes("tuning", "round_robin", tuning.round_robin),
         ..tuning
     }
 }
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -5,6 +5,7 @@
 
 use spdlog::warn;
 use wasabipier_core::prelude::*;
+use wasabipier_wire::agent::ip_agent;
 use wasabipier_wire::platform::{BatchCall, BatchReply, TableOp, TableResult, TableRow};
 use wasabipier_wire::row::{key_text, row_from_json, value_to_json};
 
@@ -73,7 +74,7 @@
         Self {
             environment: settings.environment.clone(),
             url: format!("http://{}/v1/batch", settings.platform_address),
-            agent: config.new_agent(),
+            agent: ip_agent(config),
             inputs,
         }
     }
@@ -139,7 +140,8 @@
     }
 }
 
-/// Only a refused connect and the service's own word that it is out say that nothing was done.
+/// Only a refused connect and the service's own word that it is out say that nothing was done. Nodes reach
+/// the service directly, so that nothing between can say so in its place.
 fn failed(error: &ureq::Error) -> StoreReply {
     match error {
         ureq::Error::Io(error) if error.kind() == std::io::ErrorKind::ConnectionRefused => StoreReply::NotSent,
--- a/crates/node/tests/departures.rs
+++ b/crates/node/tests/departures.rs
@@ -9,6 +9,8 @@
 use wasabipier_fakes::test_env::{TestAsk, TestEnv, TestPlan, ask_at};
 use wasabipier_fakes::test_load::{DueAsk, LoadRecord, TestLoad};
 
+use wasabipier_wire::agent::ip_agent;
+
 /// Time within which a data centre that was taken out must get no new work.
 const LEFT_WITHIN: Duration = Duration::from_secs(3);
 
@@ -79,7 +81,7 @@
     // Act
     let (code, cut) = thread::scope(|scope| {
         let address = env.nodes[0].caller_address;
-        let agent = ureq::Agent::new_with_defaults();
+        let agent = ip_agent(ureq::config::Config::default());
         let ask = TestAsk::new("services/clubs", "cut-1", "{}");
         let asking = scope.spawn(move || ask_at(&agent, address, &ask));
         env.wait_until("the request runs", |env| {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -3,11 +3,13 @@
 //! * [`caller`] and [`burn`]: JSON towards callers and operators,
 //! * [`target`]: JSON towards targets,
 //! * [`platform`] and [`row`]: JSON towards the platform's services,
+//! * [`agent`]: HTTP clients for all of these,
 //! * [`frame`]: `bincode` frames between nodes,
 //! * [`document`]: the INI document of an environment, and [`ini`], its checked reading.
 
 pub mod prelude;
 
+pub mod agent;
 pub mod answer;
 pub mod burn;
 pub mod caller;
