Hand out a peer that a lagging list omits as soon as it is heard

Cause: a peer known from the settings, which the platform's list did not name yet and that had not been heard, was taken for leaving until the next list; addresses omitted it for up to 5 s after it served.

Ruled out: reading the list more often, which costs reads and only shortens the time.

Change: what the list says of a peer is a state of its own: absent, live, leaving; only the last keeps it out of the addresses. Before: the new test red. After: green. Conclusion: an absence says nothing.

--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -7,6 +7,18 @@
 use crate::message::{Heartbeat, NodeState};
 use crate::names::{DcName, NodeName, stable_hash};
 
+/// What the platform's list says of a peer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum VmListing {
+    /// Nothing: it is too new for the list, or gone.
+    #[default]
+    Absent,
+    /// Its VM runs.
+    Live,
+    /// Its VM will be stopped soon.
+    Leaving,
+}
+
 /// What is known of one peer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Member {
@@ -20,8 +32,8 @@
     pub heard: Moment,
     /// Whether it is taken for alive.
     pub alive: bool,
-    /// Whether the platform's list says that it is leaving.
-    pub leaving: bool,
+    /// What the platform's list, which lags, says of it.
+    pub listing: VmListing,
     /// Whether this node keeps a connection to it.
     pub linked: bool,
 }
@@ -42,7 +54,7 @@
             heartbeat: None,
             heard: Moment::default(),
             alive: false,
-            leaving: false,
+            listing: VmListing::default(),
             linked: false,
         });
         if member.peer_address != address {
@@ -119,7 +131,7 @@
     pub fn serving(&self) -> impl Iterator<Item = (&NodeName, &Heartbeat)> {
         self.members
             .iter()
-            .filter(|(_, member)| member.alive && !member.leaving)
+            .filter(|(_, member)| member.alive && member.listing != VmListing::Leaving)
             .filter_map(|(node, member)| member.heartbeat.as_ref().map(|beat| (node, beat)))
             .filter(|(_, beat)| beat.state == NodeState::Serving)
     }
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -9,7 +9,7 @@
 use crate::controller::Controller;
 use crate::document::Revision;
 use crate::event::{Event, VmEntry, VmState};
-use crate::members::Member;
+use crate::members::{Member, VmListing};
 use crate::message::{Heartbeat, NodeState, PeerMessage};
 use crate::names::{DcName, NodeName};
 
@@ -79,7 +79,7 @@
             if silence > dead_after * Self::patience(large, &own, member) {
                 member.alive = false;
             }
-            if member.leaving && silence > Self::FORGET_AFTER {
+            if member.listing != VmListing::Live && silence > Self::FORGET_AFTER {
                 forgotten.push(node.clone());
             }
         }
@@ -162,9 +162,10 @@
     }
     let listed: BTreeMap<&NodeName, VmState> = entries.iter().map(|entry| (&entry.node, entry.state)).collect();
     for (node, member) in board.members.iter_mut() {
-        member.leaving = match listed.get(node) {
-            Some(state) => *state == VmState::Leaving,
-            None => !member.alive,
+        member.listing = match listed.get(node) {
+            Some(VmState::Live) => VmListing::Live,
+            Some(VmState::Leaving) => VmListing::Leaving,
+            None => VmListing::Absent,
         };
     }
 }
--- a/crates/core/src/seats.rs
+++ b/crates/core/src/seats.rs
@@ -8,7 +8,7 @@
 use crate::clock::{Moment, TickPace};
 use crate::controller::Controller;
 use crate::event::Event;
-use crate::members::Member;
+use crate::members::{Member, VmListing};
 use crate::message::{Heartbeat, NodeState, PeerMessage, SeatClaim};
 use crate::names::{NodeName, TargetName};
 use crate::store::{Row, RowKey, RowValue, RowVersion, SeatRow, StoreOp, StoreReply};
@@ -71,7 +71,7 @@
     fn fair_count(board: &Blackboard) -> u32 {
         let counts = |member: &Member| match &member.heartbeat {
             Some(beat) if member.alive => beat.state != NodeState::Leaving,
-            _ => !member.leaving && board.now.since(member.heard) < Self::GONE_FOR,
+            _ => member.listing != VmListing::Leaving && board.now.since(member.heard) < Self::GONE_FOR,
         };
         let nodes = 1 + board.members.iter().filter(|(_, member)| counts(member)).count() as u32;
         board.document.content.seats.div_ceil(nodes)
--- /dev/null
+++ b/crates/core/tests/members.rs
@@ -0,0 +1,71 @@
+//! Members that the platform's list does not name yet.
+
+use wasabipier_core::event::{VmEntry, VmState};
+use wasabipier_core::message::{Heartbeat, NodeState};
+use wasabipier_core::prelude::*;
+
+fn address(port: u16) -> std::net::SocketAddr {
+    ([127, 0, 0, 1], port).into()
+}
+
+fn node() -> NodeCore {
+    let identity = Identity {
+        node: "entry-1".into(),
+        instance: InstanceId(1),
+        dc: "khomas-a".into(),
+        caller_address: address(8001),
+        peer_address: address(7001),
+    };
+    let peers = vec![PeerSpec { node: "entry-2".into(), address: address(7002) }];
+    NodeCore::new(NodeConfig { identity, tuning: Tuning::default(), seed: 1, peers }).0
+}
+
+fn heartbeat() -> Event {
+    let beat = Heartbeat {
+        instance: InstanceId(2),
+        sequence: 1,
+        dc: "khomas-b".into(),
+        caller_address: address(8002),
+        peer_address: address(7002),
+        state: NodeState::Serving,
+        revision: Revision(0),
+        seats: Vec::new(),
+    };
+    Event::Peer("entry-2".into(), Box::new(PeerMessage::Heartbeat(beat)))
+}
+
+fn listed(state: VmState) -> VmEntry {
+    VmEntry {
+        node: "entry-2".into(),
+        dc: "khomas-b".into(),
+        caller_address: address(8002),
+        peer_address: address(7002),
+        state,
+    }
+}
+
+#[test]
+fn a_peer_that_a_lagging_list_omits_is_handed_out_as_soon_as_it_is_heard() {
+    // Arrange: the list does not name the peer of the settings yet
+    let mut core = node();
+    core.handle(Moment(100), WallTime(0), &Event::VmsListed(Vec::new()));
+
+    // Act
+    core.handle(Moment(200), WallTime(0), &heartbeat());
+
+    // Assert
+    assert!(core.addresses().contains(&address(8002)));
+}
+
+#[test]
+fn a_peer_that_the_list_calls_leaving_is_not_handed_out() {
+    // Arrange
+    let mut core = node();
+    core.handle(Moment(200), WallTime(0), &heartbeat());
+
+    // Act
+    core.handle(Moment(300), WallTime(0), &Event::VmsListed(vec![listed(VmState::Leaving)]));
+
+    // Assert
+    assert!(!core.addresses().contains(&address(8002)));
+}
