--- a/crates/core/src/leases.rs
+++ b/crates/core/src/leases.rs
@@ -237,6 +237,8 @@
             let Some((seen, _)) = self.seen.get(&kind).cloned().zip(held) else { continue };
             let row = LeaseRow { owner: NodeName::new(""), ..seen.row };
             self.write(board, kind, Some(seen.version), row, out);
+            // No answer to a write of this node, this one included, makes it the holder again.
+            self.sent.remove(&kind);
         }
     }
 }
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -10,6 +10,8 @@
 mod oracle;
 #[path = "fleet/play.rs"]
 mod play;
+#[path = "fleet/regressions.rs"]
+mod regressions;
 #[path = "fleet/table.rs"]
 mod table;
 #[path = "fleet/targets.rs"]
--- a/crates/core/tests/fleet/fixtures.rs
+++ b/crates/core/tests/fleet/fixtures.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use wasabipier_core::document::{Admission, DcSpec, OrgSpec, PipelineSpec, ServiceKind, ServiceSpec, TargetSpec};
+use wasabipier_core::document::{
+    Admission, DcSpec, EngineRole, LoadSpec, OrgSpec, PipelineSpec, ServiceKind, ServiceSpec, TargetSpec,
+};
 use wasabipier_core::prelude::*;
 
 /// Tokens of each generated answer.
@@ -60,6 +62,16 @@
     stages(goal).iter().fold(String::new(), |previous, service| parts(service, key, body, &previous).concat())
 }
 
+/// What engines shall have loaded: other weights with each number.
+fn load(number: usize) -> LoadSpec {
+    LoadSpec {
+        model: "model".into(),
+        adapters: Vec::new(),
+        version: VersionName::new(format!("weights-{number}")),
+        role: EngineRole::default(),
+    }
+}
+
 /// A document in which the targets `out` and the data centre `dc_out` take no new work.
 pub fn document(out: &[&str], dc_out: Option<&str>) -> Document {
     let admission = |is_out: bool| if is_out { Admission::Out } else { Admission::Open };
@@ -77,8 +89,8 @@
             dc: dc.into(),
             address: ([127, 0, 0, 1], 1).into(),
             admission: admission(out.contains(&name)),
-            checks_fencing: true,
-            load: None,
+            checks_fencing: name == "gen-1",
+            load: (service == "gen").then(|| load(out.len())),
         };
         (TargetName::new(name), spec)
     };
--- a/crates/core/tests/fleet/healing.rs
+++ b/crates/core/tests/fleet/healing.rs
@@ -13,6 +13,8 @@
         self.loss_percent = 0;
         self.delay = 0;
         self.quirk_percent = 0;
+        self.quirk = None;
+        self.took = None;
         self.set_table(TableMode::Up);
         for node in &mut self.nodes {
             node.paused_until = 0;
--- a/crates/core/tests/fleet/play.rs
+++ b/crates/core/tests/fleet/play.rs
@@ -4,7 +4,9 @@
 use crate::oracle::Start;
 use crate::targets::{Quirk, Run};
 use crate::world::{Happening, World};
+use wasabipier_core::action::LoadOrder;
 use wasabipier_core::document::Admission;
+use wasabipier_core::event::OrderReply;
 use wasabipier_core::prelude::*;
 
 impl World {
@@ -13,7 +15,7 @@
         let fail = |kind, sent| {
             Happening::Event(index, Some(instance), Event::Attempt(order.attempt, AttemptEvent::Failed { kind, sent }))
         };
-        let quirk = Quirk::draw(self.quirk_percent, &mut self.random);
+        let quirk = self.quirk.unwrap_or_else(|| Quirk::draw(self.quirk_percent, &mut self.random));
         let Some(target) = self.targets.get_mut(&order.target) else { return };
         if target.unreachable_until > self.now {
             return self.plan(1, fail(FailureKind::Unreachable, false));
@@ -79,6 +81,7 @@
         }
         let slow = self.random.u32(0..10) == 0;
         let took = if slow { self.random.u64(1_000..8_000) } else { self.random.u64(5..500) };
+        let took = self.took.unwrap_or(took);
         let left = order.time_left.as_millis() as u64;
         let to_node = |event| Happening::Event(index, Some(instance), Event::Attempt(order.attempt, event));
         let silent = AttemptEvent::Failed { kind: FailureKind::Silent, sent: true };
@@ -142,6 +145,43 @@
         self.plan(1, Happening::Event(run_record.node, Some(run_record.instance), event));
     }
 
+    /// Carries an order to an engine: it leaves while it is valid, and its answer may be lost.
+    pub fn order(&mut self, index: usize, order: &LoadOrder) {
+        let instance = self.nodes[index].instance;
+        let lost = self.random.u32(0..5) == 0;
+        let after = self.random.u64(0..=order.valid_for.as_millis() as u64) + self.random.u64(1..500);
+        let reply = if lost { OrderReply::Lost } else { OrderReply::Accepted };
+        self.plan(after, Happening::Order(index, instance, Box::new(order.clone()), reply));
+    }
+
+    /// An engine gets an order: some refuse one of an earlier holder, the others must never get one.
+    pub fn ordered(&mut self, index: usize, instance: InstanceId, order: &LoadOrder, reply: OrderReply) {
+        let Some(sim) = self.targets.get_mut(&order.target) else { return };
+        let stale = order.fencing < sim.fencing;
+        let checks = order.target.as_str() == "gen-1";
+        if stale && !checks {
+            let what = format!("{} gets order {} after {}", order.target, order.fencing, sim.fencing);
+            self.oracle.violations.push(what);
+        }
+        sim.fencing = sim.fencing.max(order.fencing);
+        if !stale {
+            sim.loaded = Some(order.load.clone());
+        }
+        let reply = if stale { OrderReply::Stale } else { reply };
+        let event = Event::OrderAnswered(order.target.clone(), reply);
+        self.plan(1, Happening::Event(index, Some(instance), event));
+    }
+
+    /// An engine is asked what it has loaded.
+    pub fn inspect(&mut self, index: usize, target: &TargetName) {
+        let sim = &self.targets[target];
+        let loaded = if sim.unreachable_until > self.now { None } else { sim.loaded.clone() };
+        let loaded = loaded.or_else(|| fixtures::document(&[], None).targets[target].load.clone());
+        let after = self.random.u64(1..200);
+        let instance = self.nodes[index].instance;
+        self.plan(after, Happening::Event(index, Some(instance), Event::Inspected(target.clone(), loaded)));
+    }
+
     pub fn cancel(&mut self, index: usize, attempt: AttemptId) {
         let instance = self.nodes[index].instance;
         let found = self.targets.iter().find_map(|(target, sim)| {
--- a/crates/core/tests/fleet/targets.rs
+++ b/crates/core/tests/fleet/targets.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use wasabipier_core::document::LoadSpec;
 use wasabipier_core::prelude::*;
 
 /// What goes wrong with one run.
@@ -59,12 +60,16 @@
     pub instance: InstanceId,
     pub runs: BTreeMap<u64, Run>,
     pub unreachable_until: u64,
+    /// What its engine has loaded.
+    pub loaded: Option<LoadSpec>,
+    /// Highest fencing number that an order to it carried.
+    pub fencing: u64,
 }
 
 impl SimTarget {
     /// A target that just started.
     pub fn new(instance: u64) -> Self {
-        Self { instance: InstanceId(instance), runs: BTreeMap::new(), unreachable_until: 0 }
+        Self { instance: InstanceId(instance), runs: BTreeMap::new(), unreachable_until: 0, loaded: None, fencing: 0 }
     }
 
     /// What it says of itself.
--- a/crates/core/tests/fleet/world.rs
+++ b/crates/core/tests/fleet/world.rs
@@ -4,15 +4,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use wasabipier_core::action::DocumentSource;
-use wasabipier_core::event::{VmEntry, VmState};
+use wasabipier_core::action::{DocumentSource, LoadOrder};
+use wasabipier_core::event::{OrderReply, VmEntry, VmState};
 use wasabipier_core::message::NodeState;
 use wasabipier_core::prelude::*;
+use wasabipier_core::store::LeaseKind;
 
 use crate::fixtures::{self, BODIES, TARGETS};
 use crate::oracle::{Call, Oracle};
 use crate::table::{Table, TableMode};
-use crate::targets::SimTarget;
+use crate::targets::{Quirk, SimTarget};
 
 /// Nodes at most.
 pub const NODES: usize = 5;
@@ -29,6 +30,7 @@
     Result(TargetName, u64, AttemptEvent),
     Drop(TargetName, u64),
     Crash(TargetName),
+    Order(usize, InstanceId, Box<LoadOrder>, OrderReply),
     Start(usize),
     List,
 }
@@ -60,6 +62,10 @@
     pub loss_percent: u32,
     pub delay: u64,
     pub quirk_percent: u32,
+    /// What goes wrong with each run, instead of by chance.
+    pub quirk: Option<Quirk>,
+    /// How long each run takes, instead of by chance.
+    pub took: Option<u64>,
     pub random: fastrand::Rng,
     agenda: BTreeMap<(u64, u64), Happening>,
     pub counter: u64,
@@ -106,6 +112,8 @@
             loss_percent: 0,
             delay: 0,
             quirk_percent: 0,
+            quirk: None,
+            took: None,
             random: fastrand::Rng::with_seed(seed),
             agenda: BTreeMap::new(),
             counter: 100,
@@ -158,6 +166,7 @@
                 self.targets.get_mut(&target).map(|target| target.runs.remove(&run));
             }
             Happening::Crash(target) => self.crash_target(&target, 500),
+            Happening::Order(index, instance, order, reply) => self.ordered(index, instance, &order, reply),
             Happening::Start(index) => self.start(index),
             Happening::List => self.list(),
         }
@@ -249,9 +258,7 @@
         events.dedup_by(|one, other| matches!((one, other), (Event::Tick, Event::Tick)));
         let mut stopped = false;
         for event in events {
-            // Clocks start anywhere and run up to one percent fast or slow.
-            let rate = 990 + 5 * index as u64;
-            let local = Moment(self.now * rate / 1_000 + 50_000 * index as u64);
+            let local = self.local(index);
             let Some(core) = &mut self.nodes[index].core else { return };
             let actions = core.handle(local, WallTime(self.now), &event);
             self.observe(index);
@@ -268,7 +275,27 @@
         }
     }
 
+    /// The clock of a node: clocks start anywhere, and run up to one percent fast or slow.
+    fn local(&self, index: usize) -> Moment {
+        let rate = 990 + 5 * index as u64;
+        Moment(self.now * rate / 1_000 + 50_000 * index as u64)
+    }
+
+    /// A holder of a lease must be the only one that would act now.
+    fn check_leases(&mut self, index: usize) {
+        for kind in [LeaseKind::Orders, LeaseKind::Rollout] {
+            let holds = |node: &usize| {
+                let core = self.nodes[*node].core.as_ref();
+                core.is_some_and(|core| core.board().leases.holds(kind, self.local(*node)))
+            };
+            if holds(&index) && (0..NODES).filter(holds).count() > 1 {
+                self.oracle.violations.push(format!("{} ms: two nodes act under the lease for {kind}", self.now));
+            }
+        }
+    }
+
     fn observe(&mut self, index: usize) {
+        self.check_leases(index);
         let node = &mut self.nodes[index];
         let Some(core) = &node.core else { return };
         for (target, view) in core.board().targets.iter() {
@@ -294,6 +321,8 @@
             Action::Answer(call, part) => self.answer(call, part),
             Action::Tell(to, message) => self.tell(index, &to, &message),
             Action::Store(ticket, op) => self.operate(index, ticket, *op),
+            Action::Order(order) => self.order(index, &order),
+            Action::Inspect(target, _) => self.inspect(index, &target),
             Action::Parse(source) => self.parse(index, &source),
             Action::Charge(line) => self.oracle.charged(instance, &line, self.now),
             Action::Promoted(call, answer) => self.oracle.promoted(call, answer),
