Send prompts where their beginning is cached, and weigh targets by their speed

Cause: engines cache prompt prefixes, and the choice did not know; a slow target was taken for as good as others with as many calls in flight. Change: prefixes.rs keeps hints by hashed beginnings of 1, 2, 4 and so on blocks, from where prompts went and from cache events (a gap puts older hints in doubt, a new instance voids them); a hint decides only if its target's load is within half a limit of the best of the few. Load is weighed by a target's own call time over that of its service. A hedge waits for twice the median at least: with calls that all take the same time, one in ten encoder calls was hedged for nothing.

--- a/crates/core/examples/rollout_runs.rs
+++ b/crates/core/examples/rollout_runs.rs
@@ -151,6 +151,7 @@
         stage: 0,
         previous: Arc::default(),
         tokens: Vec::new(),
+        prefixes: None,
         arrived: Moment(0),
         deadline: Moment(u64::MAX),
         priority: Priority::Normal,
--- a/crates/core/src/blackboard.rs
+++ b/crates/core/src/blackboard.rs
@@ -15,6 +15,7 @@
 use crate::message::NodeState;
 use crate::names::{AttemptId, DcName, InstanceId, NodeName, Nonce};
 use crate::permits::PermitTable;
+use crate::prefixes::PrefixTable;
 use crate::queue::QueueTable;
 use crate::ready::ReadyTable;
 use crate::requests::RequestTable;
@@ -65,6 +66,8 @@
     pub targets: TargetTable,
     /// Index of targets that may take a call.
     pub ready: ReadyTable,
+    /// Which targets are likely to hold which prompt prefixes.
+    pub prefixes: PrefixTable,
     /// Rights to call targets.
     pub permits: PermitTable,
     /// Requests at this node.
@@ -109,6 +112,7 @@
             members: MemberTable::default(),
             targets: TargetTable::default(),
             ready: ReadyTable::default(),
+            prefixes: PrefixTable::default(),
             permits: PermitTable::default(),
             requests: RequestTable::default(),
             queues: QueueTable::default(),
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -8,9 +8,11 @@
 use crate::document::ServiceKind;
 use crate::event::{AttemptEvent, Event};
 use crate::hedges;
-use crate::names::{OrgName, RequestKey, ServiceName};
+use crate::intake::is_stream;
+use crate::names::{OrgName, RequestKey, ServiceName, TargetName};
 use crate::outcome::RefusalKind;
-use crate::picker::{self, Choice};
+use crate::picker::{self, CallWish, Choice};
+use crate::prefixes;
 use crate::requests::{AttemptRecord, RequestState, TargetPhase};
 use crate::store::StoreReply;
 use crate::store_table::StorePurpose;
@@ -78,12 +80,27 @@
 }
 
 fn choose_for(board: &mut Blackboard, service: &ServiceName, key: &RequestKey) -> Option<Choice> {
-    let avoid = std::mem::take(&mut board.requests.get_mut(key)?.failed_at);
-    let choice = picker::choose(board, service, &avoid);
-    board.requests.get_mut(key)?.failed_at = avoid;
+    let streams = is_stream(&board.document.content, service);
+    let record = board.requests.get_mut(key)?;
+    if streams && record.prefixes.is_none() {
+        record.prefixes = Some(prefixes::prefix_keys(service, &record.previous, &record.body));
+    }
+    let (avoid, kept) = (std::mem::take(&mut record.failed_at), record.prefixes.take());
+    let wish = CallWish { avoid: &avoid, prefixes: kept.as_deref().unwrap_or_default() };
+    let choice = picker::choose(board, service, wish);
+    let record = board.requests.get_mut(key)?;
+    (record.failed_at, record.prefixes) = (avoid, kept);
     choice
 }
 
+/// Notes that the prompt of a request will be in its target's cache.
+fn learn_prefixes(board: &mut Blackboard, key: &RequestKey, target: &TargetName) {
+    let Some(record) = board.requests.get(key) else { return };
+    for prefix in record.prefixes.iter().flatten() {
+        board.prefixes.learn(*prefix, target, board.now);
+    }
+}
+
 /// Sends an attempt of a request to the target of `choice`.
 pub fn send(board: &mut Blackboard, key: &RequestKey, choice: &Choice, out: &mut Vec<Action>) {
     let limit = board.targets.get(&choice.target).map_or(0, |view| view.limit_at(&board.tuning, board.now));
@@ -142,6 +159,7 @@
     };
     board.counters.attempts += 1;
     board.watches.set(id, watches::next_look(board, &attempt));
+    learn_prefixes(board, key, &choice.target);
     board.requests.start_attempt(id, attempt);
     out.push(Action::Send(Box::new(order)));
 }
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -6,7 +6,8 @@
 use crate::document::{AcceptedDocument, LoadSpec};
 use crate::message::PeerMessage;
 use crate::names::{
-    AttemptId, CallId, DcName, NodeName, PipelineName, RequestKey, ServiceName, StoreTicket, TargetName,
+    AttemptId, CallId, DcName, InstanceId, NodeName, PipelineName, PrefixKey, RequestKey, ServiceName, StoreTicket,
+    TargetName,
 };
 use crate::outcome::{LoadReport, Usage};
 use crate::store::StoreReply;
@@ -136,6 +137,21 @@
     pub state: VmState,
 }
 
+/// What a target says of its prompt cache since its last report.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct CacheReport {
+    /// Run of the target's process.
+    pub instance: InstanceId,
+    /// Counts up with each report; a gap means that some were lost.
+    pub sequence: u64,
+    /// Age in milliseconds when it arrived.
+    pub age_ms: u32,
+    /// Prefixes that came in.
+    pub stored: Vec<PrefixKey>,
+    /// Prefixes that went out.
+    pub evicted: Vec<PrefixKey>,
+}
+
 /// Everything that can happen to a node.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -165,4 +181,6 @@
     StopAsked,
     /// Time passed.
     Tick,
+    /// A target reported what its prompt cache holds.
+    Cached(TargetName, CacheReport),
 }
--- a/crates/core/src/hedges.rs
+++ b/crates/core/src/hedges.rs
@@ -5,7 +5,7 @@
 use crate::clock::Moment;
 use crate::dispatch;
 use crate::names::AttemptId;
-use crate::picker;
+use crate::picker::{self, CallWish};
 use crate::requests::{AttemptRecord, RequestRecord};
 
 /// When an attempt that is about to start is worth a hedge; none if it never is.
@@ -14,7 +14,8 @@
     // The tokens of two streams would have to be told apart, and a claimed call runs once.
     let may = board.tuning.hedging && !streams && record.claim.is_none() && record.running.is_empty();
     let tail = board.stage_times.usual(record.service()).filter(|_| may)?;
-    Some(board.now + tail.most)
+    // Where nearly all calls take the same time, a little more of it is not unusual.
+    Some(board.now + tail.most.max(tail.half * 2))
 }
 
 /// Sends a second attempt to another target; the first result of the two will count.
@@ -27,7 +28,9 @@
     let Some(record) = board.requests.get(&attempt.key) else { return };
     let mut avoid = record.failed_at.clone();
     avoid.insert(attempt.target.clone());
-    let Some(choice) = picker::choose(board, &attempt.service, &avoid) else { return };
+    let Some(choice) = picker::choose(board, &attempt.service, CallWish { avoid: &avoid, prefixes: &[] }) else {
+        return;
+    };
     if avoid.contains(&choice.target) || !board.budget.spend() {
         return;
     }
--- a/crates/core/src/intake.rs
+++ b/crates/core/src/intake.rs
@@ -158,6 +158,7 @@
         stage: 0,
         previous: Arc::from(""),
         tokens: Vec::new(),
+        prefixes: None,
         arrived: board.now,
         deadline: board.now + ask.deadline.min(plan.longest),
         priority: ask.priority,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod queue;
 
 pub mod picker;
+pub mod prefixes;
 pub mod ready;
 pub mod targets;
 pub mod versions;
--- a/crates/core/src/names.rs
+++ b/crates/core/src/names.rs
@@ -126,6 +126,10 @@
     /// A hash of a request's content, which is the same under whatever id it comes.
     Fingerprint
 );
+number_type!(
+    /// A hash of a prompt's beginning, the same for all prompts that share it.
+    PrefixKey
+);
 number_type!(
     /// Ties a reply of the table service to its operation.
     StoreTicket
--- a/crates/core/src/permits.rs
+++ b/crates/core/src/permits.rs
@@ -160,11 +160,16 @@
         Some(Permit::Own)
     }
 
-    /// Whether a permit could be taken.
+    /// Calls of this node that run at `target`, if another one may start there.
     #[must_use]
-    pub fn has(&self, target: &TargetName, limit: u32, now: Moment) -> bool {
-        let credits = self.targets.get(target).map_or(&[][..], |permits| &permits.credits);
-        credits.iter().any(|credit| credit.start_until > now) || self.free(target, limit) > 0
+    pub fn usable(&self, target: &TargetName, limit: u32, now: Moment) -> Option<u32> {
+        let Some(permits) = self.targets.get(target) else {
+            return (self.share(target, limit) > 0).then_some(0);
+        };
+        let share = seats_share(target, &permits.ranks, &self.seats, self.seats_total, limit);
+        let free = share > permits.own_in_flight + permits.loans.len() as u32;
+        let borrowed = permits.credits.iter().any(|credit| credit.start_until > now);
+        (free || borrowed).then_some(permits.own_in_flight + permits.borrowed_in_flight)
     }
 
     /// Gives a permit back after its call has ended.
--- a/crates/core/src/ready.rs
+++ b/crates/core/src/ready.rs
@@ -55,6 +55,12 @@
         self.slots.iter().map(|(target, slot)| (&slot.service, target))
     }
 
+    /// Whether a target is in a pool, ready or not.
+    #[must_use]
+    pub fn is_of(&self, target: &TargetName, pool: usize) -> bool {
+        self.slots.get(target).is_some_and(|slot| slot.pool == pool)
+    }
+
     /// The pool of a version, if any target of it is admitted.
     #[must_use]
     pub fn pool(&self, service: &ServiceName, version: &VersionName) -> Option<usize> {
--- a/crates/core/src/requests.rs
+++ b/crates/core/src/requests.rs
@@ -6,7 +6,9 @@
 
 use crate::clock::Moment;
 use crate::event::Priority;
-use crate::names::{AttemptId, CallId, Fingerprint, Nonce, RequestKey, ServiceName, TargetName, VersionName};
+use crate::names::{
+    AttemptId, CallId, Fingerprint, Nonce, PrefixKey, RequestKey, ServiceName, TargetName, VersionName,
+};
 use crate::outcome::{ChargeLine, FinalAnswer};
 use crate::permits::Permit;
 use crate::queue::Waiting;
@@ -60,6 +62,8 @@
     pub previous: Arc<str>,
     /// Tokens of the running stage, accepted in order.
     pub tokens: Vec<Arc<str>>,
+    /// Prefixes of the prompt of its current stage, once worked out.
+    pub prefixes: Option<Vec<PrefixKey>>,
     /// When it arrived.
     pub arrived: Moment,
     /// When it must be answered.
@@ -369,6 +373,7 @@
         record.stage += 1;
         record.stage_attempts = 0;
         record.tokens.clear();
+        record.prefixes = None;
         record.failed_at.clear();
         record.sent = true;
         self.unbind(&service, priority);
--- a/crates/core/src/stages.rs
+++ b/crates/core/src/stages.rs
@@ -40,6 +40,7 @@
             }
             Event::Attempt(id, AttemptEvent::Failed { kind, sent }) => on_failed(board, *id, *kind, *sent, out),
             Event::Reported(target, report) => on_report(board, target, report, out),
+            Event::Cached(target, report) => board.prefixes.learn_report(target, report, board.now),
             Event::Peer(from, message) => on_peer(board, from, message),
             Event::Tick => {
                 conclude::end_drained(board, out);
@@ -162,7 +163,11 @@
     on_report(board, &attempt.target, report, out);
     board.stage_times.learn(&attempt.service, now.since(attempt.started));
     let view = board.targets.get_mut(&attempt.target);
-    if view.is_some_and(|view| view.learn_success(attempt.served(now), &board.tuning, now)) {
+    let cooled = view.is_some_and(|view| {
+        view.learn_time(now.since(attempt.started));
+        view.learn_success(attempt.served(now), &board.tuning, now)
+    });
+    if cooled {
         tell_cold(board, &attempt.target, out);
     }
     counting::count_success(board, attempt, report);
@@ -284,6 +289,7 @@
     let now = board.now;
     let restarted = board.targets.get_mut(target).is_some_and(|view| view.learn_report(report, now));
     if restarted {
+        board.prefixes.forget_target(target, now);
         tell_cold(board, target, out);
     }
 }
@@ -302,5 +308,6 @@
         && let Some(view) = board.targets.get_mut(target)
     {
         view.warmth.hear_cold(*instance, now);
+        board.prefixes.forget_target(target, now);
     }
 }
--- a/crates/core/src/targets.rs
+++ b/crates/core/src/targets.rs
@@ -24,6 +24,8 @@
     pub reported: u32,
     /// When those figures were true.
     pub reported_at: Moment,
+    /// Smoothed time of a whole call; zero until known.
+    pub call_time: Duration,
 }
 
 /// Targets by name, and by service and version.
@@ -104,6 +106,7 @@
             resting_until: Moment::default(),
             reported: 0,
             reported_at: Moment::default(),
+            call_time: Duration::ZERO,
         }
     }
 
@@ -129,6 +132,14 @@
         self.warmth.learn_success(call, tuning, now)
     }
 
+    /// Learns the time of a whole call.
+    pub fn learn_time(&mut self, took: Duration) {
+        const OLD_WEIGHT: f64 = 0.9;
+        let unknown = self.call_time.is_zero();
+        let smoothed = self.call_time.mul_f64(OLD_WEIGHT) + took.mul_f64(1.0 - OLD_WEIGHT);
+        self.call_time = if unknown { took } else { smoothed };
+    }
+
     /// Learns from a failure: rests the target, longer with each in a row; tells whether it turned cold.
     pub fn learn_failure(&mut self, kind: FailureKind, now: Moment) -> bool {
         if matches!(kind, FailureKind::Rejected | FailureKind::Late) {
--- a/crates/core/src/tuning.rs
+++ b/crates/core/src/tuning.rs
@@ -29,6 +29,10 @@
     pub hedging: bool,
     /// Delay before the second retry of a stage, doubled with each, before jitter.
     pub retry_delay: Duration,
+    /// Time for which a prefix is taken to stay in a target's cache.
+    pub prefix_kept: Duration,
+    /// Load above that of the best target, as a share of the limit, up to which a cached prefix decides.
+    pub prefix_slack: f64,
     /// Most attempts of one stage.
     pub most_attempts: u32,
     /// Most requests queued for one service.
@@ -80,6 +84,8 @@
             early_refusal: true,
             hedging: true,
             retry_delay: Duration::from_millis(20),
+            prefix_kept: Duration::from_mins(1),
+            prefix_slack: 0.5,
             most_attempts: 3,
             queue_bound: 400,
             retry_share: 0.1,
--- a/crates/core/tests/support/fixture.rs
+++ b/crates/core/tests/support/fixture.rs
@@ -154,11 +154,23 @@
 
     /// Asks for the pipeline `plan`, or for the service `goal`; gives the call.
     pub fn ask(&mut self, request: &str, goal: &str, deadline: Duration, priority: Priority) -> CallId {
+        let body = Arc::from(format!("\"{request}\""));
+        self.ask_with(request, goal, body, deadline, priority)
+    }
+
+    /// Asks with a body of its own.
+    pub fn ask_with(
+        &mut self,
+        request: &str,
+        goal: &str,
+        body: Arc<str>,
+        deadline: Duration,
+        priority: Priority,
+    ) -> CallId {
         self.last_call += 1;
         let call = CallId(self.last_call);
         let goal = if goal == "plan" { Goal::Pipeline(goal.into()) } else { Goal::Service(goal.into()) };
         let key = RequestKey { org: "lions".into(), request: request.into() };
-        let body = Arc::from(format!("\"{request}\""));
         self.handle(&Event::Asked(Box::new(Ask { call, key, goal, body, deadline, priority })));
         call
     }
