--- a/crates/core/src/watches.rs
+++ b/crates/core/src/watches.rs
@@ -1,6 +1,7 @@
 //! When to look at running attempts again: each may have gone silent, or run past its bound.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use crate::action::Action;
 use crate::blackboard::Blackboard;
@@ -78,7 +79,8 @@
         attempt.share_ends = attempt.ends;
     }
     let Some(attempt) = board.requests.attempt(id) else { return };
-    let next = next_look(board, attempt);
+    // Never in this same look, which would then not end.
+    let next = next_look(board, attempt).max(now + Duration::from_millis(1));
     board.watches.set(id, next);
 }
 
--- a/crates/core/tests/attempts.rs
+++ b/crates/core/tests/attempts.rs
@@ -80,3 +80,16 @@
     assert_eq!(node.orders.len(), 1);
     assert_eq!(node.answer(call).map(|answer| answer.outcome), Some(Outcome::Unknown));
 }
+
+#[test]
+fn a_claimed_call_that_broke_after_it_was_sent_is_not_sent_again() {
+    let mut node = node(PoolSpec { service: "bookings", repeatable: false, ..PoolSpec::default() });
+    let call = node.ask("booking-1", "bookings", DEADLINE, Priority::Normal);
+    let attempt = node.orders[0].attempt;
+
+    node.fail(attempt, FailureKind::Broken, true);
+    node.advance(DEADLINE);
+
+    assert_eq!(node.orders.len(), 1);
+    assert_eq!(node.answer(call).map(|answer| answer.outcome), Some(Outcome::Unknown));
+}
--- a/crates/core/tests/warmth.rs
+++ b/crates/core/tests/warmth.rs
@@ -51,11 +51,14 @@
 #[test]
 fn a_new_instance_is_cold_and_late_reports_of_the_old_one_are_ignored() {
     let (mut state, now) = warm();
-    let restarted = state.learn_report(&LoadReport { instance: InstanceId(8), warm: false, ..WARM }, now);
+    let newer = LoadReport { instance: InstanceId(8), warm: false, ..WARM };
+    let restarted = state.learn_report(&newer, now);
 
-    let again = state.learn_report(&WARM, now + USUAL);
+    let late = state.learn_report(&WARM, now + USUAL);
+    let again = state.learn_report(&newer, now + USUAL * 2);
 
-    assert_eq!((restarted, again, state.limit(), state.instance()), (true, false, 2, InstanceId(8)));
+    assert_eq!((restarted, late, again), (true, false, false));
+    assert_eq!((state.limit(), state.instance()), (2, InstanceId(8)));
 }
 
 #[test]
