Record verdicts under the lease for rollouts

Cause: the first node by name recorded, which two nodes can take themselves for. Ruled out: dropping the condition on the row's version; it stays, since a lease can lapse while its holder is paused. Change: RolloutController asks board.leases; the example runs LeaseController too.

--- a/crates/core/examples/rollout_runs.rs
+++ b/crates/core/examples/rollout_runs.rs
@@ -10,6 +10,7 @@
 use wasabipier_core::controller::Controller;
 use wasabipier_core::counting;
 use wasabipier_core::document::{CandidateSpec, ServiceSpec};
+use wasabipier_core::leases::LeaseController;
 use wasabipier_core::message::{Heartbeat, NodeState};
 use wasabipier_core::permits::Permit;
 use wasabipier_core::prelude::*;
@@ -62,7 +63,7 @@
 #[derive(Debug)]
 struct SimNode {
     board: Blackboard,
-    controller: RolloutController,
+    controllers: [Box<dyn Controller>; 2],
 }
 
 /// One run.
@@ -72,7 +73,7 @@
     rate: f64,
     random: fastrand::Rng,
     nodes: Vec<SimNode>,
-    row: Option<Row>,
+    rows: BTreeMap<RowKey, Row>,
     served: BTreeMap<(bool, usize), u32>,
     surprised: BTreeSet<(bool, usize)>,
     candidate_lately: f64,
@@ -133,7 +134,8 @@
     for (route, _) in ROUTES {
         board.requests.insert(request(route, route, 0));
     }
-    SimNode { board, controller: RolloutController::default() }
+    board.state = NodeState::Serving;
+    SimNode { board, controllers: [Box::<LeaseController>::default(), Box::<RolloutController>::default()] }
 }
 
 fn request_key(name: &str) -> RequestKey {
@@ -176,7 +178,7 @@
             rate,
             nodes: (0..NODES).map(|index| node(index, seed ^ index as u64)).collect(),
             random,
-            row: None,
+            rows: BTreeMap::new(),
             served: BTreeMap::new(),
             surprised: BTreeSet::new(),
             candidate_lately: 0.0,
@@ -215,7 +217,8 @@
     }
 
     fn note_row(&mut self) {
-        let Some(Row { value: RowValue::Rollout(row), .. }) = &self.row else { return };
+        let key = RowKey::Rollout(service());
+        let Some(Row { value: RowValue::Rollout(row), .. }) = self.rows.get(&key) else { return };
         if row.state != self.result.state {
             self.result.state = row.state;
             self.result.reason = row.reason.clone();
@@ -224,16 +227,20 @@
     }
 
     fn deliver(&mut self, index: usize, event: &Event, mail: &mut Vec<(usize, Event)>) {
-        let SimNode { board, controller } = &mut self.nodes[index];
+        let SimNode { board, controllers } = &mut self.nodes[index];
         board.now = Moment(self.now_ms);
         let mut out = Vec::new();
         if let Event::Store(ticket, reply) = event {
             board.store.learn(reply, Moment(self.now_ms), 0.5);
             if let Some(purpose) = board.store.close(*ticket) {
-                controller.on_store(board, &purpose, reply, &mut out);
+                for controller in controllers.iter_mut() {
+                    controller.on_store(board, &purpose, reply, &mut out);
+                }
             }
         }
-        controller.on_event(board, event, &mut out);
+        for controller in controllers {
+            controller.on_event(board, event, &mut out);
+        }
         let from = node_name(index);
         for action in out {
             match action {
@@ -253,16 +260,17 @@
 
     fn store(&mut self, op: &StoreOp) -> StoreReply {
         match op {
-            StoreOp::Write { expected, value, .. } => {
-                let version = self.row.as_ref().map(|row| row.version);
+            StoreOp::Write { key, expected, value } => {
+                let standing = self.rows.get(key);
+                let version = standing.map(|row| row.version);
                 if version != *expected {
-                    return StoreReply::Conflict(self.row.clone());
+                    return StoreReply::Conflict(standing.cloned());
                 }
                 let version = RowVersion(version.map_or(1, |version| version.0 + 1));
-                self.row = Some(Row { version, value: value.clone() });
+                self.rows.insert(key.clone(), Row { version, value: value.clone() });
                 StoreReply::Written(version)
             }
-            StoreOp::Read { .. } => StoreReply::Read(self.row.clone()),
+            StoreOp::Read { key } => StoreReply::Read(self.rows.get(key).cloned()),
         }
     }
 
--- a/crates/core/src/rollouts.rs
+++ b/crates/core/src/rollouts.rs
@@ -17,7 +17,7 @@
 use crate::judge::{PassScope, VersionJudge};
 use crate::message::{PeerMessage, VersionCounts};
 use crate::names::{NodeName, ServiceName};
-use crate::store::{RolloutRow, RolloutState, RowKey, RowValue, RowVersion, StoreOp, StoreReply};
+use crate::store::{LeaseKind, RolloutRow, RolloutState, RowKey, RowValue, RowVersion, StoreOp, StoreReply};
 use crate::store_table::StorePurpose;
 use crate::versions::{self, CandidateKey, CountKey, InstanceCounts, step_count, step_share};
 
@@ -265,9 +265,9 @@
     board.store.send(StorePurpose::ReadRollout(service.clone()), op, &mut board.counters, out);
 }
 
-/// Who records: the first by name of the nodes that are alive. The writes are conditional anyway.
+/// Whether this node records. Its writes are conditional anyway.
 fn is_holder(board: &Blackboard) -> bool {
-    !board.members.alive().any(|(node, _)| *node < board.identity.node)
+    board.leases.holds(LeaseKind::Rollout, board.now)
 }
 
 fn tell_all(board: &Blackboard, message: &PeerMessage, out: &mut Vec<Action>) {
