Compare candidates with what the stable version shows at the same time

Cause: a fault of something that both versions use was blamed on the candidate (test fault_of_both_versions_is_nobodys, red before). Ruled out: a longer decay by looks: at few requests it holds nothing, at many it reacts after some 300 calls. Change: the baseline is the largest of the upper limit over all calls and the shares of the last 200 and the last 16 calls.

--- a/crates/core/examples/rollout_runs.rs
+++ b/crates/core/examples/rollout_runs.rs
@@ -47,6 +47,7 @@
     Slow,
     ColdNotBad,
     CrashingRequest,
+    FaultOfBoth,
 }
 
 /// How a run ended.
@@ -172,7 +173,12 @@
 impl SimRun {
     fn new(case: VersionCase, rate: f64, seed: u64) -> Self {
         let mut random = fastrand::Rng::with_seed(seed);
-        let fault_from_ms = if case == VersionCase::BadLater { random.u64(0..FINISH_MS) } else { 0 };
+        let fault_from_ms = match case {
+            VersionCase::BadLater => random.u64(0..FINISH_MS),
+            // While both versions still get calls.
+            VersionCase::FaultOfBoth => random.u64(0..FINISH_MS / 4),
+            _ => 0,
+        };
         Self {
             case,
             rate,
@@ -322,6 +328,9 @@
         let (is_cold, seems_cold) = (served <= WARM_AFTER, !surprised && served <= SEEMS_WARM_AFTER);
         let is_flawed = is_candidate && self.is_flawed(route);
         let (fault_share, slowness) = if is_cold { (0.05, 5.0) } else { (0.002, 1.0) };
+        let outage = self.fault_from_ms + 60_000..self.fault_from_ms + 120_000;
+        let common = self.case == VersionCase::FaultOfBoth && outage.contains(&self.now_ms);
+        let fault_share = if common { 0.5 } else { fault_share };
         let is_slow = is_flawed && self.case == VersionCase::Slow;
         let fault = self.random.f64() < if is_flawed && !is_slow { 0.3 } else { fault_share };
         let slowness = if is_slow { slowness * 2.5 } else { slowness };
@@ -358,7 +367,9 @@
             VersionCase::BadLater => self.now_ms >= 60_000 + self.fault_from_ms,
             VersionCase::BadUnderLoad => self.candidate_lately > 0.2,
             VersionCase::BadOnOneRoute => route == ROUTES[2].0,
-            VersionCase::Good | VersionCase::ColdNotBad | VersionCase::CrashingRequest => false,
+            VersionCase::Good | VersionCase::ColdNotBad | VersionCase::CrashingRequest | VersionCase::FaultOfBoth => {
+                false
+            }
         }
     }
 
--- a/crates/core/src/judge.rs
+++ b/crates/core/src/judge.rs
@@ -106,19 +106,41 @@
     }
 }
 
-/// Share of hits of the stable version: over all its calls, and lately.
+/// Share of hits over a window that moves with the calls.
+#[derive(Clone, Copy, Debug, Default)]
+struct MovingShare {
+    calls: f64,
+    hits: f64,
+}
+
+impl MovingShare {
+    /// Part of the window that must be filled.
+    const FILLED: f64 = 0.25;
+
+    /// Adds calls; `window` is about how many count.
+    fn learn(&mut self, fresh: SignalTally, window: f64) {
+        let kept = (1.0 - 1.0 / window).powf(fresh.calls as f64);
+        self.calls = self.calls * kept + fresh.calls as f64;
+        self.hits = self.hits * kept + fresh.hits as f64;
+    }
+
+    fn share(&self, window: f64) -> f64 {
+        if self.calls < window * Self::FILLED { 0.0 } else { self.hits / self.calls }
+    }
+}
+
+/// Share of hits of the stable version: over all its calls, lately, and just now.
 #[derive(Clone, Copy, Debug, Default)]
 struct BaselineShare {
     seen: SignalTally,
-    recent_calls: f64,
-    recent_hits: f64,
+    long: MovingShare,
+    short: MovingShare,
 }
 
 impl BaselineShare {
-    /// What is left of older calls at each look; half after about 60 looks.
-    const KEPT: f64 = 0.988_5;
-    /// Recent calls that say something on their own.
-    const LEAST_RECENT: f64 = 20.0;
+    /// Calls of the windows.
+    const LONG: f64 = 200.0;
+    const SHORT: f64 = 16.0;
     /// Width of the upper confidence limit in standard deviations.
     const WIDTH: f64 = 2.0;
     /// Highest share, above which nothing can be told.
@@ -127,14 +149,14 @@
     fn learn(&mut self, stable: SignalTally) {
         let fresh = stable.since(self.seen);
         self.seen = stable;
-        self.recent_calls = self.recent_calls * Self::KEPT + fresh.calls as f64;
-        self.recent_hits = self.recent_hits * Self::KEPT + fresh.hits as f64;
+        self.long.learn(fresh, Self::LONG);
+        self.short.learn(fresh, Self::SHORT);
     }
 
     /// The share that the candidate may have: a fault that hits both versions is not the candidate's.
     fn share(&self, floor: f64) -> f64 {
         let overall = upper_limit(self.seen.calls as f64, self.seen.hits as f64, Self::WIDTH);
-        let recent = if self.recent_calls < Self::LEAST_RECENT { 0.0 } else { self.recent_hits / self.recent_calls };
+        let recent = self.long.share(Self::LONG).max(self.short.share(Self::SHORT));
         overall.max(recent).clamp(floor, Self::HIGHEST)
     }
 }
--- /dev/null
+++ b/crates/core/tests/judge.rs
@@ -0,0 +1,145 @@
+//! The judge of candidate versions against what is true of simulated ones.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use wasabipier_core::judge::{PassScope, RouteTallies, VersionFlaw, VersionJudge};
+use wasabipier_core::tally::RouteTally;
+
+/// Calls of each version in a simulated run.
+const CALLS: u32 = 3_000;
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: 96,
+        rng_seed: RngSeed::Fixed(20_261_204),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+/// Two versions whose calls fail and are slow at given shares.
+struct JudgeRun {
+    random: fastrand::Rng,
+    judge: VersionJudge,
+    candidate: RouteTally,
+    stable: RouteTally,
+}
+
+impl JudgeRun {
+    fn new(seed: u64) -> Self {
+        Self {
+            random: fastrand::Rng::with_seed(seed),
+            judge: VersionJudge::default(),
+            candidate: RouteTally::default(),
+            stable: RouteTally::default(),
+        }
+    }
+
+    /// Adds calls, looks at uneven intervals, and gives the first flaw found.
+    fn run(&mut self, calls: u32, faults: (f64, f64), slow: (f64, f64)) -> Option<VersionFlaw> {
+        let mut found = None;
+        for _ in 0..calls {
+            add_call(&mut self.random, &mut self.candidate, faults.0, slow.0);
+            add_call(&mut self.random, &mut self.stable, faults.1, slow.1);
+            if self.random.f64() < 0.2 {
+                found = found.or(self.look());
+            }
+        }
+        found.or(self.look())
+    }
+
+    fn look(&mut self) -> Option<VersionFlaw> {
+        let finding = self.judge.look(&one_route(self.candidate), &one_route(self.stable));
+        finding.map(|finding| finding.flaw)
+    }
+}
+
+fn add_call(random: &mut fastrand::Rng, tally: &mut RouteTally, faults: f64, slow: f64) {
+    let fault = random.f64() < faults;
+    tally.calls += 1;
+    tally.faults += u64::from(fault);
+    tally.timed += u64::from(!fault);
+    tally.slow += u64::from(!fault && random.f64() < slow);
+}
+
+fn one_route(tally: RouteTally) -> RouteTallies {
+    BTreeMap::from([(Arc::from("season-plan"), tally)])
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// A version as good as the stable one is not blamed, however often one looks, and passes.
+    #[test]
+    fn good_versions_pass(seed: u64, faults in 0.0..0.2_f64, slow in 0.0..0.1_f64) {
+        // Arrange
+        let mut run = JudgeRun::new(seed);
+
+        // Act
+        let flaw = run.run(CALLS, (faults, faults), (slow, slow));
+
+        // Assert
+        prop_assert_eq!(flaw, None);
+        prop_assert!(run.judge.passed(PassScope::EachRoute));
+    }
+
+    /// A version that turns worse after a long good time is found, and for what it is.
+    #[test]
+    fn late_faults_are_found(seed: u64, good in 100..CALLS, faults in 0.0..0.1_f64, worse in 0.25..0.9_f64) {
+        // Arrange
+        let mut run = JudgeRun::new(seed);
+        let before = run.run(good, (faults, faults), (0.03, 0.03));
+
+        // Act
+        let after = run.run(300, (faults + worse * (1.0 - faults), faults), (0.03, 0.03));
+
+        // Assert
+        prop_assert_eq!(before, None);
+        prop_assert_eq!(after, Some(VersionFlaw::Faults));
+    }
+
+    /// A slow version is found as slow, not as failing.
+    #[test]
+    fn slow_versions_are_found(seed: u64, slow in 0.4..1.0_f64) {
+        // Arrange
+        let mut run = JudgeRun::new(seed);
+
+        // Act
+        let flaw = run.run(500, (0.01, 0.01), (slow, 0.05));
+
+        // Assert
+        prop_assert_eq!(flaw, Some(VersionFlaw::Slow));
+    }
+
+    /// Few calls are neither a pass nor a flaw, however many the stable version has had.
+    #[test]
+    fn few_calls_are_waited_for(calls in 0..10_u64, stable in 0..10_000_u64) {
+        // Arrange
+        let mut judge = VersionJudge::default();
+        let tally = |calls| one_route(RouteTally { calls, timed: calls, ..RouteTally::default() });
+
+        // Act
+        let finding = judge.look(&tally(calls), &tally(stable));
+
+        // Assert
+        prop_assert_eq!(finding, None);
+        prop_assert!(!judge.passed(PassScope::EachRoute));
+        prop_assert!(!judge.passed(PassScope::Pooled));
+    }
+}
+
+#[test]
+fn fault_of_both_versions_is_nobodys() {
+    // Arrange
+    let mut run = JudgeRun::new(1);
+    let quiet = run.run(CALLS, (0.0, 0.0), (0.03, 0.03));
+
+    // Act: something that both versions depend on fails.
+    let common = run.run(300, (0.6, 0.6), (0.03, 0.03));
+
+    // Assert
+    assert_eq!((quiet, common), (None, None));
+}
