Try versions before they are promoted, and say what became of them

Cause: an operator could not tell a trial from a promotion, nor wait for the end. Ruled out: a separate trial document: the row of the version carries over whether it was proved, so one document is enough.

--- a/crates/core/src/versions.rs
+++ b/crates/core/src/versions.rs
@@ -38,6 +38,25 @@
     pub route: Arc<str>,
 }
 
+/// Where a candidate stands.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CandidateStanding {
+    /// The version and attempt.
+    pub candidate: CandidateKey,
+    /// Whether it is on trial only.
+    pub trial: bool,
+    /// State.
+    pub state: RolloutState,
+    /// Step, from 0.
+    pub step: u32,
+    /// Share of the service's traffic that it gets, 0 to 1.
+    pub share: f64,
+    /// Why it was taken back, or empty.
+    pub reason: Arc<str>,
+    /// Whether the table service has it so.
+    pub recorded: bool,
+}
+
 /// Counts of one instance.
 pub type InstanceCounts = BTreeMap<CountKey, RouteTally>;
 
@@ -99,10 +118,40 @@
         match row.state {
             RolloutState::TakenBack | RolloutState::Proved => 0.0,
             RolloutState::Finished => 1.0,
+            RolloutState::Comparing if candidate.trial_only => candidate.first_share,
             RolloutState::Comparing => step_share(candidate, row.step),
         }
     }
 
+    /// Where each candidate of a document stands, as this node knows it.
+    #[must_use]
+    pub fn standings(&self, document: &Document) -> Vec<CandidateStanding> {
+        let services = document.services.iter();
+        services.filter_map(|(service, spec)| Some(self.standing(service, spec, spec.candidate.as_ref()?))).collect()
+    }
+
+    fn standing(&self, service: &ServiceName, spec: &ServiceSpec, of: &CandidateSpec) -> CandidateStanding {
+        let candidate = key_of(service, spec, &of.version);
+        let row = self.rollouts.get(service);
+        let mut standing = CandidateStanding {
+            trial: row.map_or(of.trial_only, |row| row.trial),
+            state: row.map_or(RolloutState::Comparing, |row| row.state),
+            step: row.map_or(0, |row| row.step),
+            share: self.share(service, of),
+            reason: row.map(|row| row.reason.clone()).unwrap_or_default(),
+            recorded: row.is_some(),
+            candidate,
+        };
+        if let Some(reason) = self.bad.get(&standing.candidate)
+            && standing.state != RolloutState::TakenBack
+        {
+            standing.state = RolloutState::TakenBack;
+            standing.reason = reason.clone();
+            standing.recorded = false;
+        }
+        standing
+    }
+
     /// This instance's counts of a version on a route, to add to.
     pub fn count(&mut self, key: CountKey) -> &mut RouteTally {
         self.own.entry(key).or_default()
--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -66,6 +66,8 @@
     Check(CheckArgs),
     /// Print the document in force.
     Document(DocumentArgs),
+    /// Try a document's candidates on their first share only.
+    Trial(TrialArgs),
     /// Promote a document.
     Promote(PromoteArgs),
     /// Show nodes, revisions and candidates.
@@ -112,6 +114,36 @@
     /// your name, told to those who race you (default: operator)
     #[argh(option, default = "String::from(\"operator\")")]
     pub author: String,
+
+    /// promote candidates that were not proved in trial
+    #[argh(switch)]
+    pub unproved: bool,
+
+    /// wait until all candidates are finished (exit code 0) or one was taken back (6)
+    #[argh(switch)]
+    pub wait: bool,
+}
+
+/// Promotes a document with all its candidates on trial: each gets its first share until it is proved or
+/// taken back.
+#[derive(Clone, Debug, FromArgs)]
+#[argh(subcommand, name = "trial")]
+pub struct TrialArgs {
+    /// the document (INI)
+    #[argh(positional)]
+    pub document: PathBuf,
+
+    /// revision that the document was made from (default: the one in force)
+    #[argh(option)]
+    pub seen: Option<u64>,
+
+    /// your name, told to those who race you
+    #[argh(option, default = "String::from(\"operator\")")]
+    pub author: String,
+
+    /// wait until all candidates are proved (exit code 0) or one was taken back (6)
+    #[argh(switch)]
+    pub wait: bool,
 }
 
 /// Shows nodes, the revision in force at each, what is taken out, and candidate versions.
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -21,6 +21,7 @@
     match &args.command {
         CtlCommand::Check(check) => check_document(&check.document)?,
         CtlCommand::Document(_) => print_document(&NodeClient::new(args)?)?,
+        CtlCommand::Trial(wanted) => promote::try_out(&NodeClient::new(args)?, wanted)?,
         CtlCommand::Promote(wanted) => promote::promote(&NodeClient::new(args)?, wanted)?,
         CtlCommand::Status(wanted) => status::show(&NodeClient::new(args)?, wanted)?,
         CtlCommand::TakeOut(place) => {
--- a/crates/ctl/src/exit.rs
+++ b/crates/ctl/src/exit.rs
@@ -22,6 +22,8 @@
     Unknown,
     /// The report lacks the counts of some nodes.
     Partial,
+    /// A candidate was taken back.
+    TakenBack,
 }
 
 impl From<ExitKind> for ExitCode {
@@ -33,6 +35,7 @@
             ExitKind::Conflict => 3,
             ExitKind::Unknown => 4,
             ExitKind::Partial => 5,
+            ExitKind::TakenBack => 6,
         })
     }
 }
@@ -126,6 +129,29 @@
         /// Nodes that are behind.
         behind: String,
     },
+    /// A trial needs a candidate.
+    #[error("no service of the document has a `candidate`: add the key to a `[service …]` and try again")]
+    NoCandidate,
+    /// A candidate was not tried.
+    #[error("{version} was not proved in trial: run `trial` with this document first, or add --unproved")]
+    Unproved {
+        /// The candidate.
+        version: String,
+    },
+    /// A candidate was taken back.
+    #[error("{version} was taken back: {reason}; mend it, then raise `attempt` in its service's section")]
+    TakenBack {
+        /// The candidate.
+        version: String,
+        /// Why.
+        reason: String,
+    },
+    /// A candidate did not come to an end.
+    #[error("{versions} is still being compared: look with `status`, and whether the table service is out")]
+    Undecided {
+        /// The candidates.
+        versions: String,
+    },
 }
 
 /// Prints an error under the program's name and tells the exit code.
@@ -139,9 +165,12 @@
         | CtlError::Invalid(_)
         | CtlError::Unreadable { .. }
         | CtlError::NoKeyFile { .. }
-        | CtlError::NoSuchPlace { .. } => ExitKind::Input,
+        | CtlError::NoSuchPlace { .. }
+        | CtlError::NoCandidate
+        | CtlError::Unproved { .. } => ExitKind::Input,
         CtlError::Conflict { .. } => ExitKind::Conflict,
         CtlError::Unknown => ExitKind::Unknown,
+        CtlError::TakenBack { .. } => ExitKind::TakenBack,
         _ => ExitKind::Failure,
     }
 }
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -12,6 +12,7 @@
 mod ledger_time;
 mod output;
 mod promote;
+mod rollout;
 mod status;
 
 use std::process::ExitCode;
--- a/crates/ctl/src/promote.rs
+++ b/crates/ctl/src/promote.rs
@@ -6,12 +6,13 @@
 use wasabipier_wire::caller::PromoteCall;
 use wasabipier_wire::document::parse_document;
 
-use crate::cli::PromoteArgs;
+use crate::cli::{PromoteArgs, TrialArgs};
 use crate::client::NodeClient;
 use crate::commands::read;
 use crate::edit;
 use crate::exit::CtlError;
 use crate::output::say;
+use crate::rollout;
 
 /// Time for a document to be in force everywhere.
 const IN_FORCE_WITHIN: Duration = Duration::from_secs(8);
@@ -25,13 +26,30 @@
 /// It has faults, was not accepted, or is not in force everywhere in time.
 pub fn promote(client: &NodeClient, wanted: &PromoteArgs) -> Result<(), CtlError> {
     let text = read(&wanted.document)?;
-    parse_document(&text).map_err(CtlError::Faulty)?;
-    let seen = match wanted.seen.or_else(|| edit::stamped(&text)) {
-        Some(seen) => seen,
-        None => client.document()?.revision,
-    };
+    let document = parse_document(&text).map_err(CtlError::Faulty)?;
+    rollout::check_proved(client, &document, wanted.unproved)?;
+    let seen = seen(client, wanted.seen, &text)?;
     accept(client, &PromoteCall { seen, author: wanted.author.clone(), text })?;
-    Ok(())
+    if wanted.wait { rollout::wait(client, &document) } else { Ok(()) }
+}
+
+/// Checks and promotes the document of a file with all its candidates on trial.
+///
+/// # Errors
+///
+/// It has faults or no candidate, was not accepted, or a candidate was taken back.
+pub fn try_out(client: &NodeClient, wanted: &TrialArgs) -> Result<(), CtlError> {
+    let text = rollout::on_trial(read(&wanted.document)?)?;
+    let document = parse_document(&text).map_err(CtlError::Faulty)?;
+    let seen = seen(client, wanted.seen, &text)?;
+    accept(client, &PromoteCall { seen, author: wanted.author.clone(), text })?;
+    if wanted.wait { rollout::wait(client, &document) } else { Ok(()) }
+}
+
+/// The revision that a document was made from: as told, as printed in it, or the one in force.
+fn seen(client: &NodeClient, told: Option<u64>, text: &str) -> Result<u64, CtlError> {
+    let seen = told.or_else(|| edit::stamped(text));
+    seen.map_or_else(|| client.document().map(|document| document.revision), Ok)
 }
 
 /// Has a document accepted and waits until it is in force everywhere; gives the number of nodes.
--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -8,6 +8,7 @@
 use crate::client::NodeClient;
 use crate::exit::CtlError;
 use crate::output::say;
+use crate::rollout;
 
 /// Asks a node and prints what it knows.
 ///
@@ -65,14 +66,7 @@
 }
 
 fn print_rollouts(status: &StatusReply) {
-    for rollout in &status.rollouts {
-        say!(
-            "version {}/{} {} step {} {}",
-            rollout.service,
-            rollout.version,
-            rollout.state,
-            rollout.step,
-            rollout.reason
-        );
+    for candidate in &status.rollouts {
+        say!("{}", rollout::describe(candidate));
     }
 }
--- a/crates/ctl/tests/ctl/main.rs
+++ b/crates/ctl/tests/ctl/main.rs
@@ -3,4 +3,5 @@
 mod burn;
 mod commands;
 mod pages;
+mod rollout;
 mod support;
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -245,21 +245,13 @@
         revision: beat.revision.0,
         seats: beat.seats.iter().map(|claim| claim.seat).collect(),
     });
-    let rollouts = board.versions.rollouts.values().map(|row| RolloutStatus {
-        service: row.candidate.version.service.to_string(),
-        version: row.candidate.version.version.to_string(),
-        attempt: row.candidate.attempt,
-        trial: row.trial,
-        state: row.state.to_string(),
-        step: row.step,
-        reason: row.reason.to_string(),
-    });
+    let standings = board.versions.standings(&board.document.content);
     StatusReply {
         environment: board.document.content.environment.to_string(),
         platform,
         revision: board.document.revision.0,
         nodes: std::iter::once(own).chain(peers).collect(),
-        rollouts: rollouts.collect(),
+        rollouts: standings.iter().map(RolloutStatus::from).collect(),
     }
 }
 
--- a/crates/wire/src/caller.rs
+++ b/crates/wire/src/caller.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
+use wasabipier_core::versions::CandidateStanding;
 
 use crate::answer::WireCharge;
 
@@ -156,6 +157,26 @@
     pub state: String,
     /// Step, from 0.
     pub step: u32,
+    /// Share of the service's traffic in thousandths.
+    pub share_permille: u32,
     /// Why it was taken back, or empty.
     pub reason: String,
+    /// Whether the table service has it so, and not only this node.
+    pub recorded: bool,
+}
+
+impl From<&CandidateStanding> for RolloutStatus {
+    fn from(standing: &CandidateStanding) -> Self {
+        Self {
+            service: standing.candidate.version.service.to_string(),
+            version: standing.candidate.version.version.to_string(),
+            attempt: standing.candidate.attempt,
+            trial: standing.trial,
+            state: standing.state.to_string(),
+            step: standing.step,
+            share_permille: (standing.share * 1_000.0).round() as u32,
+            reason: standing.reason.to_string(),
+            recorded: standing.recorded,
+        }
+    }
 }
