--- a/crates/core/src/rollouts.rs
+++ b/crates/core/src/rollouts.rs
@@ -27,6 +27,10 @@
 const REPEAT_EVERY: Duration = Duration::from_secs(5);
 /// Most counts in one message.
 const MOST_TOLD: usize = 512;
+/// Peers for which the interval of telling counts grows by one look.
+const PEERS_PER_LOOK: u32 = 16;
+/// Most other instances whose counts are repeated at once.
+const MOST_REPEATED: usize = 32;
 /// Parts of the time to finish that a step takes at least.
 const STEP_PARTS: u32 = 10;
 
@@ -72,6 +76,7 @@
     watches: BTreeMap<ServiceName, CandidateWatch>,
     told: InstanceCounts,
     look_at: Moment,
+    tell_at: Moment,
     repeat_at: Moment,
 }
 
@@ -145,6 +150,9 @@
         }
         let Some(watch) = self.watches.get(service) else { return };
         let Some(row) = next_row(board, watch, spec) else { return };
+        if watch.known.as_ref().is_some_and(|known| progress(known) >= progress(&row)) {
+            return;
+        }
         // What was heard from peers or written without an answer is read before it is built upon.
         if watch.row_version.is_none() && !watch.absent {
             return read_row(board, service, out);
@@ -221,6 +229,11 @@
 
     /// Tells all peers the counts that have changed.
     fn tell_counts(&mut self, board: &Blackboard, out: &mut Vec<Action>) {
+        if board.now < self.tell_at {
+            return;
+        }
+        let peers = board.members.alive().count() as u32;
+        self.tell_at = board.now + LOOK_EVERY * peers.div_ceil(PEERS_PER_LOOK).max(1);
         let changed = board.versions.own.iter().filter(|(key, tally)| self.told.get(*key) != Some(*tally));
         let counts: Vec<VersionCounts> = changed.take(MOST_TOLD).map(counts_of).collect();
         self.told.retain(|key, _| board.versions.own.contains_key(key));
@@ -248,8 +261,11 @@
         for (candidate, reason) in &board.versions.bad {
             tell(PeerMessage::VersionBad { candidate: candidate.clone(), reason: reason.clone() });
         }
-        let instances = board.versions.told.iter().chain([(&board.identity.instance, &board.versions.own)]);
-        for (instance, counts) in instances.filter(|(_, counts)| !counts.is_empty()) {
+        // In a large fleet another part of the instances each time.
+        let known = board.versions.told.len();
+        let start = if known > MOST_REPEATED { board.random.usize(0..known) } else { 0 };
+        let others = board.versions.told.iter().cycle().skip(start).take(known.min(MOST_REPEATED));
+        for (instance, counts) in others.chain([(&board.identity.instance, &board.versions.own)]) {
             let counts = counts.iter().take(MOST_TOLD).map(counts_of).collect();
             tell(PeerMessage::Counts { instance: *instance, counts });
         }
--- /dev/null
+++ b/crates/core/tests/rollouts.rs
@@ -0,0 +1,183 @@
+//! How a node moves a service to a candidate version, and that nothing moves back.
+
+#[path = "support/fixture.rs"]
+mod fixture;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use fixture::{NodeFixture, PoolSpec, document};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use wasabipier_core::document::{CandidateSpec, TargetSpec};
+use wasabipier_core::message::VersionCounts;
+use wasabipier_core::prelude::*;
+use wasabipier_core::store::{RolloutRow, RolloutState};
+use wasabipier_core::tally::RouteTally;
+use wasabipier_core::versions::{CandidateKey, CountKey, VersionTable};
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: 64,
+        rng_seed: RngSeed::Fixed(20_261_204),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+/// One service, `clubs`, on its way from `v1` to `v2`.
+fn moving() -> Document {
+    let mut content = document(&[PoolSpec::default()], 1);
+    let target = TargetSpec {
+        version: "v2".into(),
+        address: ([127, 0, 0, 1], 9100).into(),
+        ..content.targets.values().next().cloned().expect("a target")
+    };
+    content.targets.insert("clubs-v2".into(), target);
+    let spec = content.services.get_mut(&ServiceName::new("clubs")).expect("the service");
+    spec.candidate = Some(CandidateSpec {
+        version: "v2".into(),
+        finish_within: Duration::from_mins(10),
+        first_share: 0.1,
+        trial_only: false,
+        attempt: 1,
+    });
+    content
+}
+
+fn key(version: &str, attempt: u32) -> CandidateKey {
+    CandidateKey { version: VersionKey { service: "clubs".into(), version: version.into() }, attempt }
+}
+
+fn row(attempt: u32, state: RolloutState, step: u32) -> RolloutRow {
+    RolloutRow {
+        candidate: key("v2", attempt),
+        revision: Revision(1),
+        trial: false,
+        state,
+        step,
+        reason: Arc::from(""),
+        elapsed_ms: 0,
+    }
+}
+
+fn told(row: RolloutRow) -> Event {
+    let message = PeerMessage::RolloutStep { service: "clubs".into(), row: Box::new(row), from: "entry-2".into() };
+    Event::Peer("entry-2".into(), Box::new(message))
+}
+
+/// The row that the node knows, if any.
+fn known(node: &NodeFixture) -> Option<&RolloutRow> {
+    node.core.board().versions.rollouts.get(&ServiceName::new("clubs"))
+}
+
+/// Asks once and gives the target that the order went to.
+fn target_of_next(node: &mut NodeFixture, request: &str) -> TargetName {
+    node.ask(request, "clubs", Duration::from_secs(2), Priority::Normal);
+    let order = node.orders.last().expect("an order").clone();
+    node.finish(order.attempt);
+    order.target
+}
+
+fn any_state() -> impl Strategy<Value = RolloutState> {
+    prop_oneof![
+        4 => Just(RolloutState::Comparing),
+        1 => Just(RolloutState::Finished),
+        1 => Just(RolloutState::TakenBack),
+    ]
+}
+
+/// How far a row has come, as a reader of the brief would order it.
+fn stage(row: &RolloutRow) -> u32 {
+    match row.state {
+        RolloutState::Comparing => row.step,
+        RolloutState::Proved => 0,
+        RolloutState::Finished => 1_000,
+        RolloutState::TakenBack => 2_000,
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn rows_only_move_on(news in prop::collection::vec((1..3_u32, any_state(), 0..4_u32), 1..40)) {
+        // Arrange
+        let mut node = NodeFixture::serving(moving(), Tuning::default());
+        let mut furthest = known(&node).map(stage);
+
+        for (attempt, state, step) in news {
+            // Act
+            node.handle(&told(row(attempt, state, step)));
+
+            // Assert
+            if attempt == 1 {
+                furthest = furthest.max(Some(stage(&row(1, state, step))));
+            }
+            prop_assert_eq!(known(&node).map(stage), furthest);
+        }
+    }
+
+    #[test]
+    fn counts_merge_in_any_order(
+        steps in prop::collection::vec((0..3_u64, 0..50_u64, 0..5_u64), 1..30),
+        order in prop::collection::vec(any::<prop::sample::Index>(), 0..60),
+    ) {
+        // Arrange: running counts of three instances, each message told at least once, in any order
+        let content = moving();
+        let mut running: BTreeMap<u64, RouteTally> = BTreeMap::new();
+        let messages: Vec<(u64, VersionCounts)> = steps.iter().map(|(instance, calls, faults)| {
+            let tally = running.entry(*instance).or_default();
+            tally.calls += calls;
+            tally.faults += faults;
+            let key = CountKey { candidate: key("v2", 1), route: Arc::from("clubs") };
+            (*instance, VersionCounts { key, tally: *tally })
+        }).collect();
+        let shuffled = order.iter().map(|index| index.get(&messages)).chain(messages.iter().rev());
+
+        // Act
+        let mut table = VersionTable::default();
+        for (instance, counts) in shuffled {
+            table.merge(&content, InstanceId(*instance), std::slice::from_ref(counts));
+        }
+
+        // Assert
+        let expected = running.values().fold(RouteTally::default(), |sum, tally| sum.plus(*tally));
+        prop_assert_eq!(table.totals(&key("v2", 1)).get("clubs").copied(), Some(expected));
+    }
+}
+
+#[test]
+fn bad_news_stops_traffic_at_once_and_is_recorded() {
+    // Arrange
+    let mut node = NodeFixture::serving(moving(), Tuning::default());
+    node.handle(&told(row(1, RolloutState::Finished, 3)));
+    let before = target_of_next(&mut node, "before");
+
+    // Act
+    let bad = PeerMessage::VersionBad { candidate: key("v2", 1), reason: Arc::from("faults on route clubs") };
+    node.handle(&Event::Peer("entry-2".into(), Box::new(bad)));
+    let after = target_of_next(&mut node, "after");
+    node.advance(Duration::from_secs(30));
+
+    // Assert
+    assert_eq!(before.as_str(), "clubs-v2");
+    assert!(after.as_str().starts_with("clubs-0"), "{after}");
+    let recorded = known(&node).expect("a row");
+    assert_eq!((recorded.state, &*recorded.reason), (RolloutState::TakenBack, "faults on route clubs"));
+}
+
+#[test]
+fn news_of_another_attempt_changes_nothing() {
+    // Arrange
+    let mut node = NodeFixture::serving(moving(), Tuning::default());
+    node.handle(&told(row(1, RolloutState::Finished, 3)));
+
+    // Act
+    let bad = PeerMessage::VersionBad { candidate: key("v2", 2), reason: Arc::from("faults") };
+    node.handle(&Event::Peer("entry-2".into(), Box::new(bad)));
+
+    // Assert
+    assert_eq!(target_of_next(&mut node, "next").as_str(), "clubs-v2");
+}
