Doubt the baseline when several calls of the stable version just failed

Ruled out: a shorter window alone, which is noisier. Change: once several of the last 16 calls were hits, their upper limit counts.

--- a/crates/core/examples/rollout_runs.rs
+++ b/crates/core/examples/rollout_runs.rs
@@ -1,6 +1,6 @@
 //! Measures how candidate versions fare: seeded runs over three nodes, without I/O, printed as a table.
 //!
-//! Run with `cargo run --release -p wasabipier-core --example rollout_runs -- [RUNS] [SEED]`.
+//! Run with `cargo run --release -p wasabipier-core --example rollout_runs -- [RUNS] [SEED] [VERSION]`.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -453,14 +453,16 @@
 }
 
 fn main() {
-    let mut arguments = std::env::args().skip(1).map(|text| text.parse::<u64>().unwrap_or(1));
-    let (runs, seed) = (arguments.next().unwrap_or(40), arguments.next().unwrap_or(1));
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let number = |index: usize, default| arguments.get(index).and_then(|text| text.parse().ok()).unwrap_or(default);
+    let (runs, seed): (u64, u64) = (number(0, 40), number(1, 1));
+    let wanted = |case: &VersionCase| arguments.get(2).is_none_or(|name| *name == case.to_string());
     println!(
         "| version | requests/s | taken back for a flaw | not proved in time | finished on time | finished after s \
          | calls before the flaw showed | calls after | most calls after | traffic ended after s |"
     );
     println!("|---|---|---|---|---|---|---|---|---|---|");
-    for case in <VersionCase as strum::IntoEnumIterator>::iter() {
+    for case in <VersionCase as strum::IntoEnumIterator>::iter().filter(wanted) {
         for rate in [1.0, 10.0, 100.0] {
             let results: Vec<RunResult> = (0..runs)
                 .map(|run| SimRun::new(case, rate, seed.wrapping_mul(1_000_003).wrapping_add(run)).run())
--- a/crates/core/src/judge.rs
+++ b/crates/core/src/judge.rs
@@ -143,6 +143,9 @@
     const SHORT: f64 = 16.0;
     /// Width of the upper confidence limit in standard deviations.
     const WIDTH: f64 = 2.0;
+    /// Hits just now from which the limit is taken instead of the share, and its width.
+    const SEVERAL: f64 = 1.5;
+    const DOUBT: f64 = 1.0;
     /// Highest share, above which nothing can be told.
     const HIGHEST: f64 = 0.9;
 
@@ -156,7 +159,10 @@
     /// The share that the candidate may have: a fault that hits both versions is not the candidate's.
     fn share(&self, floor: f64) -> f64 {
         let overall = upper_limit(self.seen.calls as f64, self.seen.hits as f64, Self::WIDTH);
-        let recent = self.long.share(Self::LONG).max(self.short.share(Self::SHORT));
+        // Several hits just now may be the start of a fault of both, which few calls show late.
+        let doubt = upper_limit(self.short.calls, self.short.hits, Self::DOUBT);
+        let just_now = if self.short.hits < Self::SEVERAL { self.short.share(Self::SHORT) } else { doubt };
+        let recent = self.long.share(Self::LONG).max(just_now);
         overall.max(recent).clamp(floor, Self::HIGHEST)
     }
 }
