--- a/crates/core/src/picker.rs
+++ b/crates/core/src/picker.rs
@@ -65,7 +65,7 @@
     if board.tuning.round_robin {
         let ready = board.ready.targets(pool);
         let turn = (board.counters.attempts as usize).checked_rem(ready.len())?;
-        return ready.get(turn).cloned().filter(|target| check(board, target));
+        return ready.get(turn).cloned().filter(|target| check(board, service, target).is_some());
     }
     let mut best: Option<(Rating, TargetName)> = None;
     let mut looks = 0;
