Tell peers of a seat before it is used, and let only its owner clear an earlier instance

Cause: a seat that was taken over was told to peers only once it was in use. A last holder that lived after all (cut off, or missing from a list that lags) gave it up only with the next heartbeat, and both used it for up to half a second.

Change: heartbeats carry seats that settle as well.

Conclusion: the last holder hears of its successor at least the settling time before the first call.

--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -56,7 +56,7 @@
             peer_address: board.identity.peer_address,
             state: board.state,
             revision: board.document.revision,
-            seats: board.permits.seats().to_vec(),
+            seats: board.permits.announced.clone(),
         };
         let large = Self::is_large(board);
         for (node, member) in board.members.iter().filter(|(_, member)| member.linked) {
--- a/crates/core/src/permits.rs
+++ b/crates/core/src/permits.rs
@@ -57,6 +57,8 @@
 /// Permits by target, and the seats that this node holds.
 #[derive(Clone, Debug, Default)]
 pub struct PermitTable {
+    /// Seats that this node's rows stand for, in use or not yet or not any more, as told to peers.
+    pub announced: Vec<SeatClaim>,
     seats: Vec<SeatClaim>,
     seats_total: u32,
     targets: BTreeMap<TargetName, TargetPermits>,
--- a/crates/core/src/seats.rs
+++ b/crates/core/src/seats.rs
@@ -109,9 +109,11 @@
     }
 
     fn publish(&self, board: &mut Blackboard) {
-        let held = self.own.iter().filter(|(_, own)| own.state == SeatState::Held);
-        let seats = held.map(|(seat, own)| SeatClaim { seat: *seat, epoch: own.epoch }).collect();
-        board.permits.set_seats(board.document.content.seats, seats);
+        let claim = |(seat, own): (&u32, &OwnSeat)| SeatClaim { seat: *seat, epoch: own.epoch };
+        let held = self.own.iter().filter(|(_, own)| own.state == SeatState::Held).map(claim).collect();
+        board.permits.set_seats(board.document.content.seats, held);
+        // Told before it is used: a last holder that lives after all gives the seat up in time.
+        board.permits.announced = self.own.iter().map(claim).collect();
     }
 
     /// Writes a seat as free: its row names nobody.
@@ -216,12 +218,9 @@
         let free = standing.owner.as_str().is_empty();
         let replaced = standing.owner == board.identity.node;
         let known = board.members.get(&standing.owner);
-        let restarted = known
-            .and_then(|member| member.heartbeat.as_ref())
-            .is_some_and(|beat| beat.instance != standing.instance && beat.seats.is_empty());
         let gone = self.gone.get(&standing.owner).is_some_and(|since| board.now.since(*since) >= Self::GONE_FOR);
         let silent = known.is_none_or(|member| !member.alive);
-        free || replaced || restarted || (gone && silent)
+        free || replaced || (gone && silent)
     }
 
     fn hold(&mut self, board: &Blackboard, seat: u32, standing: &SeatRow, version: RowVersion) {
--- a/crates/core/tests/fleet/world.rs
+++ b/crates/core/tests/fleet/world.rs
@@ -294,8 +294,24 @@
         }
     }
 
+    /// A seat must be in use at one node only.
+    fn check_seats(&mut self, index: usize) {
+        // A paused node uses nothing: it looks at its seats again before its first call.
+        let now = self.now;
+        let seats = |node: &SimNode| -> Vec<u32> {
+            let core = node.core.as_ref().filter(|_| node.paused_until <= now && node.backlog.is_empty());
+            core.map_or(Vec::new(), |core| core.board().permits.seats().iter().map(|claim| claim.seat).collect())
+        };
+        let own = seats(&self.nodes[index]);
+        let mut others = self.nodes.iter().enumerate().filter(|(other, _)| *other != index);
+        if let Some((other, _)) = others.find(|(_, node)| seats(node).iter().any(|seat| own.contains(seat))) {
+            self.oracle.violations.push(format!("{} ms: nodes {index} and {other} use the same seat", self.now));
+        }
+    }
+
     fn observe(&mut self, index: usize) {
         self.check_leases(index);
+        self.check_seats(index);
         let node = &mut self.nodes[index];
         let Some(core) = &node.core else { return };
         for (target, view) in core.board().targets.iter() {
