Let an idle cold target get calls beside warm ones

Cause: the rating of a target counted the next call against its limit now, 1 for a cold target and 8 for a warm one; a target that came back got calls only once the others were nearly full, and a data centre that returned under light load stayed cold for 30 s (departures: 26 to 50 s, once over the test's patience).

Change: the next call counts against the warm limit; permits bound a cold target as before.

Conclusion: choosing must explore what it wants to ramp.

--- a/crates/core/src/picker.rs
+++ b/crates/core/src/picker.rs
@@ -150,7 +150,8 @@
     }
     let limit = view.limit_at(&board.tuning, board.now);
     let Some(own) = board.permits.usable(target, limit, board.now) else { return TargetLook::Taken };
-    let next = 1.0 / f64::from(limit.max(1));
+    // Counted against the warm limit: an idle cold target would else get calls only once others are full.
+    let next = 1.0 / f64::from(view.warmth.warm_limit().max(1));
     TargetLook::Free((view.load(own, board.now) + next) * slowness(board, service, view))
 }
 
--- a/crates/core/src/warmth.rs
+++ b/crates/core/src/warmth.rs
@@ -102,6 +102,12 @@
         self.limit
     }
 
+    /// The limit of a warm target.
+    #[must_use]
+    pub fn warm_limit(&self) -> u32 {
+        self.bounds.1
+    }
+
     /// The instance, zero until known.
     #[must_use]
     pub fn instance(&self) -> InstanceId {
