--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -6,6 +6,8 @@
 mod fixtures;
 #[path = "fleet/healing.rs"]
 mod healing;
+#[path = "fleet/holders.rs"]
+mod holders;
 #[path = "fleet/oracle.rs"]
 mod oracle;
 #[path = "fleet/play.rs"]
--- a/crates/core/tests/fleet/world.rs
+++ b/crates/core/tests/fleet/world.rs
@@ -8,7 +8,6 @@
 use wasabipier_core::event::{OrderReply, VmEntry, VmState};
 use wasabipier_core::message::NodeState;
 use wasabipier_core::prelude::*;
-use wasabipier_core::store::LeaseKind;
 
 use crate::fixtures::{self, BODIES, TARGETS};
 use crate::oracle::{Call, Oracle};
@@ -43,7 +42,7 @@
     changed: u64,
     stop_asked: Option<u64>,
     pub paused_until: u64,
-    backlog: Vec<Event>,
+    pub backlog: Vec<Event>,
     pub disturbed: u64,
     revision: Revision,
     /// Content known to be harmful, and since when.
@@ -276,39 +275,11 @@
     }
 
     /// The clock of a node: clocks start anywhere, and run up to one percent fast or slow.
-    fn local(&self, index: usize) -> Moment {
+    pub fn local(&self, index: usize) -> Moment {
         let rate = 990 + 5 * index as u64;
         Moment(self.now * rate / 1_000 + 50_000 * index as u64)
     }
 
-    /// A holder of a lease must be the only one that would act now.
-    fn check_leases(&mut self, index: usize) {
-        for kind in [LeaseKind::Orders, LeaseKind::Rollout] {
-            let holds = |node: &usize| {
-                let core = self.nodes[*node].core.as_ref();
-                core.is_some_and(|core| core.board().leases.holds(kind, self.local(*node)))
-            };
-            if holds(&index) && (0..NODES).filter(holds).count() > 1 {
-                self.oracle.violations.push(format!("{} ms: two nodes act under the lease for {kind}", self.now));
-            }
-        }
-    }
-
-    /// A seat must be in use at one node only.
-    fn check_seats(&mut self, index: usize) {
-        // A paused node uses nothing: it looks at its seats again before its first call.
-        let now = self.now;
-        let seats = |node: &SimNode| -> Vec<u32> {
-            let core = node.core.as_ref().filter(|_| node.paused_until <= now && node.backlog.is_empty());
-            core.map_or(Vec::new(), |core| core.board().permits.seats().iter().map(|claim| claim.seat).collect())
-        };
-        let own = seats(&self.nodes[index]);
-        let mut others = self.nodes.iter().enumerate().filter(|(other, _)| *other != index);
-        if let Some((other, _)) = others.find(|(_, node)| seats(node).iter().any(|seat| own.contains(seat))) {
-            self.oracle.violations.push(format!("{} ms: nodes {index} and {other} use the same seat", self.now));
-        }
-    }
-
     fn observe(&mut self, index: usize) {
         self.check_leases(index);
         self.check_seats(index);
