--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -21,6 +21,8 @@
 pub mod names;
 pub mod outcome;
 
+pub mod relay;
+
 pub mod readiness;
 
 pub mod admission;
--- /dev/null
+++ b/crates/core/src/relay/members.rs
@@ -0,0 +1,146 @@
+//! Which nodes live, from the beats that they exchange.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::clock::Moment;
+use crate::message::NodeState;
+use crate::names::{DcName, InstanceId, NodeName, ServiceName, TargetName, stable_hash};
+use crate::relay::rows::SharedTable;
+
+/// Work of one node at one target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TargetLoad {
+    /// The target.
+    pub target: TargetName,
+    /// Calls in flight.
+    pub in_flight: u32,
+    /// Prompt tokens of calls that have not answered yet.
+    pub unread_tokens: u32,
+}
+
+/// How new a node's copy of a table is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TableProof {
+    /// The table.
+    pub table: SharedTable,
+    /// The store's version that the copy stands at.
+    pub version: u64,
+    /// Time since that state was asked for, in milliseconds.
+    pub age_ms: u32,
+}
+
+/// What a node tells its peers at an interval.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RelayBeat {
+    /// The node.
+    pub node: NodeName,
+    /// Run of its process.
+    pub instance: InstanceId,
+    /// Counts up within the instance.
+    pub sequence: u64,
+    /// Its data centre.
+    pub dc: DcName,
+    /// Address for callers.
+    pub caller_address: SocketAddr,
+    /// Address for peers.
+    pub peer_address: SocketAddr,
+    /// Whether it takes new work.
+    pub state: NodeState,
+    /// How new its copies are.
+    pub proofs: Vec<TableProof>,
+    /// Its work in flight.
+    pub loads: Vec<TargetLoad>,
+}
+
+/// A peer as last heard.
+#[derive(Clone, Debug)]
+pub struct MemberView {
+    /// Its last beat.
+    pub beat: RelayBeat,
+    /// When that came.
+    pub heard: Moment,
+}
+
+/// Peers by name.
+#[derive(Clone, Debug, Default)]
+pub struct MemberBook {
+    peers: BTreeMap<NodeName, MemberView>,
+    /// Most nodes that were alive at one time, this one included.
+    most_alive: usize,
+}
+
+impl MemberBook {
+    /// Silence after which a peer counts as gone: several beats and a lost packet's repeat.
+    pub const GONE_AFTER: Duration = Duration::from_millis(1_800);
+    /// Time after which a peer that is gone is forgotten.
+    const FORGET_AFTER: Duration = Duration::from_secs(30);
+
+    /// Takes a beat in; tells whether it is of an instance not met before.
+    pub fn hear(&mut self, beat: RelayBeat, now: Moment) -> bool {
+        let known = self.peers.get(&beat.node);
+        let is_older =
+            known.is_some_and(|view| view.beat.instance == beat.instance && view.beat.sequence >= beat.sequence);
+        if is_older {
+            return false;
+        }
+        let is_new = known.is_none_or(|view| view.beat.instance != beat.instance);
+        self.peers.insert(beat.node.clone(), MemberView { beat, heard: now });
+        self.most_alive = self.most_alive.max(self.alive(now).count() + 1);
+        is_new
+    }
+
+    /// Peers heard of lately.
+    pub fn alive(&self, now: Moment) -> impl Iterator<Item = &MemberView> {
+        self.peers.values().filter(move |view| now.since(view.heard) < Self::GONE_AFTER)
+    }
+
+    /// Peers that take new work.
+    pub fn serving(&self, now: Moment) -> impl Iterator<Item = &MemberView> {
+        self.alive(now).filter(|view| view.beat.state == NodeState::Serving)
+    }
+
+    /// All peers that are remembered.
+    pub fn known(&self) -> impl Iterator<Item = &MemberView> {
+        self.peers.values()
+    }
+
+    /// Forgets peers that have been gone for long.
+    pub fn forget(&mut self, now: Moment) {
+        self.peers.retain(|_, view| now.since(view.heard) < Self::FORGET_AFTER);
+    }
+
+    /// Nodes to share a bound among: those that were alive together, also if some cannot be heard now.
+    #[must_use]
+    pub fn sharers(&self) -> usize {
+        self.most_alive.max(1)
+    }
+
+    /// The node that gathers the pieces of `service`: the first by rendezvous hash among `own` and its live peers.
+    #[must_use]
+    pub fn gatherer<'a>(&'a self, service: &ServiceName, own: &'a NodeName, now: Moment) -> &'a NodeName {
+        let peers = self.serving(now).map(|view| &view.beat.node);
+        let nodes = std::iter::once(own).chain(peers);
+        nodes.max_by_key(|node| rendezvous(service.as_str(), node.as_str())).unwrap_or(own)
+    }
+
+    /// Place of `own` among its live peers by rendezvous hash on `key`; 0 is first.
+    #[must_use]
+    pub fn place(&self, key: &str, own: &NodeName, now: Moment) -> usize {
+        let score = rendezvous(key, own.as_str());
+        self.alive(now).filter(|view| rendezvous(key, view.beat.node.as_str()) > score).count()
+    }
+
+    /// One peer.
+    #[must_use]
+    pub fn get(&self, node: &NodeName) -> Option<&MemberView> {
+        self.peers.get(node)
+    }
+}
+
+/// Weight of `member` for `key`; every node works out the same.
+#[must_use]
+pub fn rendezvous(key: &str, member: &str) -> u64 {
+    stable_hash(&[key.as_bytes(), member.as_bytes()])
+}
--- /dev/null
+++ b/crates/node/src/relay_settings.rs
@@ -0,0 +1,150 @@
+//! Settings of a relaying node: the sections `[relay]` and `[bounds]`, read from INI and checked whole.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use wasabipier_core::prelude::*;
+use wasabipier_core::relay::access::FreshBounds;
+use wasabipier_core::relay::board::RelayTuning;
+use wasabipier_core::relay::budget::RepeatBounds;
+use wasabipier_relay::settings::{RelayAddresses, RelaySettings, RelayTimes, SettingsSource};
+use wasabipier_wire::fault::FaultList;
+use wasabipier_wire::ini::IniReader;
+
+/// Time before the bound for revoked keys at which a document counts as old: clocks tick in milliseconds, and the
+/// bound runs from the store's acknowledgement, which comes after the state that a read shows.
+const KEYS_MARGIN: Duration = Duration::from_millis(100);
+
+const HOUR_MS: u64 = 3_600_000;
+
+/// The file that the settings of a relaying node are read from.
+#[derive(Clone, Debug)]
+pub struct SettingsFile {
+    /// Its path.
+    pub path: PathBuf,
+}
+
+impl SettingsSource for SettingsFile {
+    fn read(&self) -> Result<RelaySettings, String> {
+        let text = std::fs::read_to_string(&self.path).map_err(|error| error.to_string())?;
+        parse(&text).map_err(|faults| faults.to_string())
+    }
+}
+
+/// Whether a text holds the settings of a relaying node.
+#[must_use]
+pub fn is_relay(text: &str) -> bool {
+    text.lines().any(|line| line.trim() == "[relay]")
+}
+
+/// Reads the settings.
+///
+/// # Errors
+///
+/// Every fault in them.
+pub fn parse(text: &str) -> Result<RelaySettings, FaultList> {
+    let mut reader = IniReader::parse(text)?;
+    reader.check_sections(&["relay", "bounds"], &[]);
+    let known = [
+        "name",
+        "data_centre",
+        "caller_address",
+        "ready_address",
+        "addresses_address",
+        "metrics_address",
+        "peer_address",
+        "store_address",
+        "seeds",
+    ];
+    reader.check_keys("relay", &known);
+    let addresses = read_addresses(&mut reader);
+    let settings = RelaySettings {
+        identity: Identity {
+            node: NodeName::new(reader.required_text("relay", "name", "entry-1")),
+            // Random, since two runs of one VM must never look alike.
+            instance: InstanceId(fastrand::u64(1..)),
+            dc: DcName::new(reader.required_text("relay", "data_centre", "khomas-a")),
+            caller_address: addresses.callers,
+            peer_address: addresses.peers,
+        },
+        tuning: read_tuning(&mut reader),
+        times: read_times(&mut reader),
+        addresses,
+    };
+    reader.faults.or(settings)
+}
+
+const ADDRESS: &str = "an IP number and port, such as 10.0.0.1:7000";
+const UNSET: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::UNSPECIFIED), 0);
+
+fn read_addresses(reader: &mut IniReader) -> RelayAddresses {
+    RelayAddresses {
+        callers: reader.required("relay", "caller_address", UNSET, ADDRESS),
+        ready: read_optional(reader, "ready_address"),
+        addresses: read_optional(reader, "addresses_address"),
+        metrics: read_optional(reader, "metrics_address"),
+        peers: reader.required("relay", "peer_address", UNSET, ADDRESS),
+        store: reader.required("relay", "store_address", UNSET, ADDRESS),
+        seeds: read_seeds(reader),
+    }
+}
+
+fn read_optional(reader: &mut IniReader, key: &str) -> Option<SocketAddr> {
+    reader.text("relay", key)?;
+    Some(reader.value("relay", key, UNSET, ADDRESS))
+}
+
+fn read_seeds(reader: &mut IniReader) -> Vec<SocketAddr> {
+    let text = reader.text("relay", "seeds").unwrap_or_default();
+    let mut seeds = Vec::new();
+    for seed in text.split(',').map(str::trim).filter(|seed| !seed.is_empty()) {
+        match seed.parse() {
+            Ok(address) => seeds.push(address),
+            Err(_) => reader.faults.add("relay", "seeds", format!("`{seed}` is not valid"), format!("write {ADDRESS}")),
+        }
+    }
+    seeds
+}
+
+fn read_tuning(reader: &mut IniReader) -> RelayTuning {
+    let known = [
+        "revoked_keys_ms",
+        "contact_ms",
+        "repeat_ratio",
+        "repeat_slack",
+        "repeat_window_s",
+        "stop_within_s",
+        "addresses_kept_most_s",
+    ];
+    reader.check_keys("bounds", &known);
+    let tuning = RelayTuning::default();
+    let (fresh, repeats) = (tuning.fresh, tuning.repeats);
+    let keys = reader.millis("bounds", "revoked_keys_ms", fresh.keys + KEYS_MARGIN, 500..=HOUR_MS);
+    RelayTuning {
+        fresh: FreshBounds {
+            keys: keys.saturating_sub(KEYS_MARGIN),
+            absence: reader.millis("bounds", "contact_ms", fresh.absence, 100..=HOUR_MS),
+        },
+        repeats: RepeatBounds {
+            ratio: reader.bounded("bounds", "repeat_ratio", repeats.ratio, 0.0..=100.0),
+            slack: reader.bounded("bounds", "repeat_slack", repeats.slack, 0.0..=1e9),
+            window: read_seconds(reader, "repeat_window_s", repeats.window),
+        },
+        ..tuning
+    }
+}
+
+fn read_times(reader: &mut IniReader) -> RelayTimes {
+    let times = RelayTimes::default();
+    let kept_most = read_seconds(reader, "addresses_kept_most_s", times.addresses_kept);
+    RelayTimes {
+        stop_within: read_seconds(reader, "stop_within_s", times.stop_within),
+        addresses_kept: times.addresses_kept.min(kept_most),
+        ..times
+    }
+}
+
+fn read_seconds(reader: &mut IniReader, key: &str, default: Duration) -> Duration {
+    Duration::from_secs_f64(reader.bounded("bounds", key, default.as_secs_f64(), 0.05..=3_600.0))
+}
--- /dev/null
+++ b/crates/relay/src/announce.rs
@@ -0,0 +1,158 @@
+//! Finds peers, and exchanges beats with them.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use spdlog::{info, warn};
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+use wasabipier_core::clock::Moment;
+use wasabipier_core::relay::members::RelayBeat;
+use wasabipier_wire::relay::{WireCall, WireReply};
+
+use crate::clock;
+use crate::part::PEERS;
+use crate::peers;
+use crate::state::SharedNode;
+use crate::store::{self, StoreLink};
+
+/// Time for a beat's reply.
+const BEAT_WITHIN: Duration = Duration::from_millis(900);
+/// Share of the pause between two beats for each peer: in a large fleet beats are rarer, so that their cost stays.
+const PAUSE_PER_PEER: Duration = Duration::from_millis(10);
+/// Longest pause before a peer that does not answer is tried again.
+const LONGEST_PAUSE: Duration = Duration::from_secs(3);
+/// Failures in a row after which an address is forgotten, unless the settings name it.
+const MOST_FAILURES: u32 = 20;
+/// Pause between two tries to announce this node.
+const ANNOUNCE_AGAIN: Duration = Duration::from_millis(500);
+/// Pause between two looks at what others announced: nodes that were cut off at their start are found by it.
+const LOOK_AGAIN: Duration = Duration::from_secs(20);
+
+/// How it goes with an address.
+#[derive(Clone, Copy, Debug, Default)]
+struct ContactState {
+    is_asked: bool,
+    failures: u32,
+    next: Moment,
+}
+
+/// Addresses of peers that this node beats.
+#[derive(Debug, Default)]
+pub struct ContactBook {
+    contacts: RefCell<BTreeMap<SocketAddr, ContactState>>,
+}
+
+impl ContactBook {
+    fn add(&self, own: SocketAddr, address: SocketAddr) {
+        if address != own {
+            self.contacts.borrow_mut().entry(address).or_default();
+        }
+    }
+
+    fn take_due(&self, now: Moment) -> Vec<SocketAddr> {
+        let mut contacts = self.contacts.borrow_mut();
+        let due = contacts.iter_mut().filter(|(_, state)| !state.is_asked && state.next <= now);
+        due.map(|(address, state)| {
+            state.is_asked = true;
+            *address
+        })
+        .collect()
+    }
+
+    fn settle(&self, address: SocketAddr, answered: bool, is_seed: bool, pause: Duration, now: Moment) {
+        let mut contacts = self.contacts.borrow_mut();
+        let Some(state) = contacts.get_mut(&address) else { return };
+        state.is_asked = false;
+        state.failures = if answered { 0 } else { state.failures + 1 };
+        // A peer that answered is due at the next turn; one that did not waits longer each time.
+        let wait = if answered { Duration::ZERO } else { (pause * state.failures.min(16)).min(LONGEST_PAUSE) };
+        state.next = now + wait;
+        if state.failures > MOST_FAILURES && !is_seed {
+            contacts.remove(&address);
+        }
+    }
+
+    fn len(&self) -> usize {
+        self.contacts.borrow().len()
+    }
+}
+
+/// Exchanges beats until the node ends.
+pub async fn run(node: SharedNode) {
+    let own = node.addresses.peers;
+    loop {
+        for seed in &node.addresses.seeds {
+            node.contacts.add(own, *seed);
+        }
+        for address in node.contacts.take_due(clock::now()) {
+            spawn_local(beat(node.clone(), address));
+        }
+        store::ask_peers(&node);
+        let pause = node.times.beat_every.max(PAUSE_PER_PEER * node.contacts.len() as u32);
+        tokio::select! {
+            () = sleep(pause) => {}
+            () = node.beat_now.notified() => {}
+        }
+    }
+}
+
+async fn beat(node: SharedNode, address: SocketAddr) {
+    let own = node.board.borrow_mut().beat(clock::now());
+    let reply = node.peers.call(address, &WireCall::Beat((&own).into()), BEAT_WITHIN).await;
+    let answered = match reply {
+        Ok(WireReply::Beat(beat, known)) => {
+            peers::hear(&node, RelayBeat::from(beat));
+            for other in known {
+                node.contacts.add(node.addresses.peers, other);
+            }
+            true
+        }
+        Ok(_) | Err(_) => false,
+    };
+    let is_seed = node.addresses.seeds.contains(&address);
+    node.contacts.settle(address, answered, is_seed, node.times.beat_every, clock::now());
+}
+
+/// Tells all peers at once how this node is.
+pub fn beat_all(node: &SharedNode) {
+    let now = clock::now();
+    let addresses: Vec<_> = node.board.borrow().members.alive(now).map(|view| view.beat.peer_address).collect();
+    for address in addresses {
+        spawn_local(beat(node.clone(), address));
+    }
+}
+
+/// Announces this node in the store, and learns of others there.
+pub async fn announce(node: SharedNode) {
+    let mut link = StoreLink::new(node.addresses.store);
+    let name = node.board.borrow().identity.node.to_string();
+    let within = node.times.store_slack;
+    let mut is_announced = false;
+    loop {
+        if !is_announced {
+            let request = node.port.announce_request(&name, node.addresses.peers);
+            let answer = link.call(request, within).await;
+            is_announced = answer.as_ref().is_ok_and(|(status, _)| status.is_success());
+            if is_announced {
+                info!("{PEERS} this node's address is in the store.");
+            } else {
+                let status = answer.map_or_else(|error| error.to_string(), |(status, _)| status.to_string());
+                warn!("{PEERS} this node's address is not in the store yet.", kv: { status = status.as_str() });
+            }
+        }
+        let seen = link.call(node.port.announced_request(), within).await;
+        if let Ok((status, body)) = &seen
+            && status.is_success()
+        {
+            for address in node.port.read_announced(body) {
+                node.contacts.add(node.addresses.peers, address);
+            }
+            node.beat_now.notify_one();
+        }
+        let pause = if is_announced && seen.is_ok() { LOOK_AGAIN } else { ANNOUNCE_AGAIN };
+        sleep(pause.mul_f64(0.75 + 0.5 * fastrand::f64())).await;
+    }
+}
--- /dev/null
+++ b/crates/relay/src/metering.rs
@@ -0,0 +1,58 @@
+//! Counters and latency histograms, as Prometheus text.
+
+use std::time::Duration;
+
+use metrics::{counter, gauge, histogram};
+use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
+use wasabipier_core::clock::Moment;
+use wasabipier_core::relay::board::RelayBoard;
+
+/// Upper bounds of the latency buckets in seconds: from a plain call to the longest deadline.
+const BUCKETS: [f64; 12] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 20.0];
+
+/// Installs the recorder of this process.
+///
+/// # Errors
+///
+/// The buckets are refused.
+pub fn install() -> Result<PrometheusHandle, BuildError> {
+    let recorder = PrometheusBuilder::new().set_buckets(&BUCKETS)?.build_recorder();
+    let handle = recorder.handle();
+    // Only the first recorder of a process counts; a node has one.
+    let _ = metrics::set_global_recorder(recorder);
+    Ok(handle)
+}
+
+/// Counts a request that ended.
+pub fn request_ended(route: &str, outcome: &str, took: Duration) {
+    counter!("wasabipier_relay_requests_total", "route" => route.to_owned(), "outcome" => outcome.to_owned())
+        .increment(1);
+    histogram!("wasabipier_relay_request_seconds", "route" => route.to_owned()).record(took.as_secs_f64());
+}
+
+/// Counts a call to a target that ended.
+pub fn call_ended(service: &str, outcome: &str, took: Duration) {
+    counter!("wasabipier_relay_calls_total", "service" => service.to_owned(), "outcome" => outcome.to_owned())
+        .increment(1);
+    histogram!("wasabipier_relay_call_seconds", "service" => service.to_owned()).record(took.as_secs_f64());
+}
+
+/// Counts a call to the store.
+pub fn store_called(outcome: &str) {
+    counter!("wasabipier_relay_store_calls_total", "outcome" => outcome.to_owned()).increment(1);
+}
+
+/// Counts a connection that was opened to a target.
+pub fn connected(service: &str) {
+    counter!("wasabipier_relay_connections_total", "service" => service.to_owned()).increment(1);
+}
+
+/// Brings the gauges up to date.
+pub fn publish(board: &RelayBoard, open_requests: usize, now: Moment) {
+    gauge!("wasabipier_relay_requests_open").set(open_requests as f64);
+    gauge!("wasabipier_relay_document_version").set(board.index.version as f64);
+    gauge!("wasabipier_relay_document_age_seconds")
+        .set(board.document_age(now).map_or(f64::NAN, |age| age.as_secs_f64()));
+    gauge!("wasabipier_relay_peers_alive").set(board.members.alive(now).count() as f64);
+    gauge!("wasabipier_relay_targets").set(board.targets.iter().count() as f64);
+}
--- /dev/null
+++ b/crates/relay/src/prepare.rs
@@ -0,0 +1,190 @@
+//! Runs the preparation stages of a request.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::stream::{FuturesUnordered, StreamExt};
+use spdlog::{debug, info};
+use tokio::task::spawn_local;
+use wasabipier_core::clock::Moment;
+use wasabipier_core::names::{DcName, NodeName, ServiceName};
+use wasabipier_core::relay::document::RelayRoute;
+use wasabipier_core::relay::graph::StageGraph;
+use wasabipier_core::relay::pieces::{PieceEnd, PieceFailure, PieceJob, PieceResult, PieceSource};
+use wasabipier_wire::relay::{WireCall, WireReply, end_from_wire, job_to_wire};
+
+use crate::clock;
+use crate::gather;
+use crate::part::{PEERS, STAGES};
+use crate::ports::AskHead;
+use crate::state::SharedNode;
+
+/// Time for a peer to take results back.
+const FREE_WITHIN: Duration = Duration::from_secs(1);
+
+/// Results of one service that nobody else will free.
+struct HeldResults {
+    node: SharedNode,
+    service: ServiceName,
+    results: Vec<PieceResult>,
+}
+
+impl Drop for HeldResults {
+    fn drop(&mut self) {
+        let handles: Vec<Arc<str>> = self.results.drain(..).map(|result| result.handle).collect();
+        if !handles.is_empty() {
+            spawn_local(free(self.node.clone(), self.service.clone(), handles));
+        }
+    }
+}
+
+/// What the final call of a request works on; freed when dropped.
+#[derive(Default)]
+pub struct PreparedInputs {
+    held: Vec<HeldResults>,
+}
+
+impl PreparedInputs {
+    /// Handles of the results, in the order of their stages and pieces.
+    #[must_use]
+    pub fn handles(&self) -> Vec<Arc<str>> {
+        self.held.iter().flat_map(|held| held.results.iter().map(|result| result.handle.clone())).collect()
+    }
+}
+
+/// A request whose stages are to be run.
+pub struct StageRun<'a> {
+    /// The node.
+    pub node: &'a SharedNode,
+    /// The request's head.
+    pub head: &'a AskHead,
+    /// Its route.
+    pub route: &'a RelayRoute,
+    /// Its urgency.
+    pub rank: u8,
+    /// When it must be answered.
+    pub deadline: Moment,
+    /// Data centre in which its final call will probably run.
+    pub wanted_in: Option<DcName>,
+}
+
+/// A stage that ended.
+struct StageEnd {
+    stage: usize,
+    results: Result<Vec<PieceResult>, PieceFailure>,
+}
+
+impl StageRun<'_> {
+    /// Runs the stages; gives back the results of the last ones, and their bytes by data centre.
+    ///
+    /// # Errors
+    ///
+    /// Why a piece could not be made.
+    pub async fn run(&self) -> Result<(PreparedInputs, BTreeMap<DcName, u64>), PieceFailure> {
+        let mut graph = StageGraph::new(self.route.stages.clone(), &self.head.pieces);
+        let mut held: BTreeMap<usize, HeldResults> = BTreeMap::new();
+        let mut running = FuturesUnordered::new();
+        while !graph.is_done() {
+            for stage in graph.start_ready() {
+                let sources = self.sources(&graph, stage, &held);
+                running.push(self.run_stage(&graph, stage, &sources));
+            }
+            let Some(end) = running.next().await else { return Err(PieceFailure::Failed) };
+            let service = graph.spec(end.stage).service.clone();
+            held.insert(end.stage, HeldResults { node: self.node.clone(), service, results: end.results? });
+            for unneeded in graph.finish(end.stage) {
+                held.remove(&unneeded);
+            }
+        }
+        drop(running);
+        let last = graph.last_stages();
+        let mut bytes = BTreeMap::new();
+        for (stage, held) in &held {
+            for result in &held.results {
+                *bytes.entry(result.dc.clone()).or_default() += graph.spec(*stage).result_bytes;
+            }
+        }
+        let held = last.into_iter().filter_map(|stage| held.remove(&stage)).collect();
+        Ok((PreparedInputs { held }, bytes))
+    }
+
+    fn sources(&self, graph: &StageGraph, stage: usize, held: &BTreeMap<usize, HeldResults>) -> PieceSource {
+        let after = &graph.spec(stage).after;
+        if after.is_empty() {
+            return PieceSource::Content(self.head.piece_key.clone().unwrap_or_default());
+        }
+        let inputs = after.iter().filter_map(|at| held.get(at)).flat_map(|held| &held.results);
+        PieceSource::Results(inputs.map(|result| result.handle.clone()).collect())
+    }
+
+    fn run_stage<'s>(
+        &'s self,
+        graph: &StageGraph,
+        stage: usize,
+        source: &PieceSource,
+    ) -> impl Future<Output = StageEnd> + use<'s> {
+        let spec = graph.spec(stage);
+        let job = |segment| PieceJob {
+            request: self.head.request.clone(),
+            stage: stage as u32,
+            segment,
+            source: source.clone(),
+            deadline: self.deadline,
+            rank: self.rank,
+            wanted_in: self.wanted_in.clone(),
+            result_bytes: spec.result_bytes,
+        };
+        let jobs: Vec<PieceJob> = (0..graph.pieces(stage)).map(job).collect();
+        let service = spec.service.clone();
+        async move {
+            let started = clock::now();
+            let ends = make(self.node, &service, jobs).await;
+            let results: Result<Vec<PieceResult>, PieceFailure> = ends.into_iter().collect();
+            if self.node.pace.admits(started) {
+                let outcome = results.as_ref().map_or_else(ToString::to_string, |made| format!("{} made", made.len()));
+                let (id, took) = (&*self.head.request, clock::now().since(started).as_millis() as u64);
+                info!("{STAGES} stage ended.", kv: { id, stage, service = service.as_str(), outcome = outcome.as_str(), took_ms = took });
+            }
+            StageEnd { stage, results }
+        }
+    }
+}
+
+/// Makes pieces where the pieces of all nodes meet, or here if that node cannot be reached.
+async fn make(node: &SharedNode, service: &ServiceName, jobs: Vec<PieceJob>) -> Vec<PieceEnd> {
+    let Some((peer, address)) = gatherer(node, service) else { return gather::make_here(node, service, jobs).await };
+    let now = clock::now();
+    let within = jobs.iter().map(|job| now.until(job.deadline)).max().unwrap_or_default();
+    let count = jobs.len();
+    let wire = jobs.iter().map(|job| job_to_wire(job, now)).collect();
+    let call = WireCall::Pieces { service: service.to_string(), jobs: wire };
+    match node.peers.call(address, &call, within).await {
+        Ok(WireReply::Pieces(ends)) if ends.len() == count => ends.into_iter().map(end_from_wire).collect(),
+        Ok(_) => vec![Err(PieceFailure::Failed); count],
+        Err(error) => {
+            let (peer, error) = (peer.as_str(), error.to_string());
+            info!("{PEERS} gatherer not reached; making the pieces here.", kv: { peer, error = error.as_str(), service = service.as_str() });
+            gather::make_here(node, service, jobs).await
+        }
+    }
+}
+
+/// The peer that gathers for a service; none: this node.
+fn gatherer(node: &SharedNode, service: &ServiceName) -> Option<(NodeName, std::net::SocketAddr)> {
+    let board = node.board.borrow();
+    let name = board.members.gatherer(service, &board.identity.node, clock::now());
+    let view = board.members.get(name)?;
+    Some((name.clone(), view.beat.peer_address))
+}
+
+/// Gives results up where their pieces were gathered.
+async fn free(node: SharedNode, service: ServiceName, handles: Vec<Arc<str>>) {
+    let Some((_, address)) = gatherer(&node, &service) else { return gather::free_here(&node, &service, &handles) };
+    let call =
+        WireCall::Free { service: service.to_string(), handles: handles.iter().map(ToString::to_string).collect() };
+    if let Err(error) = node.peers.call(address, &call, FREE_WITHIN).await {
+        debug!("{STAGES} gatherer not reached; freeing results directly: {error}.");
+        gather::free_here(&node, &service, &handles);
+    }
+}
--- /dev/null
+++ b/crates/relay/src/request.rs
@@ -0,0 +1,474 @@
+//! The way of one request: admission, stages, attempts, and its answer.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Response, StatusCode};
+use hyper::body::Incoming;
+use spdlog::info;
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+use wasabipier_core::names::{DcName, TargetName};
+use wasabipier_core::relay::choice::{CallWish, PromptSpec};
+use wasabipier_core::relay::steps::{AttemptEnd, AttemptTally, NextStep};
+use wasabipier_core::relay::targets::{CallResult, TargetEntry};
+use wasabipier_wire::relay::WireCall;
+
+use crate::admission::{self, AdmittedRequest, Rejection};
+use crate::attempt::{self, CallGuard, HeadVerdict, OpenAnswer};
+use crate::body::{AnswerBody, StreamCut};
+use crate::clock;
+use crate::metering;
+use crate::part::REQUEST;
+use crate::ports::{AskHead, RefusalKind, RefusalNotice, ServerOrder};
+use crate::prepare::{PreparedInputs, StageRun};
+use crate::state::{OpenRequest, SharedNode};
+use crate::stream::{OpenStream, StreamPart};
+
+/// Events that may wait for a caller that reads slowly; then its target waits too.
+const EVENTS_WAITING: usize = 8;
+/// Time beyond the deadline for what a target sends as it stops at the deadline itself.
+const PAST_DEADLINE: Duration = Duration::from_millis(150);
+/// Pause before a caller comes again after its targets were full or not reached.
+const COME_AGAIN: Duration = Duration::from_millis(250);
+/// Time to tell a peer about content that brings targets down.
+const TELL_WITHIN: Duration = Duration::from_secs(1);
+
+/// Serves a request.
+pub async fn serve(
+    node: SharedNode,
+    head: AskHead,
+    parts: http::request::Parts,
+    body: Incoming,
+) -> Response<AnswerBody> {
+    let started = clock::now();
+    let open = OpenRequest::new(&node);
+    let admitted = match admission::admit(&node, &head, &parts, body).await {
+        Ok(admitted) => admitted,
+        Err(rejection) => {
+            log_end(&node, &head.request, "", &rejection.kind.to_string(), rejection.reason, started);
+            return refuse(&node, rejection);
+        }
+    };
+    let left = clock::now().until(admitted.deadline);
+    let mut request = RelayRequest::new(node.clone(), head, parts, admitted);
+    let run = timeout(left, request.run()).await;
+    let end = run.unwrap_or_else(|_| {
+        let ran = request.tally.may_have_run > 0 || request.is_sent;
+        let kind = if ran { RefusalKind::TimedOut } else { RefusalKind::NotRun };
+        Err(Rejection { kind, reason: "deadline", retry_after: None })
+    });
+    match end {
+        Ok(RunEnd::Whole(whole)) => {
+            request.log_end(&whole.status.as_u16().to_string(), "answered");
+            whole.into_response(&node)
+        }
+        Ok(RunEnd::Stream(stream)) => request.stream(*stream, open),
+        Err(rejection) => {
+            request.log_end(&rejection.kind.to_string(), rejection.reason);
+            refuse(&node, rejection)
+        }
+    }
+}
+
+fn refuse(node: &SharedNode, rejection: Rejection) -> Response<AnswerBody> {
+    let notice = RefusalNotice { kind: rejection.kind, retry_after: rejection.retry_after };
+    node.port.refusal(notice).map(AnswerBody::whole)
+}
+
+fn log_end(
+    node: &SharedNode,
+    id: &str,
+    route: &str,
+    outcome: &str,
+    reason: &str,
+    started: wasabipier_core::clock::Moment,
+) {
+    let now = clock::now();
+    let took = now.since(started);
+    metering::request_ended(route, outcome, took);
+    if node.pace.admits(now) {
+        let board = node.board.borrow();
+        let (document, age) = (board.index.version, board.document_age(now).map_or(-1, |age| age.as_millis() as i64));
+        drop(board);
+        let took_ms = took.as_millis() as u64;
+        info!("{REQUEST} ended.", kv: { id, route, outcome, reason, took_ms, document, document_age_ms = age });
+    }
+}
+
+/// An answer that is passed on whole.
+struct WholeAnswer {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+impl WholeAnswer {
+    fn into_response(self, node: &SharedNode) -> Response<AnswerBody> {
+        let mut response = Response::new(AnswerBody::whole(self.body));
+        *response.status_mut() = self.status;
+        *response.headers_mut() = self.headers;
+        node.port.clean_answer(response.headers_mut());
+        response
+    }
+}
+
+/// What the caller gets.
+enum RunEnd {
+    Whole(WholeAnswer),
+    Stream(Box<OpenStream>),
+}
+
+/// An attempt that brought no answer to pass on.
+struct FailedAttempt {
+    end: AttemptEnd,
+    /// The target's own failure, to be passed on if nothing better comes.
+    answer: Option<WholeAnswer>,
+}
+
+impl From<AttemptEnd> for FailedAttempt {
+    fn from(end: AttemptEnd) -> Self {
+        Self { end, answer: None }
+    }
+}
+
+/// A request on its way.
+struct RelayRequest {
+    node: SharedNode,
+    head: AskHead,
+    parts: http::request::Parts,
+    admitted: AdmittedRequest,
+    tally: AttemptTally,
+    avoid: Vec<TargetName>,
+    inputs: Option<(PreparedInputs, BTreeMap<DcName, u64>)>,
+    /// Whether an attempt is on its way whose end is not counted yet.
+    is_sent: bool,
+}
+
+impl RelayRequest {
+    fn new(node: SharedNode, head: AskHead, parts: http::request::Parts, admitted: AdmittedRequest) -> Self {
+        let (tally, avoid) = (AttemptTally::default(), Vec::new());
+        Self { node, head, parts, admitted, tally, avoid, inputs: None, is_sent: false }
+    }
+
+    /// Runs stages and attempts until there is an answer.
+    async fn run(&mut self) -> Result<RunEnd, Rejection> {
+        loop {
+            if self.inputs.is_none() {
+                self.prepare().await?;
+            }
+            let failed = match self.attempt(self.head.last_event).await {
+                Ok(end) => {
+                    if matches!(end, RunEnd::Whole(_)) {
+                        self.inputs = Some(Default::default());
+                    }
+                    return Ok(end);
+                }
+                Err(failed) => failed,
+            };
+            match self.decide(failed.end) {
+                NextStep::Again => {}
+                NextStep::Prepare => self.inputs = None,
+                NextStep::Refuse => return Err(Rejection::not_run("no target took it", COME_AGAIN)),
+                NextStep::Fail => {
+                    return Err(Rejection { kind: RefusalKind::Unknown, reason: "no answer", retry_after: None });
+                }
+                NextStep::Relay => match failed.answer {
+                    Some(answer) => return Ok(RunEnd::Whole(answer)),
+                    None => return Err(Rejection { kind: RefusalKind::Unknown, reason: "failed", retry_after: None }),
+                },
+            }
+        }
+    }
+
+    fn decide(&mut self, end: AttemptEnd) -> NextStep {
+        let kind = self.admitted.grant.route.kind;
+        let most = self.admitted.grant.route.most_attempts;
+        let wants = self.tally.wants_repeat(kind, end, most);
+        let affordable = wants && self.node.board.borrow_mut().take_repeat(&self.admitted.service, clock::now());
+        let step = self.tally.decide(kind, end, most, affordable);
+        if self.node.pace.admits(clock::now()) {
+            let (id, end, step) = (&*self.head.request, end.to_string(), step.to_string());
+            let target = self.avoid.last().map_or("", |target| target.as_str());
+            info!("{REQUEST} attempt failed.", kv: { id, target, end = end.as_str(), affordable, step = step.as_str() });
+        }
+        step
+    }
+
+    async fn prepare(&mut self) -> Result<(), Rejection> {
+        let route = self.admitted.grant.route.clone();
+        if route.stages.is_empty() {
+            self.inputs = Some(Default::default());
+            return Ok(());
+        }
+        let run = StageRun {
+            node: &self.node,
+            head: &self.head,
+            route: &route,
+            rank: self.admitted.grant.rank,
+            deadline: self.admitted.deadline,
+            wanted_in: self.choose().map(|entry| entry.dc),
+        };
+        match run.run().await {
+            Ok(inputs) => {
+                self.inputs = Some(inputs);
+                Ok(())
+            }
+            Err(_) => Err(Rejection::not_run("a stage failed", COME_AGAIN)),
+        }
+    }
+
+    fn choose(&self) -> Option<TargetEntry> {
+        let none = BTreeMap::new();
+        let wish = CallWish {
+            service: &self.admitted.service,
+            avoid: &self.avoid,
+            prompt: self.head.prompt.as_ref(),
+            inputs: self.inputs.as_ref().map_or(&none, |(_, bytes)| bytes),
+        };
+        self.node.board.borrow_mut().choose(&wish, clock::now())
+    }
+
+    /// Sends the request to one target.
+    async fn attempt(&mut self, last_event: Option<u64>) -> Result<RunEnd, FailedAttempt> {
+        let Some(entry) = self.choose() else { return Err(AttemptEnd::NotRun.into()) };
+        self.avoid.push(entry.target.clone());
+        let tokens = self.head.prompt.as_ref().map_or(0, PromptSpec::tokens);
+        let mut guard = CallGuard::new(&self.node, &entry, tokens);
+        let patience = self.patience(&entry);
+        self.is_sent = true;
+        let outcome = match patience {
+            Some(patience) => timeout(patience, self.call(&entry, last_event)).await.unwrap_or(Err(AttemptEnd::Lost)),
+            None => self.call(&entry, last_event).await,
+        };
+        self.is_sent = false;
+        let answer = match outcome {
+            Ok(answer) => answer,
+            Err(end) => {
+                guard.set_result(attempt::call_result(end, None));
+                self.note_end(&entry, end);
+                return Err(end.into());
+            }
+        };
+        self.learn_cold(&entry, &answer);
+        match attempt::judge_head(answer.status, &answer.head, &self.head.request) {
+            HeadVerdict::Ended(end) => {
+                guard.set_result(attempt::call_result(end, Some(&answer.head)));
+                Err(end.into())
+            }
+            HeadVerdict::Failure => self.read_failure(answer, guard).await,
+            HeadVerdict::Success if self.admitted.grant.route.kind.is_stream() => {
+                self.open_stream(answer, guard, &entry, last_event, patience).await
+            }
+            HeadVerdict::Success => self.read_success(answer, guard, &entry, patience).await,
+        }
+    }
+
+    fn patience(&self, entry: &TargetEntry) -> Option<Duration> {
+        let board = self.node.board.borrow();
+        let usual = board.targets.get(&entry.target).map_or(0.0, |view| view.usual_ms);
+        let route = &self.admitted.grant.route;
+        // The last attempt is not cut short: nothing would come after it.
+        let is_last = self.tally.may_have_run + 1 >= route.most_attempts;
+        board.tuning.patience.first_part(route.kind, route.objective, usual).filter(|_| !is_last)
+    }
+
+    async fn call(&self, entry: &TargetEntry, last_event: Option<u64>) -> Result<OpenAnswer, AttemptEnd> {
+        let inputs = self.inputs.as_ref().map(|(inputs, _)| inputs.handles()).unwrap_or_default();
+        let order = ServerOrder {
+            method: &self.parts.method,
+            uri: &self.parts.uri,
+            headers: &self.parts.headers,
+            body: self.admitted.body.clone(),
+            target: entry,
+            org: self.admitted.grant.org.as_ref(),
+            time_left: clock::now().until(self.admitted.deadline),
+            rank: self.admitted.grant.rank,
+            last_event,
+            inputs: &inputs,
+        };
+        let request = self.node.port.server_request(&order);
+        attempt::exchange(&self.node, entry, request, false).await
+    }
+
+    fn learn_cold(&self, entry: &TargetEntry, answer: &OpenAnswer) {
+        if let Some(cold_for) = answer.head.cold_for {
+            self.node.board.borrow_mut().targets.learn_cold(&entry.target, cold_for, clock::now());
+        }
+    }
+
+    async fn read_failure(&self, mut answer: OpenAnswer, mut guard: CallGuard) -> Result<RunEnd, FailedAttempt> {
+        guard.set_result(CallResult::Faulty);
+        let body = attempt::read_whole(&mut answer.body).await?;
+        let is_server_fault = answer.status.is_server_error();
+        let whole = WholeAnswer { status: answer.status, headers: answer.headers, body };
+        self.node.pool.give_back(answer.lease, answer.head.idle_for);
+        if is_server_fault {
+            return Err(FailedAttempt { end: AttemptEnd::Failed, answer: Some(whole) });
+        }
+        guard.set_result(CallResult::Unknown);
+        Ok(RunEnd::Whole(whole))
+    }
+
+    async fn read_success(
+        &self,
+        mut answer: OpenAnswer,
+        mut guard: CallGuard,
+        entry: &TargetEntry,
+        patience: Option<Duration>,
+    ) -> Result<RunEnd, FailedAttempt> {
+        let took = guard.took();
+        guard.set_result(CallResult::Broken);
+        let read = attempt::read_whole(&mut answer.body);
+        let read = match patience {
+            Some(patience) => timeout(patience, read).await.unwrap_or(Err(AttemptEnd::Lost)),
+            None => read.await,
+        };
+        let body = read.inspect_err(|_| self.note_end(entry, AttemptEnd::Lost))?;
+        guard.set_result(CallResult::Good(took));
+        self.node.pool.give_back(answer.lease, answer.head.idle_for);
+        self.node.board.borrow_mut().harmful.acquit(self.admitted.content);
+        Ok(RunEnd::Whole(WholeAnswer { status: answer.status, headers: answer.headers, body }))
+    }
+
+    async fn open_stream(
+        &self,
+        answer: OpenAnswer,
+        guard: CallGuard,
+        entry: &TargetEntry,
+        last_event: Option<u64>,
+        patience: Option<Duration>,
+    ) -> Result<RunEnd, FailedAttempt> {
+        let mut stream = OpenStream::new(answer, guard, last_event);
+        stream.set_result(CallResult::Broken);
+        match stream.begin(&self.node, patience).await {
+            StreamPart::Broken(_) => {
+                self.note_end(entry, AttemptEnd::Lost);
+                Err(AttemptEnd::Lost.into())
+            }
+            StreamPart::Events(_) | StreamPart::End => Ok(RunEnd::Stream(Box::new(stream))),
+        }
+    }
+
+    /// Follows up on an end that may tell that its target went down.
+    fn note_end(&self, entry: &TargetEntry, end: AttemptEnd) {
+        let now = clock::now();
+        let mut board = self.node.board.borrow_mut();
+        match end {
+            AttemptEnd::Lost => board.suspect(self.admitted.content, &entry.target, now),
+            AttemptEnd::NotSent => {
+                let contents = board.confirm_down(&entry.target, now);
+                drop(board);
+                for content in contents {
+                    tell_harmful(&self.node, content.0, &entry.target);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Answers with a stream, which goes on at other targets if its own breaks off.
+    fn stream(mut self, stream: OpenStream, open: OpenRequest) -> Response<AnswerBody> {
+        let (sender, receiver) = mpsc::channel(EVENTS_WAITING);
+        let mut response = Response::new(AnswerBody::Stream(receiver));
+        *response.status_mut() = stream.status;
+        *response.headers_mut() = stream.headers.clone();
+        self.node.port.clean_answer(response.headers_mut());
+        spawn_local(async move {
+            let left = clock::now().until(self.admitted.deadline) + PAST_DEADLINE;
+            let pump = timeout(left, self.pump(stream, &sender));
+            let reason = tokio::select! {
+                reason = pump => reason.unwrap_or("deadline"),
+                () = sender.closed() => "caller left",
+            };
+            let outcome = if reason == "answered" { "200" } else { "cut" };
+            if outcome == "cut" {
+                // The caller is gone, or sees by this that the stream is not whole.
+                let _ = sender.try_send(Err(StreamCut));
+            }
+            self.log_end(outcome, reason);
+            drop(open);
+        });
+        response
+    }
+
+    /// Passes events on until the stream ends; says how it ended.
+    async fn pump(&mut self, mut stream: OpenStream, sender: &mpsc::Sender<Result<Bytes, StreamCut>>) -> &'static str {
+        // The target has fetched its inputs before it made its first event.
+        self.inputs = Some(Default::default());
+        let kind = self.admitted.grant.route.kind;
+        let pause = self.node.board.borrow().tuning.patience.next_event(kind);
+        loop {
+            let is_last = self.tally.may_have_run + 1 >= self.admitted.grant.route.most_attempts;
+            let reason = match stream.next(&self.node, pause.filter(|_| !is_last)).await {
+                StreamPart::Events(bytes) => {
+                    if sender.send(Ok(bytes)).await.is_err() {
+                        return "caller left";
+                    }
+                    continue;
+                }
+                StreamPart::End => {
+                    self.node.board.borrow_mut().harmful.acquit(self.admitted.content);
+                    return "answered";
+                }
+                StreamPart::Broken(reason) => reason,
+            };
+            stream.set_result(CallResult::Broken);
+            let last_event = stream.last_event();
+            drop(stream);
+            match self.resume(last_event).await {
+                Some(next) => stream = next,
+                None => return reason,
+            }
+        }
+    }
+
+    /// Goes on with a broken stream at another target.
+    async fn resume(&mut self, last_event: Option<u64>) -> Option<OpenStream> {
+        let mut end = AttemptEnd::Lost;
+        loop {
+            if let Some(target) = self.avoid.last().cloned() {
+                self.node.board.borrow_mut().suspect(self.admitted.content, &target, clock::now());
+            }
+            match self.decide(end) {
+                NextStep::Again => {}
+                NextStep::Prepare => self.inputs = None,
+                NextStep::Refuse | NextStep::Fail | NextStep::Relay => return None,
+            }
+            if self.inputs_needed() && self.prepare().await.is_err() {
+                return None;
+            }
+            match self.attempt(last_event).await {
+                Ok(RunEnd::Stream(stream)) => return Some(*stream),
+                Ok(RunEnd::Whole(_)) => return None,
+                Err(failed) => end = failed.end,
+            }
+        }
+    }
+
+    fn inputs_needed(&self) -> bool {
+        let has_stages = self.head.pieces.iter().any(|pieces| *pieces > 0);
+        has_stages && self.inputs.as_ref().is_none_or(|(inputs, _)| inputs.handles().is_empty())
+    }
+
+    fn log_end(&self, outcome: &str, reason: &str) {
+        let route = &self.admitted.grant.route.name;
+        log_end(&self.node, &self.head.request, route, outcome, reason, self.admitted.started);
+    }
+}
+
+/// Tells peers of content that brought a target down.
+fn tell_harmful(node: &SharedNode, content: u64, target: &TargetName) {
+    let now = clock::now();
+    let addresses: Vec<_> = node.board.borrow().members.alive(now).map(|view| view.beat.peer_address).collect();
+    for address in addresses {
+        let (node, call) = (node.clone(), WireCall::Harmful { content, target: target.to_string() });
+        spawn_local(async move {
+            if let Err(error) = node.peers.call(address, &call, TELL_WITHIN).await {
+                info!("{REQUEST} a peer was not told of harmful content.", kv: { error = error.to_string().as_str() });
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/relay/src/state.rs
@@ -0,0 +1,74 @@
+//! What the tasks of a node share. All run on one thread.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use metrics_exporter_prometheus::PrometheusHandle;
+use tokio::sync::Notify;
+use wasabipier_core::message::NodeState;
+use wasabipier_core::relay::board::RelayBoard;
+
+use crate::announce::ContactBook;
+use crate::gather::GatherDesk;
+use crate::logging::LinePace;
+use crate::peers::PeerLinks;
+use crate::pool::TargetPool;
+use crate::ports::PlatformPort;
+use crate::settings::{RelayAddresses, RelayTimes};
+
+/// A node's state and its edges.
+pub struct RelayNode {
+    /// What it knows. Never borrowed across a wait.
+    pub board: RefCell<RelayBoard>,
+    /// Names and formats of the platform.
+    pub port: Box<dyn PlatformPort>,
+    /// Connections to targets.
+    pub pool: TargetPool,
+    /// Connections to peers.
+    pub peers: PeerLinks,
+    /// Addresses of peers.
+    pub contacts: ContactBook,
+    /// Requests that wait for pieces gathered here.
+    pub desk: GatherDesk,
+    /// Times of the edges.
+    pub times: RelayTimes,
+    /// Addresses.
+    pub addresses: RelayAddresses,
+    /// Requests being served.
+    pub open: Cell<usize>,
+    /// Told when beats shall leave at once.
+    pub beat_now: Notify,
+    /// Bounds the lines about requests.
+    pub pace: LinePace,
+    /// Renders the metrics.
+    pub metrics: PrometheusHandle,
+}
+
+/// A node, shared by its tasks.
+pub type SharedNode = Rc<RelayNode>;
+
+impl RelayNode {
+    /// Whether the node is stopping.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.board.borrow().state == NodeState::Leaving
+    }
+}
+
+/// Counts a request as open while it lives.
+pub struct OpenRequest(SharedNode);
+
+impl OpenRequest {
+    /// Starts to count.
+    #[must_use]
+    pub fn new(node: &SharedNode) -> Self {
+        node.open.set(node.open.get() + 1);
+        Self(node.clone())
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get().saturating_sub(1));
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -4,7 +4,7 @@
 //! * [`target`]: JSON towards targets,
 //! * [`platform`] and [`row`]: JSON towards the platform's services,
 //! * [`agent`]: HTTP clients for all of these,
-//! * [`frame`]: `bincode` frames between nodes,
+//! * [`frame`]: `bincode` frames between nodes, and [`relay`]: calls between relaying nodes,
 //! * [`document`]: the INI document of an environment, and [`ini`], its checked reading.
 
 pub mod prelude;
@@ -18,6 +18,7 @@
 pub mod frame;
 pub mod ini;
 pub mod platform;
+pub mod relay;
 pub mod reread;
 pub mod row;
 pub mod target;
--- /dev/null
+++ b/crates/wire/src/relay.rs
@@ -0,0 +1,302 @@
+//! Calls between relaying nodes: a version byte, then a call or reply in `bincode`.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use wasabipier_core::clock::Moment;
+use wasabipier_core::message::NodeState;
+use wasabipier_core::names::{DcName, InstanceId, NodeName, TargetName};
+use wasabipier_core::relay::members::{RelayBeat, TableProof, TargetLoad};
+use wasabipier_core::relay::pieces::{PieceEnd, PieceFailure, PieceJob, PieceResult, PieceSource};
+use wasabipier_core::relay::rows::{RowBatch, SharedRow, SharedTable};
+
+use crate::frame::{FrameError, MOST_FRAME_BYTES};
+
+/// Version of the calls; nodes of different versions do not talk.
+const CALL_VERSION: u8 = 1;
+
+/// A node's beat.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WireBeat {
+    node: String,
+    instance: u64,
+    sequence: u64,
+    dc: String,
+    caller_address: SocketAddr,
+    peer_address: SocketAddr,
+    state: u8,
+    proofs: Vec<(u8, u64, u32)>,
+    loads: Vec<(String, u32, u32)>,
+}
+
+/// A row of a shared table.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WireRow {
+    key: String,
+    version: u64,
+    value: Option<Vec<u8>>,
+}
+
+/// A piece to be made.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WireJob {
+    request: String,
+    stage: u32,
+    segment: u32,
+    content: Option<String>,
+    results: Vec<String>,
+    left_ms: u32,
+    rank: u8,
+    wanted_in: Option<String>,
+    result_bytes: u64,
+}
+
+/// How a piece ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum WirePieceEnd {
+    /// Made: its handle and its maker's data centre.
+    Made(String, String),
+    /// Not made.
+    Failed(u8),
+}
+
+/// What a node asks of another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum WireCall {
+    /// Tells how it is, and asks the same.
+    Beat(WireBeat),
+    /// Asks for a shared table, if the peer's copy is newer than this version.
+    Rows {
+        /// The table.
+        table: u8,
+        /// Version that the asker has.
+        have: u64,
+    },
+    /// Asks the gatherer of a service for pieces.
+    Pieces {
+        /// The service.
+        service: String,
+        /// The pieces.
+        jobs: Vec<WireJob>,
+    },
+    /// Gives results up.
+    Free {
+        /// The service that made them.
+        service: String,
+        /// Their handles.
+        handles: Vec<String>,
+    },
+    /// Content that brought down a target.
+    Harmful {
+        /// The content.
+        content: u64,
+        /// The target.
+        target: String,
+    },
+}
+
+/// The answer to a call.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum WireReply {
+    /// How the peer is, and addresses of the nodes that it knows.
+    Beat(WireBeat, Vec<SocketAddr>),
+    /// A shared table as the peer has it, and its age in milliseconds; no rows if it is not newer.
+    Rows {
+        /// All rows, if they are newer.
+        rows: Option<Vec<WireRow>>,
+        /// The store's version.
+        version: u64,
+        /// Time since this state was asked for.
+        age_ms: u32,
+    },
+    /// How each piece ended.
+    Pieces(Vec<WirePieceEnd>),
+    /// Done.
+    Done,
+}
+
+/// Encodes a call or reply.
+#[must_use]
+pub fn encode<T: Serialize>(value: &T) -> Vec<u8> {
+    let mut bytes = vec![CALL_VERSION];
+    // Only types that cannot be encoded fail, and these are fixed.
+    if let Ok(body) = bincode::serde::encode_to_vec(value, bincode::config::standard()) {
+        bytes.extend_from_slice(&body);
+    }
+    bytes
+}
+
+/// Decodes a call or reply.
+///
+/// # Errors
+///
+/// The bytes are of another version, too long, or no message.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, FrameError> {
+    if bytes.len() > MOST_FRAME_BYTES {
+        return Err(FrameError::TooLarge(bytes.len()));
+    }
+    let Some((version, body)) = bytes.split_first() else { return Err(FrameError::Malformed("empty".to_owned())) };
+    if *version != CALL_VERSION {
+        return Err(FrameError::WrongVersion(*version));
+    }
+    let config = bincode::config::standard().with_limit::<MOST_FRAME_BYTES>();
+    let (value, _) =
+        bincode::serde::decode_from_slice(body, config).map_err(|error| FrameError::Malformed(error.to_string()))?;
+    Ok(value)
+}
+
+/// Number of a table in calls.
+#[must_use]
+pub fn table_number(table: SharedTable) -> u8 {
+    match table {
+        SharedTable::Orders => 0,
+        SharedTable::Targets => 1,
+    }
+}
+
+/// The table of a number in calls.
+#[must_use]
+pub fn table_of(number: u8) -> Option<SharedTable> {
+    [SharedTable::Orders, SharedTable::Targets].into_iter().find(|table| table_number(*table) == number)
+}
+
+impl From<&RelayBeat> for WireBeat {
+    fn from(beat: &RelayBeat) -> Self {
+        Self {
+            node: beat.node.to_string(),
+            instance: beat.instance.0,
+            sequence: beat.sequence,
+            dc: beat.dc.to_string(),
+            caller_address: beat.caller_address,
+            peer_address: beat.peer_address,
+            state: match beat.state {
+                NodeState::Starting => 0,
+                NodeState::Serving => 1,
+                NodeState::Leaving => 2,
+            },
+            proofs: beat.proofs.iter().map(|proof| (table_number(proof.table), proof.version, proof.age_ms)).collect(),
+            loads: beat
+                .loads
+                .iter()
+                .map(|load| (load.target.to_string(), load.in_flight, load.unread_tokens))
+                .collect(),
+        }
+    }
+}
+
+impl From<WireBeat> for RelayBeat {
+    fn from(beat: WireBeat) -> Self {
+        let proofs = beat
+            .proofs
+            .into_iter()
+            .filter_map(|(table, version, age_ms)| Some(TableProof { table: table_of(table)?, version, age_ms }));
+        let loads = beat.loads.into_iter().map(|(target, in_flight, unread_tokens)| TargetLoad {
+            target: TargetName::new(target),
+            in_flight,
+            unread_tokens,
+        });
+        Self {
+            node: NodeName::new(beat.node),
+            instance: InstanceId(beat.instance),
+            sequence: beat.sequence,
+            dc: DcName::new(beat.dc),
+            caller_address: beat.caller_address,
+            peer_address: beat.peer_address,
+            state: match beat.state {
+                1 => NodeState::Serving,
+                2 => NodeState::Leaving,
+                _ => NodeState::Starting,
+            },
+            proofs: proofs.collect(),
+            loads: loads.collect(),
+        }
+    }
+}
+
+impl From<&SharedRow> for WireRow {
+    fn from(row: &SharedRow) -> Self {
+        Self { key: row.key.to_string(), version: row.version, value: row.value.as_ref().map(|value| value.to_vec()) }
+    }
+}
+
+impl From<WireRow> for SharedRow {
+    fn from(row: WireRow) -> Self {
+        Self { key: row.key.into(), version: row.version, value: row.value.map(Arc::from) }
+    }
+}
+
+/// A whole table from a peer.
+#[must_use]
+pub fn batch(rows: Vec<WireRow>, version: u64) -> RowBatch {
+    RowBatch { rows: rows.into_iter().map(SharedRow::from).collect(), version, whole: true }
+}
+
+/// A job as it is sent at `now`.
+#[must_use]
+pub fn job_to_wire(job: &PieceJob, now: Moment) -> WireJob {
+    let (content, results) = match &job.source {
+        PieceSource::Content(key) => (Some(key.to_string()), Vec::new()),
+        PieceSource::Results(handles) => (None, handles.iter().map(ToString::to_string).collect()),
+    };
+    WireJob {
+        request: job.request.to_string(),
+        stage: job.stage,
+        segment: job.segment,
+        content,
+        results,
+        left_ms: now.until(job.deadline).as_millis() as u32,
+        rank: job.rank,
+        wanted_in: job.wanted_in.as_ref().map(ToString::to_string),
+        result_bytes: job.result_bytes,
+    }
+}
+
+/// A job as it came at `now`.
+#[must_use]
+pub fn job_from_wire(job: WireJob, now: Moment) -> PieceJob {
+    let results: Vec<Arc<str>> = job.results.into_iter().map(Arc::from).collect();
+    PieceJob {
+        request: job.request.into(),
+        stage: job.stage,
+        segment: job.segment,
+        source: match job.content {
+            Some(key) => PieceSource::Content(key.into()),
+            None => PieceSource::Results(results.into()),
+        },
+        deadline: now + Duration::from_millis(u64::from(job.left_ms)),
+        rank: job.rank,
+        wanted_in: job.wanted_in.map(DcName::new),
+        result_bytes: job.result_bytes,
+    }
+}
+
+/// Failures by their numbers in replies.
+const FAILURES: [PieceFailure; 4] =
+    [PieceFailure::Late, PieceFailure::InputsGone, PieceFailure::NoRoom, PieceFailure::Failed];
+
+/// An end as it is sent.
+#[must_use]
+pub fn end_to_wire(end: &PieceEnd) -> WirePieceEnd {
+    match end {
+        Ok(result) => WirePieceEnd::Made(result.handle.to_string(), result.dc.to_string()),
+        Err(failure) => {
+            let number = FAILURES.iter().position(|other| other == failure).unwrap_or(FAILURES.len() - 1);
+            WirePieceEnd::Failed(number as u8)
+        }
+    }
+}
+
+/// An end as it came.
+///
+/// # Errors
+///
+/// Why the piece was not made, as the peer told it.
+pub fn end_from_wire(end: WirePieceEnd) -> PieceEnd {
+    match end {
+        WirePieceEnd::Made(handle, dc) => Ok(PieceResult { handle: handle.into(), dc: DcName::new(dc) }),
+        WirePieceEnd::Failed(number) => Err(FAILURES.get(usize::from(number)).copied().unwrap_or(PieceFailure::Failed)),
+    }
+}
