Begin stages whole, place them where their inputs are, and tell nodes of prompts

Prompts were read again because each node knew only its own sends.

Ruled out: too few targets alone (calls held 1 to 2 of 8 pieces while they failed).

Change: a stage is begun only if all its results find room, and then goes first; a full target rests until a result is freed; results of a failed stage are given up; pieces prefer the data centre of their inputs, by the bytes that would travel. Nodes tell each other which prompt beginnings went to which engine, at once for long ones; an engine's patience grows with the prompts before it.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -2,7 +2,7 @@
 //!
 //! Modules in the order in which a request meets them: the document says where it may go
 //! ([`document`], [`access`]), its pieces are prepared ([`graph`], [`pieces`]), a target is chosen
-//! ([`targets`], [`choice`], [`budget`]) and its answer is passed on ([`steps`], [`events`]).
+//! ([`targets`], [`prompts`], [`choice`], [`budget`]) and its answer is passed on ([`steps`], [`events`]).
 //! [`members`] and [`rows`] keep what nodes know of each other and of the store.
 
 pub mod access;
@@ -14,6 +14,7 @@
 pub mod graph;
 pub mod members;
 pub mod pieces;
+pub mod prompts;
 pub mod rows;
 pub mod steps;
 pub mod targets;
--- a/crates/core/src/relay/board.rs
+++ b/crates/core/src/relay/board.rs
@@ -16,6 +16,7 @@
 use crate::relay::document::{DocumentIndex, RelayRoute, RelayService};
 use crate::relay::members::{MemberBook, RelayBeat, TableProof};
 use crate::relay::pieces::PieceTable;
+use crate::relay::prompts::PromptBook;
 use crate::relay::rows::{SharedTable, TableCopy};
 use crate::relay::steps::PatienceBounds;
 use crate::relay::targets::{TargetBook, TargetEntry};
@@ -91,6 +92,8 @@
     pub closed: BTreeSet<DcName>,
     /// Targets.
     pub targets: TargetBook,
+    /// Prompts that engines have read.
+    pub prompts: PromptBook,
     /// Nodes.
     pub members: MemberBook,
     /// Repeats of this node.
@@ -122,6 +125,7 @@
             copies: BTreeMap::new(),
             closed: BTreeSet::new(),
             targets: TargetBook::default(),
+            prompts: PromptBook::default(),
             members: MemberBook::default(),
             ledger: RepeatLedger::default(),
             pieces: PieceTable::default(),
@@ -177,6 +181,7 @@
         let mut random = self.random.clone();
         let scene = ChoiceScene {
             targets: &self.targets,
+            prompts: &self.prompts,
             members: &self.members,
             service: self.index.services.get(wish.service),
             closed: &self.closed,
@@ -251,6 +256,14 @@
         }
     }
 
+    /// Takes a target's entry in.
+    pub fn upsert_target(&mut self, entry: TargetEntry, now: Moment) {
+        let target = entry.target.clone();
+        if self.targets.upsert(entry, now) {
+            self.prompts.forget(&target);
+        }
+    }
+
     /// Notes that a target's entry vanished. Right after the store was out, it may still come back.
     pub fn vanish_target(&mut self, target: &TargetName, now: Moment) {
         let lapse_ends = self.store_back.map(|back| back + self.tuning.return_within);
@@ -287,12 +300,16 @@
             state: self.state,
             proofs: proofs.collect(),
             loads: self.targets.own_loads(),
+            prompts: self.prompts.news(now),
         }
     }
 
     /// Takes a peer's beat in; tells whether its instance was not met before.
     pub fn hear(&mut self, beat: RelayBeat, now: Moment) -> bool {
         self.targets.learn_loads(&beat.node, beat.loads.clone());
+        for news in &beat.prompts {
+            self.prompts.learn(news, now);
+        }
         self.members.hear(beat, now)
     }
 
@@ -305,6 +322,10 @@
             }
         }
         self.members.forget(now);
-        self.targets.sweep(now)
+        let gone = self.targets.sweep(now);
+        for target in &gone {
+            self.prompts.forget(target);
+        }
+        gone
     }
 }
--- a/crates/core/src/relay/choice.rs
+++ b/crates/core/src/relay/choice.rs
@@ -7,6 +7,7 @@
 use crate::names::{DcName, NodeName, ServiceName, TargetName};
 use crate::relay::document::RelayService;
 use crate::relay::members::{MemberBook, rendezvous};
+use crate::relay::prompts::{PromptBook, chain_keys};
 use crate::relay::targets::{TargetBook, TargetView};
 
 /// Weights of the cost.
@@ -14,6 +15,9 @@
 pub struct ChoiceWeights {
     /// Prompt tokens that an engine reads in a millisecond; source: today's engines read 50 to 64.
     pub tokens_per_ms: f64,
+    /// How much dearer than its time it is to read a shared part again: it also takes memory from other parts and
+    /// delays the streams beside it, and the users pay for it.
+    pub reread_factor: f64,
     /// Cost of a running stream on the same engine, in milliseconds; source: 0.0445 ms a step and slot.
     pub stream_ms: f64,
     /// Cost of a megabyte of results from another data centre, in milliseconds: the users pay for such bytes.
@@ -26,7 +30,14 @@
 
 impl Default for ChoiceWeights {
     fn default() -> Self {
-        Self { tokens_per_ms: 50.0, stream_ms: 4.0, remote_mb_ms: 40.0, remote_call_ms: 1.0, fault_ms: 2_000.0 }
+        Self {
+            tokens_per_ms: 50.0,
+            reread_factor: 3.0,
+            stream_ms: 4.0,
+            remote_mb_ms: 40.0,
+            remote_call_ms: 1.0,
+            fault_ms: 2_000.0,
+        }
     }
 }
 
@@ -87,6 +98,8 @@
 pub struct ChoiceScene<'a> {
     /// Targets.
     pub targets: &'a TargetBook,
+    /// Prompts that engines have read.
+    pub prompts: &'a PromptBook,
     /// Nodes.
     pub members: &'a MemberBook,
     /// The service's settings, if the document has it.
@@ -107,6 +120,7 @@
 #[must_use]
 pub fn choose_target(scene: &ChoiceScene<'_>, wish: &CallWish<'_>, random: &mut fastrand::Rng) -> Option<TargetName> {
     let open: Vec<&TargetView> = scene.targets.of(wish.service).filter(|view| is_open(scene, view)).collect();
+    let keys = wish.prompt.map(chain_keys).unwrap_or_default();
     let home = wish.prompt.and_then(PromptSpec::shared_key).and_then(|key| prompt_home(&open, &key));
     let fresh = |view: &&&TargetView| !wish.avoid.contains(&view.entry.target) && view.resting_until <= scene.now;
     let mut candidates: Vec<&TargetView> = open.iter().filter(fresh).copied().collect();
@@ -119,7 +133,8 @@
     }
     let costs = candidates.iter().map(|view| {
         let at_home = home.as_ref() == Some(&view.entry.target);
-        (cost_ms(scene, wish, view, at_home, random.f64()), *view)
+        let prompt_ms = wish.prompt.map_or(0.0, |prompt| prompt_cost_ms(scene, prompt, &keys, view, at_home));
+        (prompt_ms + cost_ms(scene, wish, view, random.f64()), *view)
     });
     costs.min_by(|one, other| one.0.total_cmp(&other.0)).map(|(_, view)| view.entry.target.clone())
 }
@@ -147,7 +162,21 @@
     names.max_by_key(|name| rendezvous(key, name.as_str())).cloned()
 }
 
-fn cost_ms(scene: &ChoiceScene<'_>, wish: &CallWish<'_>, view: &TargetView, at_home: bool, chance: f64) -> f64 {
+/// Cost of reading a prompt at an engine, and of what it delays.
+fn prompt_cost_ms(scene: &ChoiceScene<'_>, prompt: &PromptSpec, keys: &[u64], view: &TargetView, at_home: bool) -> f64 {
+    /// Advantage of the home, so that nodes which know of no copy yet agree on one place.
+    const HOME_MS: f64 = 50.0;
+    let weights = scene.weights;
+    let kept = scene.prompts.kept_tokens(prompt, keys, &view.entry.target, scene.now);
+    let reread = prompt.shared_tokens().saturating_sub(kept);
+    let own = prompt.tokens().saturating_sub(kept).saturating_sub(reread);
+    let ahead = view.unread_tokens + view.others_unread;
+    let read = f64::from(own + ahead) + f64::from(reread) * weights.reread_factor;
+    let away = if at_home { 0.0 } else { HOME_MS };
+    read / weights.tokens_per_ms + f64::from(view.load()) * weights.stream_ms + away
+}
+
+fn cost_ms(scene: &ChoiceScene<'_>, wish: &CallWish<'_>, view: &TargetView, chance: f64) -> f64 {
     /// Time of a call to a target that has not answered yet, in milliseconds.
     const UNKNOWN_MS: f64 = 15.0;
     let weights = scene.weights;
@@ -156,11 +185,7 @@
     if view.entry.dc != *scene.dc {
         cost += weights.remote_call_ms;
     }
-    if let Some(prompt) = wish.prompt {
-        let own = prompt.tokens() - if at_home { prompt.shared_tokens() } else { 0 };
-        let ahead = view.unread_tokens + view.others_unread;
-        cost += f64::from(own + ahead) / weights.tokens_per_ms + f64::from(view.load()) * weights.stream_ms;
-    } else {
+    if wish.prompt.is_none() {
         let usual = if view.usual_ms > 0.0 { view.usual_ms } else { UNKNOWN_MS };
         // Chance keeps nodes with the same stale view from all taking the same target.
         let queued = f64::from(view.load()) / f64::from(view.entry.slots.max(1));
--- a/crates/core/src/relay/graph.rs
+++ b/crates/core/src/relay/graph.rs
@@ -74,6 +74,12 @@
             && users.all(|user| self.states[user] >= StageState::Done)
     }
 
+    /// Pieces that will fetch each result of a stage; the final call if no stage follows.
+    #[must_use]
+    pub fn user_pieces(&self, stage: usize) -> u32 {
+        self.users(stage).map(|user| self.pieces[user]).sum::<u32>().max(1)
+    }
+
     fn users(&self, stage: usize) -> impl Iterator<Item = usize> + '_ {
         (0..self.stages.len()).filter(move |at| self.stages[*at].after.contains(&stage))
     }
--- a/crates/core/src/relay/members.rs
+++ b/crates/core/src/relay/members.rs
@@ -7,6 +7,7 @@
 use crate::clock::Moment;
 use crate::message::NodeState;
 use crate::names::{DcName, InstanceId, NodeName, ServiceName, TargetName, stable_hash};
+use crate::relay::prompts::PromptNews;
 use crate::relay::rows::SharedTable;
 
 /// Work of one node at one target.
@@ -52,6 +53,8 @@
     pub proofs: Vec<TableProof>,
     /// Its work in flight.
     pub loads: Vec<TargetLoad>,
+    /// Prompts that it sent to engines lately.
+    pub prompts: Vec<PromptNews>,
 }
 
 /// A peer as last heard.
--- a/crates/core/src/relay/pieces.rs
+++ b/crates/core/src/relay/pieces.rs
@@ -3,7 +3,7 @@
 //! A call costs the same fixed time whatever it holds. A free target gets what waits at once; while
 //! all are busy, pieces gather, so that calls fill up as load grows.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -40,6 +40,8 @@
     pub wanted_in: Option<DcName>,
     /// Approximate size of its result.
     pub result_bytes: u64,
+    /// Bytes that go between data centres if it is made elsewhere: its inputs, and its result for each user.
+    pub remote_bytes: u64,
 }
 
 /// Why a piece was not made.
@@ -94,6 +96,26 @@
     busy_until: Moment,
     reserved: u64,
     kept: BTreeMap<Arc<str>, (u64, Moment)>,
+    /// Until when the target counts as full: it said so, and nothing was freed there since.
+    full_until: Moment,
+}
+
+/// Place in the order of service: stages that were begun first, since their results take up room until the
+/// rest is made; then by urgency, then by arrival.
+type PieceOrder = (StagePhase, u8, PieceTicket);
+
+/// Whether a piece of the same request and stage was begun.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum StagePhase {
+    Begun,
+    Fresh,
+}
+
+/// A request's stage.
+type StageKey = (Arc<str>, u32);
+
+fn stage_key(job: &PieceJob) -> StageKey {
+    (job.request.clone(), job.stage)
 }
 
 impl LaneState {
@@ -106,8 +128,11 @@
 /// The pieces of one service, at the node that gathers them.
 #[derive(Clone, Debug, Default)]
 pub struct PieceQueue {
-    waiting: BTreeMap<(u8, PieceTicket), WaitingPiece>,
+    waiting: BTreeMap<PieceOrder, WaitingPiece>,
+    places: BTreeMap<PieceTicket, PieceOrder>,
     running: BTreeMap<PieceTicket, WaitingPiece>,
+    /// Stages of which pieces were begun, with the bytes that their waiting pieces will take up.
+    begun: BTreeMap<StageKey, u64>,
     lanes: BTreeMap<TargetName, LaneState>,
     last_ticket: u64,
 }
@@ -116,19 +141,68 @@
     /// Times that a piece is begun; then its request is told.
     const MOST_TRIES: u32 = 3;
     /// Waiting that is worth a megabyte from another data centre; source: the price of such bytes.
-    const REMOTE_MB: Duration = Duration::from_millis(40);
+    const REMOTE_MB: Duration = Duration::from_millis(100);
+    /// Longest wait for that sake: a fraction of the time that callers give.
+    const LONGEST_PENALTY: Duration = Duration::from_millis(300);
+    /// Time for which a target that has no room is not asked again, unless a result is freed there.
+    const FULL_FOR: Duration = Duration::from_millis(150);
 
     /// Adds a piece.
     pub fn push(&mut self, job: PieceJob, now: Moment) -> PieceTicket {
         self.last_ticket += 1;
         let ticket = PieceTicket(self.last_ticket);
-        self.waiting.insert((job.rank, ticket), WaitingPiece { job, since: now, tries: 0 });
+        self.wait(ticket, WaitingPiece { job, since: now, tries: 0 });
         ticket
     }
 
+    fn wait(&mut self, ticket: PieceTicket, piece: WaitingPiece) {
+        let key = stage_key(&piece.job);
+        let phase = if self.begun.contains_key(&key) { StagePhase::Begun } else { StagePhase::Fresh };
+        if let Some(bytes) = self.begun.get_mut(&key) {
+            *bytes += piece.job.result_bytes;
+        }
+        let place = (phase, piece.job.rank, ticket);
+        self.places.insert(ticket, place);
+        self.waiting.insert(place, piece);
+    }
+
+    /// Takes a piece out of the queue.
+    fn unwait(&mut self, place: PieceOrder) -> Option<WaitingPiece> {
+        let piece = self.waiting.remove(&place)?;
+        self.places.remove(&place.2);
+        let key = stage_key(&piece.job);
+        if let Some(bytes) = self.begun.get_mut(&key) {
+            *bytes = bytes.saturating_sub(piece.job.result_bytes);
+            if *bytes == 0 {
+                self.begun.remove(&key);
+            }
+        }
+        Some(piece)
+    }
+
+    /// Puts the waiting pieces of a stage first, now that one of them is begun.
+    fn begin_stage(&mut self, key: &StageKey) {
+        if self.begun.contains_key(key) {
+            return;
+        }
+        let rest = self.waiting.iter().filter(|(_, piece)| stage_key(&piece.job) == *key);
+        let rest: Vec<PieceOrder> = rest.map(|(place, _)| *place).collect();
+        if rest.is_empty() {
+            return;
+        }
+        self.begun.insert(key.clone(), 0);
+        for place in rest {
+            if let Some(piece) = self.waiting.remove(&place) {
+                self.wait(place.2, piece);
+            }
+        }
+    }
+
     /// Drops a piece that nobody waits for any more.
     pub fn cancel(&mut self, ticket: PieceTicket) {
-        self.waiting.retain(|(_, other), _| *other != ticket);
+        if let Some(place) = self.places.get(&ticket).copied() {
+            self.unwait(place);
+        }
         self.running.remove(&ticket);
     }
 
@@ -146,18 +220,19 @@
 
     /// Takes out pieces whose time is over.
     pub fn take_late(&mut self, now: Moment) -> Vec<PieceTicket> {
-        let late: Vec<(u8, PieceTicket)> =
-            self.waiting.iter().filter(|(_, piece)| piece.job.deadline <= now).map(|(key, _)| *key).collect();
-        for key in &late {
-            self.waiting.remove(key);
+        let late: Vec<PieceOrder> =
+            self.waiting.iter().filter(|(_, piece)| piece.job.deadline <= now).map(|(place, _)| *place).collect();
+        for place in &late {
+            self.unwait(*place);
         }
-        late.into_iter().map(|(_, ticket)| ticket).collect()
+        late.into_iter().map(|(_, _, ticket)| ticket).collect()
     }
 
     /// Time until a piece that comes now would be begun, if `open` targets work at full calls.
     #[must_use]
     pub fn expected_wait(&self, spec: &BatchSpec, open: usize, rank: u8) -> Duration {
-        let ahead = self.waiting.range(..=(rank, PieceTicket(u64::MAX))).count();
+        let ahead =
+            self.waiting.keys().filter(|(phase, other, _)| *phase == StagePhase::Begun || *other <= rank).count();
         let calls = ahead / (spec.most_pieces.max(1) * open.max(1));
         full_call(spec) * calls as u32
     }
@@ -168,9 +243,11 @@
             return None;
         }
         let free: Vec<&TargetView> = open.iter().filter(|view| self.is_free(spec, view, now)).copied().collect();
-        let mut best: Option<(&TargetView, Vec<(u8, PieceTicket)>)> = None;
+        let waits = self.waits(spec, open, now);
+        let spare = self.spare_room(spec, open, now);
+        let mut best: Option<(&TargetView, Vec<PieceOrder>)> = None;
         for view in free {
-            let keys = self.fitting(spec, open, view, now);
+            let keys = self.fitting(spec, &waits, spare, view, now);
             if best.as_ref().is_none_or(|(_, most)| keys.len() > most.len()) {
                 best = Some((view, keys));
             }
@@ -180,31 +257,66 @@
     }
 
     fn is_free(&self, spec: &BatchSpec, view: &TargetView, now: Moment) -> bool {
-        let calls = self.lanes.get(&view.entry.target).map_or(0, |lane| lane.calls);
-        calls < spec.slots.max(1) && view.resting_until <= now
+        let lane = self.lanes.get(&view.entry.target);
+        let is_free = lane.is_none_or(|lane| lane.calls < spec.slots.max(1) && lane.full_until <= now);
+        is_free && view.resting_until <= now
+    }
+
+    /// Room at all open targets beyond what the waiting pieces of begun stages will take up.
+    fn spare_room(&mut self, spec: &BatchSpec, open: &[&TargetView], now: Moment) -> u64 {
+        let mut room: u64 = 0;
+        for view in open {
+            let lane = self.lanes.entry(view.entry.target.clone()).or_default();
+            let used = lane.kept_bytes(now) + lane.reserved;
+            room = room.saturating_add(spec.room_bytes.saturating_sub(used));
+        }
+        room.saturating_sub(self.begun.values().sum())
+    }
+
+    /// Bytes that the results of each stage in the queue will take up.
+    fn stage_bytes(&self) -> BTreeMap<StageKey, u64> {
+        let mut bytes: BTreeMap<StageKey, u64> = BTreeMap::new();
+        for piece in self.waiting.values() {
+            *bytes.entry(stage_key(&piece.job)).or_default() += piece.job.result_bytes;
+        }
+        bytes
     }
 
     /// Pieces that a call to `view` would hold now.
     fn fitting(
         &mut self,
         spec: &BatchSpec,
-        open: &[&TargetView],
+        waits: &BTreeMap<DcName, Duration>,
+        mut spare: u64,
         view: &TargetView,
         now: Moment,
-    ) -> Vec<(u8, PieceTicket)> {
-        let waits = self.waits(spec, open, now);
+    ) -> Vec<PieceOrder> {
+        let stage_bytes = self.stage_bytes();
+        let is_first = self.begun.is_empty();
+        let mut entered: BTreeSet<StageKey> = BTreeSet::new();
         let lane = self.lanes.entry(view.entry.target.clone()).or_default();
         let mut room = spec.room_bytes.saturating_sub(lane.kept_bytes(now) + lane.reserved);
         let mut keys = Vec::new();
         for (key, piece) in &self.waiting {
             let home = piece.job.wanted_in.as_ref();
             let here = home.is_none_or(|dc| *dc == view.entry.dc);
-            let penalty = Self::REMOTE_MB.mul_f64(piece.job.result_bytes as f64 / 1e6);
+            let penalty = Self::REMOTE_MB.mul_f64(piece.job.remote_bytes as f64 / 1e6).min(Self::LONGEST_PENALTY);
             let wait_there = home.and_then(|dc| waits.get(dc)).copied();
             let moves = wait_there.is_none_or(|wait| wait > penalty) || now.since(piece.since) > penalty * 3;
             if !(here || moves) || piece.job.result_bytes > room {
                 continue;
             }
+            let stage = stage_key(&piece.job);
+            if key.0 == StagePhase::Fresh && !entered.contains(&stage) {
+                // A stage is begun only if all of its results find room: begun halfway, stages would hold up each other.
+                let bytes = stage_bytes.get(&stage).copied().unwrap_or_default();
+                // One that never fits whole is begun alone.
+                if bytes > spare && !(is_first && bytes > spec.room_bytes) {
+                    continue;
+                }
+                spare = spare.saturating_sub(bytes);
+                entered.insert(stage);
+            }
             room -= piece.job.result_bytes;
             keys.push(*key);
             if keys.len() >= spec.most_pieces.max(1) {
@@ -240,15 +352,18 @@
         waits.into_iter().map(|(dc, (wait, lanes))| (dc.clone(), wait + backlog(&dc, lanes))).collect()
     }
 
-    fn start(&mut self, spec: &BatchSpec, view: &TargetView, keys: &[(u8, PieceTicket)], now: Moment) -> CallPlan {
+    fn start(&mut self, spec: &BatchSpec, view: &TargetView, keys: &[PieceOrder], now: Moment) -> CallPlan {
         let mut pieces = Vec::new();
         let mut bytes = 0;
         for key in keys {
-            let Some(mut piece) = self.waiting.remove(key) else { continue };
+            let Some(mut piece) = self.unwait(*key) else { continue };
             piece.tries += 1;
             bytes += piece.job.result_bytes;
-            pieces.push((key.1, piece.job.clone()));
-            self.running.insert(key.1, piece);
+            pieces.push((key.2, piece.job.clone()));
+            self.running.insert(key.2, piece);
+        }
+        for (_, job) in &pieces {
+            self.begin_stage(&stage_key(job));
         }
         let lane = self.lanes.entry(view.entry.target.clone()).or_default();
         lane.calls += 1;
@@ -269,6 +384,9 @@
         lane.calls = lane.calls.saturating_sub(1);
         let bytes: u64 = plan.pieces.iter().map(|(_, job)| job.result_bytes).sum();
         lane.reserved = lane.reserved.saturating_sub(bytes);
+        if ends.contains(&Err(PieceFailure::NoRoom)) {
+            lane.full_until = now + Self::FULL_FOR;
+        }
         for ((_, job), end) in plan.pieces.iter().zip(&ends) {
             if let Ok(result) = end {
                 lane.kept.insert(result.handle.clone(), (job.result_bytes, now + spec.keep_for));
@@ -277,14 +395,18 @@
         let mut told = Vec::new();
         let ends = ends.into_iter().chain(std::iter::repeat(Err(PieceFailure::Failed)));
         for ((ticket, job), end) in plan.pieces.iter().zip(ends) {
-            let Some(piece) = self.running.remove(ticket) else {
+            let Some(mut piece) = self.running.remove(ticket) else {
                 // Its request left meanwhile; the result is freed by whoever is told.
                 told.push((*ticket, end));
                 continue;
             };
+            if end == Err(PieceFailure::NoRoom) {
+                // Not a failure of the piece: it was not begun.
+                piece.tries -= 1;
+            }
             let again = matches!(end, Err(PieceFailure::NoRoom | PieceFailure::Failed));
-            if again && piece.tries < Self::MOST_TRIES {
-                self.waiting.insert((job.rank, *ticket), piece);
+            if again && piece.tries < Self::MOST_TRIES && job.deadline > now {
+                self.wait(*ticket, piece);
             } else {
                 told.push((*ticket, end));
             }
@@ -292,11 +414,13 @@
         told
     }
 
-    /// Forgets results that were freed; gives back the target that keeps each.
+    /// Forgets results that were freed.
     pub fn free(&mut self, handles: &[Arc<str>]) {
         for lane in self.lanes.values_mut() {
             for handle in handles {
-                lane.kept.remove(handle);
+                if lane.kept.remove(handle).is_some() {
+                    lane.full_until = Moment::default();
+                }
             }
         }
     }
--- a/crates/core/src/relay/steps.rs
+++ b/crates/core/src/relay/steps.rs
@@ -109,7 +109,7 @@
         Self {
             objective_part: 0.8,
             usual_factor: 4.0,
-            first_event: Duration::from_millis(1_500),
+            first_event: Duration::from_secs(2),
             event_pause: Duration::from_millis(1_200),
         }
     }
@@ -118,13 +118,16 @@
 impl PatienceBounds {
     /// Time that a target gets for the first part of its answer; none: until the deadline.
     #[must_use]
-    pub fn first_part(&self, kind: RepeatKind, objective: Duration, usual_ms: f64) -> Option<Duration> {
+    ///
+    /// `read` is the time in which an engine reads the prompts before the answer.
+    pub fn first_part(&self, kind: RepeatKind, objective: Duration, usual_ms: f64, read: Duration) -> Option<Duration> {
         if !kind.is_repeatable() {
             return None;
         }
         let usual = Duration::from_secs_f64(usual_ms * self.usual_factor / 1e3);
         let shortest = if kind.is_stream() { self.first_event } else { Duration::ZERO };
-        Some(objective.mul_f64(self.objective_part).max(usual).max(shortest))
+        // Streams beside it and prompts that other nodes send take their part of the engine's time.
+        Some(objective.mul_f64(self.objective_part).max(usual).max(shortest) + read * 2)
     }
 
     /// Time that a target gets for the next event; none: until the deadline.
--- a/crates/core/src/relay/targets.rs
+++ b/crates/core/src/relay/targets.rs
@@ -151,14 +151,15 @@
 }
 
 impl TargetBook {
-    /// Takes an entry in.
-    pub fn upsert(&mut self, entry: TargetEntry, now: Moment) {
+    /// Takes an entry in; tells whether it is of another incarnation than the one known.
+    pub fn upsert(&mut self, entry: TargetEntry, now: Moment) -> bool {
         let kept = self.views.remove(&entry.target);
         if let Some(old) = &kept {
             self.unindex(&old.entry.service.clone(), &entry.target);
         }
         self.by_service.entry(entry.service.clone()).or_default().insert(entry.target.clone());
         let same = kept.filter(|old| old.entry.born == entry.born && old.entry.address == entry.address);
+        let is_new = same.is_none();
         let view = match same {
             Some(old) => {
                 let cold_until = now + entry.cold_for;
@@ -167,6 +168,7 @@
             None => TargetView::new(entry, now),
         };
         self.views.insert(view.entry.target.clone(), view);
+        is_new
     }
 
     fn unindex(&mut self, service: &ServiceName, target: &TargetName) {
--- a/crates/relay/src/announce.rs
+++ b/crates/relay/src/announce.rs
@@ -22,6 +22,9 @@
 const BEAT_WITHIN: Duration = Duration::from_millis(900);
 /// Share of the pause between two beats for each peer: in a large fleet beats are rarer, so that their cost stays.
 const PAUSE_PER_PEER: Duration = Duration::from_millis(10);
+/// Shortest pause between two beats when there is news, and its share for each peer.
+const SHORTEST_PAUSE: Duration = Duration::from_millis(30);
+const SHORTEST_PER_PEER: Duration = Duration::from_millis(4);
 /// Longest pause before a peer that does not answer is tried again.
 const LONGEST_PAUSE: Duration = Duration::from_secs(3);
 /// Failures in a row after which an address is forgotten, unless the settings name it.
@@ -91,9 +94,12 @@
             spawn_local(beat(node.clone(), address));
         }
         store::ask_peers(&node);
-        let pause = node.times.beat_every.max(PAUSE_PER_PEER * node.contacts.len() as u32);
+        let peers = node.contacts.len() as u32;
+        let pause = node.times.beat_every.max(PAUSE_PER_PEER * peers);
+        let shortest = SHORTEST_PAUSE.max(SHORTEST_PER_PEER * peers);
+        sleep(shortest).await;
         tokio::select! {
-            () = sleep(pause) => {}
+            () = sleep(pause.saturating_sub(shortest)) => {}
             () = node.beat_now.notified() => {}
         }
     }
--- a/crates/relay/src/prepare.rs
+++ b/crates/relay/src/prepare.rs
@@ -69,6 +69,15 @@
     pub wanted_in: Option<DcName>,
 }
 
+/// What a stage works on.
+struct StageInputs {
+    source: PieceSource,
+    /// Bytes that each piece fetches.
+    bytes: u64,
+    /// Data centre that holds most of them.
+    dc: Option<DcName>,
+}
+
 /// A stage that ended.
 struct StageEnd {
     stage: usize,
@@ -87,8 +96,8 @@
         let mut running = FuturesUnordered::new();
         while !graph.is_done() {
             for stage in graph.start_ready() {
-                let sources = self.sources(&graph, stage, &held);
-                running.push(self.run_stage(&graph, stage, &sources));
+                let inputs = self.inputs(&graph, stage, &held);
+                running.push(self.run_stage(&graph, stage, &inputs));
             }
             let Some(end) = running.next().await else { return Err(PieceFailure::Failed) };
             let service = graph.spec(end.stage).service.clone();
@@ -109,38 +118,54 @@
         Ok((PreparedInputs { held }, bytes))
     }
 
-    fn sources(&self, graph: &StageGraph, stage: usize, held: &BTreeMap<usize, HeldResults>) -> PieceSource {
+    fn inputs(&self, graph: &StageGraph, stage: usize, held: &BTreeMap<usize, HeldResults>) -> StageInputs {
         let after = &graph.spec(stage).after;
         if after.is_empty() {
-            return PieceSource::Content(self.head.piece_key.clone().unwrap_or_default());
+            let key = self.head.piece_key.clone().unwrap_or_default();
+            return StageInputs { source: PieceSource::Content(key), bytes: 0, dc: None };
+        }
+        let mut handles: Vec<Arc<str>> = Vec::new();
+        let mut bytes_by_dc: BTreeMap<&DcName, u64> = BTreeMap::new();
+        for (at, held) in after.iter().filter_map(|at| Some((*at, held.get(at)?))) {
+            for result in &held.results {
+                handles.push(result.handle.clone());
+                *bytes_by_dc.entry(&result.dc).or_default() += graph.spec(at).result_bytes;
+            }
+        }
+        let most = bytes_by_dc.iter().max_by_key(|(_, bytes)| **bytes);
+        StageInputs {
+            source: PieceSource::Results(handles.into()),
+            bytes: bytes_by_dc.values().sum(),
+            dc: most.map(|(dc, _)| (*dc).clone()),
         }
-        let inputs = after.iter().filter_map(|at| held.get(at)).flat_map(|held| &held.results);
-        PieceSource::Results(inputs.map(|result| result.handle.clone()).collect())
     }
 
     fn run_stage<'s>(
         &'s self,
         graph: &StageGraph,
         stage: usize,
-        source: &PieceSource,
+        inputs: &StageInputs,
     ) -> impl Future<Output = StageEnd> + use<'s> {
         let spec = graph.spec(stage);
+        // Results are made where their inputs are, else where the final call will run.
+        let wanted_in = inputs.dc.clone().or_else(|| self.wanted_in.clone());
         let job = |segment| PieceJob {
             request: self.head.request.clone(),
             stage: stage as u32,
             segment,
-            source: source.clone(),
+            source: inputs.source.clone(),
             deadline: self.deadline,
             rank: self.rank,
-            wanted_in: self.wanted_in.clone(),
+            wanted_in: wanted_in.clone(),
             result_bytes: spec.result_bytes,
+            remote_bytes: inputs.bytes + spec.result_bytes * u64::from(graph.user_pieces(stage)),
         };
         let jobs: Vec<PieceJob> = (0..graph.pieces(stage)).map(job).collect();
         let service = spec.service.clone();
         async move {
             let started = clock::now();
             let ends = make(self.node, &service, jobs).await;
-            let results: Result<Vec<PieceResult>, PieceFailure> = ends.into_iter().collect();
+            let results = self.collect(&service, ends);
             if self.node.pace.admits(started) {
                 let outcome = results.as_ref().map_or_else(ToString::to_string, |made| format!("{} made", made.len()));
                 let (id, took) = (&*self.head.request, clock::now().since(started).as_millis() as u64);
@@ -151,6 +176,17 @@
     }
 }
 
+impl StageRun<'_> {
+    /// The results of a stage; if one is missing, the others are given up.
+    fn collect(&self, service: &ServiceName, ends: Vec<PieceEnd>) -> Result<Vec<PieceResult>, PieceFailure> {
+        let failure = ends.iter().find_map(|end| end.as_ref().err().copied());
+        let results: Vec<PieceResult> = ends.into_iter().filter_map(Result::ok).collect();
+        let Some(failure) = failure else { return Ok(results) };
+        drop(HeldResults { node: self.node.clone(), service: service.clone(), results });
+        Err(failure)
+    }
+}
+
 /// Makes pieces where the pieces of all nodes meet, or here if that node cannot be reached.
 async fn make(node: &SharedNode, service: &ServiceName, jobs: Vec<PieceJob>) -> Vec<PieceEnd> {
     let Some((peer, address)) = gatherer(node, service) else { return gather::make_here(node, service, jobs).await };
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -11,7 +11,8 @@
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 use wasabipier_core::names::{DcName, TargetName};
-use wasabipier_core::relay::choice::{CallWish, PromptSpec};
+use wasabipier_core::relay::choice::CallWish;
+use wasabipier_core::relay::prompts::chain_keys;
 use wasabipier_core::relay::steps::{AttemptEnd, AttemptTally, NextStep};
 use wasabipier_core::relay::targets::{CallResult, TargetEntry};
 use wasabipier_wire::relay::WireCall;
@@ -31,6 +32,9 @@
 const EVENTS_WAITING: usize = 8;
 /// Time beyond the deadline for what a target sends as it stops at the deadline itself.
 const PAST_DEADLINE: Duration = Duration::from_millis(150);
+/// Tokens of a prompt that other nodes are told of at once: it keeps its engine busy for longer than a beat's pause
+/// lets them see.
+const LONG_PROMPT_TOKENS: u32 = 4_000;
 /// Pause before a caller comes again after its targets were full or not reached.
 const COME_AGAIN: Duration = Duration::from_millis(250);
 /// Time to tell a peer about content that brings targets down.
@@ -235,9 +239,9 @@
     async fn attempt(&mut self, last_event: Option<u64>) -> Result<RunEnd, FailedAttempt> {
         let Some(entry) = self.choose() else { return Err(AttemptEnd::NotRun.into()) };
         self.avoid.push(entry.target.clone());
-        let tokens = self.head.prompt.as_ref().map_or(0, PromptSpec::tokens);
+        let tokens = self.note_prompt(&entry);
         let mut guard = CallGuard::new(&self.node, &entry, tokens);
-        let patience = self.patience(&entry);
+        let patience = self.patience(&entry, tokens);
         self.is_sent = true;
         let outcome = match patience {
             Some(patience) => timeout(patience, self.call(&entry, last_event)).await.unwrap_or(Err(AttemptEnd::Lost)),
@@ -266,13 +270,41 @@
         }
     }
 
-    fn patience(&self, entry: &TargetEntry) -> Option<Duration> {
+    /// Notes where the prompt goes; gives back the tokens that its target has to read.
+    fn note_prompt(&self, entry: &TargetEntry) -> u32 {
+        let now = clock::now();
+        let mut board = self.node.board.borrow_mut();
+        let mut unread = 0;
+        if let Some(prompt) = &self.head.prompt {
+            let kept = board.prompts.kept_tokens(prompt, &chain_keys(prompt), &entry.target, now);
+            board.prompts.note(prompt, &entry.target, now);
+            unread = prompt.tokens().saturating_sub(kept);
+            if unread >= LONG_PROMPT_TOKENS {
+                self.node.beat_now.notify_one();
+            }
+        }
+        if let Some(view) = board.targets.get(&entry.target)
+            && self.node.pace.admits(now)
+        {
+            let (id, target, own, others) =
+                (&*self.head.request, entry.target.as_str(), view.in_flight, view.others_in_flight);
+            let ahead = view.unread_tokens + view.others_unread;
+            let waited_ms = now.since(self.admitted.started).as_millis() as u64;
+            info!("{REQUEST} target chosen.", kv: { id, target, own, others, ahead, unread, waited_ms });
+        }
+        unread
+    }
+
+    fn patience(&self, entry: &TargetEntry, tokens: u32) -> Option<Duration> {
         let board = self.node.board.borrow();
-        let usual = board.targets.get(&entry.target).map_or(0.0, |view| view.usual_ms);
+        let view = board.targets.get(&entry.target);
+        let usual = view.map_or(0.0, |view| view.usual_ms);
+        let ahead = view.map_or(0, |view| view.unread_tokens + view.others_unread);
+        let read = Duration::from_secs_f64(f64::from(tokens + ahead) / board.tuning.weights.tokens_per_ms / 1e3);
         let route = &self.admitted.grant.route;
         // The last attempt is not cut short: nothing would come after it.
         let is_last = self.tally.may_have_run + 1 >= route.most_attempts;
-        board.tuning.patience.first_part(route.kind, route.objective, usual).filter(|_| !is_last)
+        board.tuning.patience.first_part(route.kind, route.objective, usual, read).filter(|_| !is_last)
     }
 
     async fn call(&self, entry: &TargetEntry, last_event: Option<u64>) -> Result<OpenAnswer, AttemptEnd> {
@@ -348,7 +380,14 @@
                 self.note_end(entry, AttemptEnd::Lost);
                 Err(AttemptEnd::Lost.into())
             }
-            StreamPart::Events(_) | StreamPart::End => Ok(RunEnd::Stream(Box::new(stream))),
+            StreamPart::Events(_) | StreamPart::End => {
+                let now = clock::now();
+                if self.node.pace.admits(now) {
+                    let (id, after_ms) = (&*self.head.request, now.since(self.admitted.started).as_millis() as u64);
+                    info!("{REQUEST} first event.", kv: { id, target = entry.target.as_str(), after_ms });
+                }
+                Ok(RunEnd::Stream(Box::new(stream)))
+            }
         }
     }
 
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -226,7 +226,7 @@
         Ok(entry) => {
             let (leaving, cold_ms) = (entry.leaving, entry.cold_for.as_millis() as u64);
             let service = entry.service.to_string();
-            node.board.borrow_mut().targets.upsert(entry, now);
+            node.board.borrow_mut().upsert_target(entry, now);
             info!("{STORE} target's entry.", kv: { target = key, version, source, service = service.as_str(), leaving, cold_ms });
         }
         Err(fault) => {
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -11,6 +11,7 @@
 use wasabipier_core::names::{DcName, InstanceId, NodeName, TargetName};
 use wasabipier_core::relay::members::{RelayBeat, TableProof, TargetLoad};
 use wasabipier_core::relay::pieces::{PieceEnd, PieceFailure, PieceJob, PieceResult, PieceSource};
+use wasabipier_core::relay::prompts::PromptNews;
 use wasabipier_core::relay::rows::{RowBatch, SharedRow, SharedTable};
 
 use crate::frame::{FrameError, MOST_FRAME_BYTES};
@@ -30,6 +31,7 @@
     state: u8,
     proofs: Vec<(u8, u64, u32)>,
     loads: Vec<(String, u32, u32)>,
+    prompts: Vec<(String, Vec<u64>)>,
 }
 
 /// A row of a shared table.
@@ -52,6 +54,7 @@
     rank: u8,
     wanted_in: Option<String>,
     result_bytes: u64,
+    remote_bytes: u64,
 }
 
 /// How a piece ended.
@@ -183,6 +186,7 @@
                 .iter()
                 .map(|load| (load.target.to_string(), load.in_flight, load.unread_tokens))
                 .collect(),
+            prompts: beat.prompts.iter().map(|news| (news.target.to_string(), news.keys.clone())).collect(),
         }
     }
 }
@@ -198,6 +202,8 @@
             in_flight,
             unread_tokens,
         });
+        let prompts =
+            beat.prompts.into_iter().map(|(target, keys)| PromptNews { target: TargetName::new(target), keys });
         Self {
             node: NodeName::new(beat.node),
             instance: InstanceId(beat.instance),
@@ -212,6 +218,7 @@
             },
             proofs: proofs.collect(),
             loads: loads.collect(),
+            prompts: prompts.collect(),
         }
     }
 }
@@ -251,6 +258,7 @@
         rank: job.rank,
         wanted_in: job.wanted_in.as_ref().map(ToString::to_string),
         result_bytes: job.result_bytes,
+        remote_bytes: job.remote_bytes,
     }
 }
 
@@ -270,6 +278,7 @@
         rank: job.rank,
         wanted_in: job.wanted_in.map(DcName::new),
         result_bytes: job.result_bytes,
+        remote_bytes: job.remote_bytes,
     }
 }
 
