--- /dev/null
+++ b/crates/core/tests/relay.rs
@@ -0,0 +1,20 @@
+//! Decisions of the relay, each against what must hold or a simple oracle.
+
+#[path = "relay/access.rs"]
+mod access;
+#[path = "relay/choice.rs"]
+mod choice;
+#[path = "relay/events.rs"]
+mod events;
+#[path = "relay/fixtures.rs"]
+mod fixtures;
+#[path = "relay/graph.rs"]
+mod graph;
+#[path = "relay/pieces.rs"]
+mod pieces;
+#[path = "relay/repeats.rs"]
+mod repeats;
+#[path = "relay/rows.rs"]
+mod rows;
+#[path = "relay/steps.rs"]
+mod steps;
--- /dev/null
+++ b/crates/core/tests/relay/fixtures.rs
@@ -0,0 +1,102 @@
+//! What the tests begin with.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use wasabipier_core::blackboard::Identity;
+use wasabipier_core::clock::Moment;
+use wasabipier_core::message::NodeState;
+use wasabipier_core::names::{DcName, InstanceId, NodeName, ServiceName, TargetName, VersionName};
+use wasabipier_core::relay::board::{RelayBoard, RelayTuning};
+use wasabipier_core::relay::document::{DocumentIndex, KeyHolder, RelayDocument, RelayRoute, WeightedService};
+use wasabipier_core::relay::members::RelayBeat;
+use wasabipier_core::relay::targets::TargetEntry;
+
+/// Fixed seeds, so that the verdict is the same each time.
+pub fn config(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(20_261_204),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+/// A moment `ms` after the start of a test.
+pub fn at(ms: u64) -> Moment {
+    Moment(1_000_000 + ms)
+}
+
+pub fn millis(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+pub fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], port))
+}
+
+/// A target of a service in a data centre.
+pub fn entry(target: &str, service: &str, dc: &str) -> TargetEntry {
+    TargetEntry {
+        target: TargetName::new(target),
+        born: Some(1),
+        service: ServiceName::new(service),
+        address: address(9000),
+        dc: DcName::new(dc),
+        version: VersionName::new("v1"),
+        slots: 6,
+        leaving: false,
+        cold_for: Duration::ZERO,
+    }
+}
+
+pub fn identity(node: &str) -> Identity {
+    Identity {
+        node: NodeName::new(node),
+        instance: InstanceId(7),
+        dc: DcName::new("khomas-a"),
+        caller_address: address(8000),
+        peer_address: address(7000),
+    }
+}
+
+/// The board of a node.
+pub fn board(node: &str) -> RelayBoard {
+    RelayBoard::new(identity(node), RelayTuning::default())
+}
+
+/// A beat of a peer that serves.
+pub fn beat(node: &str, sequence: u64) -> RelayBeat {
+    RelayBeat {
+        node: NodeName::new(node),
+        instance: InstanceId(1),
+        sequence,
+        dc: DcName::new("khomas-b"),
+        caller_address: address(8001),
+        peer_address: address(7001),
+        state: NodeState::Serving,
+        proofs: Vec::new(),
+        loads: Vec::new(),
+        prompts: Vec::new(),
+    }
+}
+
+/// A route of a host to one service.
+pub fn route(prefix: &str, service: &str) -> RelayRoute {
+    RelayRoute {
+        name: Arc::from(prefix),
+        host: Arc::from("nets.example"),
+        prefix: Arc::from(prefix),
+        services: vec![WeightedService { service: ServiceName::new(service), weight: 1 }],
+        ..RelayRoute::default()
+    }
+}
+
+/// A document with routes, and one organisation with one key.
+pub fn index(routes: Vec<RelayRoute>) -> DocumentIndex {
+    let holder = KeyHolder { org: "lions".into(), keys: vec![Arc::from("key-1")], rank: None };
+    DocumentIndex::new(RelayDocument { version: 1, routes, holders: vec![holder], ..RelayDocument::default() })
+}
--- /dev/null
+++ b/crates/core/tests/relay/rows.rs
@@ -0,0 +1,79 @@
+//! Copies of the store's tables against an oracle that knows every state.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use proptest::prelude::*;
+use wasabipier_core::relay::rows::{RowBatch, SharedRow, TableCopy};
+
+use crate::fixtures::{at, config};
+
+/// States of a table, one for each version.
+fn states(writes: &[(u8, bool)]) -> Vec<BTreeMap<u8, u64>> {
+    let mut state = BTreeMap::new();
+    let mut states = vec![state.clone()];
+    for (version, (key, keep)) in (1..).zip(writes) {
+        if *keep {
+            state.insert(*key, version);
+        } else {
+            state.remove(key);
+        }
+        states.push(state.clone());
+    }
+    states
+}
+
+fn row(key: u8, version: u64, kept: bool) -> SharedRow {
+    SharedRow { key: Arc::from(key.to_string()), version, value: kept.then(|| Arc::from(&b"x"[..])) }
+}
+
+proptest! {
+    #![proptest_config(config(300))]
+
+    /// Batches come late, twice and from peers behind: the copy shows the newest state that it heard of.
+    #[test]
+    fn a_copy_never_goes_back(
+        writes in prop::collection::vec((0_u8..6, prop::bool::weighted(0.7)), 1..30),
+        reads in prop::collection::vec((any::<prop::sample::Index>(), any::<bool>()), 1..30),
+    ) {
+        let states = states(&writes);
+        let mut copy = TableCopy::default();
+        for (index, whole) in reads {
+            let version = index.index(states.len());
+            let from = copy.version() as usize;
+            let batch = if whole || version < from {
+                let rows = states[version].iter().map(|(key, version)| row(*key, *version, true)).collect();
+                RowBatch { rows, version: version as u64, whole: true }
+            } else {
+                // The last change of each key since the copy's version.
+                let changed: BTreeMap<u8, (u64, bool)> = (from..version)
+                    .map(|at| (writes[at].0, (at as u64 + 1, writes[at].1)))
+                    .collect();
+                let rows = changed.into_iter().map(|(key, (version, kept))| row(key, version, kept)).collect();
+                RowBatch { rows, version: version as u64, whole: false }
+            };
+            copy.apply(&batch, at(0));
+            prop_assert!(copy.version() as usize >= from);
+            let shown: BTreeMap<u8, u64> = copy
+                .batch()
+                .rows
+                .iter()
+                .map(|row| (row.key.parse().expect("keys are numbers"), row.version))
+                .collect();
+            prop_assert_eq!(&shown, &states[copy.version() as usize]);
+        }
+    }
+}
+
+#[test]
+fn only_a_state_that_is_new_enough_proves_freshness() {
+    let mut copy = TableCopy::default();
+    copy.apply(&RowBatch { rows: Vec::new(), version: 5, whole: true }, at(100));
+
+    copy.apply(&RowBatch { rows: Vec::new(), version: 4, whole: true }, at(900));
+    assert_eq!(copy.asked(), Some(at(100)), "an older state shows nothing");
+
+    copy.apply(&RowBatch { rows: Vec::new(), version: 5, whole: false }, at(700));
+    copy.apply(&RowBatch { rows: Vec::new(), version: 5, whole: false }, at(300));
+    assert_eq!(copy.asked(), Some(at(700)), "the age does not grow by an older question");
+}
