--- a/crates/core/tests/relay/choice.rs
+++ b/crates/core/tests/relay/choice.rs
@@ -5,7 +5,7 @@
 use wasabipier_core::names::{DcName, ServiceName, TargetName};
 use wasabipier_core::relay::board::{OrderChange, RelayBoard};
 use wasabipier_core::relay::choice::{CallWish, PromptPart, PromptSpec};
-use wasabipier_core::relay::targets::CallResult;
+use wasabipier_core::relay::targets::{CallResult, TargetView};
 
 use crate::fixtures::{at, beat, board, entry, millis};
 
@@ -150,9 +150,9 @@
         unread_tokens: 9,
     }];
     board.hear(peer, at(0));
-    assert_eq!(board.targets.get(&TargetName::new("i-1")).map(|view| view.load()), Some(5));
+    assert_eq!(board.targets.get(&TargetName::new("i-1")).map(TargetView::load), Some(5));
 
     board.sweep(at(0) + millis(2_000));
 
-    assert_eq!(board.targets.get(&TargetName::new("i-1")).map(|view| view.load()), Some(0));
+    assert_eq!(board.targets.get(&TargetName::new("i-1")).map(TargetView::load), Some(0));
 }
