Put late work last, refuse early what cannot end well, and make final inputs last

Conductor notes and parent replies held 3 MB results through a chain of three stages that did not need them.

Ruled out: refusing by queue length alone (late answers inside the deadline are still answers).

Change: pieces whose request can still meet its objective go before late ones; a piece that can't meet the deadline is given up at once; gatherers tell their waits, measured by what was really made, and a request that would be late and also far into its time is refused with a spread time to come back. Stages for the final call start with the last of the others; room that an urgent stage waits for is not given to less urgent ones. Three tests failed before.

--- a/crates/core/src/relay/board.rs
+++ b/crates/core/src/relay/board.rs
@@ -15,7 +15,8 @@
 use crate::relay::choice::{CallWish, ChoiceScene, ChoiceWeights, choose_target};
 use crate::relay::document::{DocumentIndex, RelayRoute, RelayService};
 use crate::relay::members::{MemberBook, RelayBeat, TableProof};
-use crate::relay::pieces::PieceTable;
+use crate::relay::overload::OverloadBounds;
+use crate::relay::pieces::{PieceTable, QueueWait};
 use crate::relay::prompts::PromptBook;
 use crate::relay::rows::{SharedTable, TableCopy};
 use crate::relay::steps::PatienceBounds;
@@ -28,6 +29,8 @@
     pub fresh: FreshBounds,
     /// Repeats over all nodes.
     pub repeats: RepeatBounds,
+    /// What is taken in while stages are busy.
+    pub overload: OverloadBounds,
     /// Weights of the choice.
     pub weights: ChoiceWeights,
     /// When a silent target is given up for another.
@@ -43,6 +46,7 @@
         Self {
             fresh: FreshBounds::default(),
             repeats: RepeatBounds::default(),
+            overload: OverloadBounds::default(),
             weights: ChoiceWeights::default(),
             patience: PatienceBounds::default(),
             harmful_after: 2,
@@ -70,6 +74,8 @@
     since: Moment,
 }
 
+/// Urgencies that waits are told of; less urgent requests are told the last one's.
+const RANKS_TOLD: u8 = 4;
 /// Time after a broken call within which its target shows that it is down.
 const SUSPECT_FOR: Duration = Duration::from_secs(5);
 /// Most calls that are suspected at a time.
@@ -301,9 +307,34 @@
             proofs: proofs.collect(),
             loads: self.targets.own_loads(),
             prompts: self.prompts.news(now),
+            waits: self.own_waits(now),
         }
     }
 
+    /// Waits at the services that this node gathers pieces for, by urgency.
+    fn own_waits(&self, now: Moment) -> Vec<(ServiceName, Vec<QueueWait>)> {
+        let waits = self.pieces.busy().into_iter().filter_map(|service| {
+            let wait = |rank| self.own_wait(&service, rank, now);
+            let waits: Option<Vec<QueueWait>> = (0..RANKS_TOLD).map(wait).collect();
+            Some((service.clone(), waits?))
+        });
+        waits.collect()
+    }
+
+    fn own_wait(&self, service: &ServiceName, rank: u8, now: Moment) -> Option<QueueWait> {
+        let spec = self.index.services.get(service)?.batch.as_ref()?;
+        let open = self.targets.of(service).filter(|view| !view.entry.leaving && !self.closed.contains(&view.entry.dc));
+        Some(self.pieces.get(service)?.expected_wait(spec, open.count(), rank, now))
+    }
+
+    /// Wait of a piece of urgency `rank` that comes now, here or at the node that gathers for its service.
+    #[must_use]
+    pub fn queue_wait(&self, service: &ServiceName, rank: u8, now: Moment) -> QueueWait {
+        let told = self.members.queue_wait(service, rank, now);
+        let own = self.own_wait(service, rank, now).unwrap_or_default();
+        if own.late > told.late { own } else { told }
+    }
+
     /// Takes a peer's beat in; tells whether its instance was not met before.
     pub fn hear(&mut self, beat: RelayBeat, now: Moment) -> bool {
         self.targets.learn_loads(&beat.node, beat.loads.clone());
--- a/crates/core/src/relay/choice.rs
+++ b/crates/core/src/relay/choice.rs
@@ -41,6 +41,20 @@
     }
 }
 
+impl ChoiceWeights {
+    /// Time of an engine's step and of the ways to it, until the first event of a short prompt.
+    const FIRST_STEP: Duration = Duration::from_millis(100);
+    /// Part of a prompt that an engine usually has to read: shared parts are mostly kept.
+    const USUALLY_READ: f64 = 0.5;
+
+    /// Usual time from sending a generation to its first event.
+    #[must_use]
+    pub fn first_event(&self, prompt: Option<&PromptSpec>) -> Duration {
+        let tokens = prompt.map_or(0.0, |prompt| f64::from(prompt.tokens()));
+        Self::FIRST_STEP + Duration::from_secs_f64(tokens * Self::USUALLY_READ / self.tokens_per_ms / 1e3)
+    }
+}
+
 /// One part of a prompt; requests share parts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PromptPart {
--- a/crates/core/src/relay/graph.rs
+++ b/crates/core/src/relay/graph.rs
@@ -53,7 +53,19 @@
 
     fn is_ready(&self, stage: usize) -> bool {
         let done = |at: &usize| self.states.get(*at).is_none_or(|state| *state >= StageState::Done);
-        self.states[stage] == StageState::Waiting && self.stages[stage].after.iter().all(done)
+        let has_inputs = self.stages[stage].after.iter().all(done);
+        self.states[stage] == StageState::Waiting && has_inputs && (!self.is_last(stage) || self.are_others_done())
+    }
+
+    /// Whether only the final call needs the results of a stage.
+    fn is_last(&self, stage: usize) -> bool {
+        self.users(stage).next().is_none()
+    }
+
+    /// Whether all stages that others follow are done. Results for the final call are made no sooner: they would
+    /// take up room at their makers until the final call fetches them.
+    fn are_others_done(&self) -> bool {
+        (0..self.stages.len()).all(|at| self.is_last(at) || self.states[at] >= StageState::Done)
     }
 
     /// Notes that all pieces of a stage are made; names the stages whose results are not needed any more.
@@ -80,7 +92,8 @@
         self.users(stage).map(|user| self.pieces[user]).sum::<u32>().max(1)
     }
 
-    fn users(&self, stage: usize) -> impl Iterator<Item = usize> + '_ {
+    /// Stages that need the results of a stage.
+    pub fn users(&self, stage: usize) -> impl Iterator<Item = usize> + '_ {
         (0..self.stages.len()).filter(move |at| self.stages[*at].after.contains(&stage))
     }
 
--- a/crates/core/src/relay/members.rs
+++ b/crates/core/src/relay/members.rs
@@ -7,6 +7,7 @@
 use crate::clock::Moment;
 use crate::message::NodeState;
 use crate::names::{DcName, InstanceId, NodeName, ServiceName, TargetName, stable_hash};
+use crate::relay::pieces::QueueWait;
 use crate::relay::prompts::PromptNews;
 use crate::relay::rows::SharedTable;
 
@@ -55,6 +56,8 @@
     pub loads: Vec<TargetLoad>,
     /// Prompts that it sent to engines lately.
     pub prompts: Vec<PromptNews>,
+    /// Waits at the services that it gathers pieces for, by urgency.
+    pub waits: Vec<(ServiceName, Vec<QueueWait>)>,
 }
 
 /// A peer as last heard.
@@ -128,6 +131,14 @@
         nodes.max_by_key(|node| rendezvous(service.as_str(), node.as_str())).unwrap_or(own)
     }
 
+    /// Wait of a piece at a service, as the node that gathers for it told last.
+    #[must_use]
+    pub fn queue_wait(&self, service: &ServiceName, rank: u8, now: Moment) -> QueueWait {
+        let told = self.alive(now).flat_map(|view| &view.beat.waits).filter(|(other, _)| other == service);
+        let waits = told.filter_map(|(_, waits)| waits.get(usize::from(rank)).or(waits.last()));
+        waits.copied().max_by_key(|wait| wait.late).unwrap_or_default()
+    }
+
     /// Place of `own` among its live peers by rendezvous hash on `key`; 0 is first.
     #[must_use]
     pub fn place(&self, key: &str, own: &NodeName, now: Moment) -> usize {
--- a/crates/core/src/relay/pieces.rs
+++ b/crates/core/src/relay/pieces.rs
@@ -3,7 +3,7 @@
 //! A call costs the same fixed time whatever it holds. A free target gets what waits at once; while
 //! all are busy, pieces gather, so that calls fill up as load grows.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -34,6 +34,10 @@
     pub source: PieceSource,
     /// When its request must be answered.
     pub deadline: Moment,
+    /// When its request should be answered.
+    pub objective: Moment,
+    /// Time from the start of its call to the answer of its request, as far as it is known before.
+    pub needs: Duration,
     /// Urgency of its request.
     pub rank: u8,
     /// Data centre in which its result will be needed.
@@ -44,6 +48,27 @@
     pub remote_bytes: u64,
 }
 
+impl PieceJob {
+    /// Whether its request can still be answered by its objective.
+    fn is_on_time(&self, now: Moment) -> bool {
+        now + self.needs <= self.objective
+    }
+
+    /// Whether its request cannot be answered by its deadline any more.
+    fn is_lost(&self, now: Moment) -> bool {
+        now + self.needs > self.deadline
+    }
+}
+
+/// How long a piece waits that comes now.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct QueueWait {
+    /// Behind pieces that can still be on time.
+    pub on_time: Duration,
+    /// Behind all pieces.
+    pub late: Duration,
+}
+
 /// Why a piece was not made.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
 #[strum(serialize_all = "kebab-case")]
@@ -135,6 +160,10 @@
     begun: BTreeMap<StageKey, u64>,
     lanes: BTreeMap<TargetName, LaneState>,
     last_ticket: u64,
+    /// When pieces began to wait, if some do.
+    busy_since: Option<Moment>,
+    /// Ends of calls lately, with the pieces that were made.
+    made: VecDeque<(Moment, u32)>,
 }
 
 impl PieceQueue {
@@ -144,6 +173,11 @@
     const REMOTE_MB: Duration = Duration::from_millis(100);
     /// Longest wait for that sake: a fraction of the time that callers give.
     const LONGEST_PENALTY: Duration = Duration::from_millis(300);
+    /// A stage whose results take less than this part of a target's room goes past larger ones that wait for room.
+    const SMALL_PART: u64 = 50;
+    /// Time over which the rate of made pieces is measured, and the least time for which it must have been busy.
+    const RATE_WINDOW: Duration = Duration::from_millis(2_000);
+    const RATE_LEAST: Duration = Duration::from_millis(600);
     /// Time for which a target that has no room is not asked again, unless a result is freed there.
     const FULL_FOR: Duration = Duration::from_millis(150);
 
@@ -152,6 +186,7 @@
         self.last_ticket += 1;
         let ticket = PieceTicket(self.last_ticket);
         self.wait(ticket, WaitingPiece { job, since: now, tries: 0 });
+        self.busy_since.get_or_insert(now);
         ticket
     }
 
@@ -218,28 +253,51 @@
         self.waiting.is_empty()
     }
 
-    /// Takes out pieces whose time is over.
+    /// Takes out pieces whose requests cannot be answered in time any more.
     pub fn take_late(&mut self, now: Moment) -> Vec<PieceTicket> {
         let late: Vec<PieceOrder> =
-            self.waiting.iter().filter(|(_, piece)| piece.job.deadline <= now).map(|(place, _)| *place).collect();
+            self.waiting.iter().filter(|(_, piece)| piece.job.is_lost(now)).map(|(place, _)| *place).collect();
         for place in &late {
             self.unwait(*place);
         }
         late.into_iter().map(|(_, _, ticket)| ticket).collect()
     }
 
-    /// Time until a piece that comes now would be begun, if `open` targets work at full calls.
+    /// Time until a piece of urgency `rank` that comes now is begun, if `open` targets work at full calls.
     #[must_use]
-    pub fn expected_wait(&self, spec: &BatchSpec, open: usize, rank: u8) -> Duration {
-        let ahead =
-            self.waiting.keys().filter(|(phase, other, _)| *phase == StagePhase::Begun || *other <= rank).count();
-        let calls = ahead / (spec.most_pieces.max(1) * open.max(1));
-        full_call(spec) * calls as u32
+    pub fn expected_wait(&self, spec: &BatchSpec, open: usize, rank: u8, now: Moment) -> QueueWait {
+        let ahead = self.waiting.iter().filter(|((phase, other, _), _)| *phase == StagePhase::Begun || *other <= rank);
+        let (mut on_time, mut all) = (0, 0);
+        for (_, piece) in ahead {
+            all += 1;
+            on_time += usize::from(piece.job.is_on_time(now));
+        }
+        let full = full_call(spec) / (spec.most_pieces.max(1) * open.max(1)) as u32;
+        let per_piece = self.measured_pace(now).map_or(full, |pace| pace.max(full));
+        QueueWait { on_time: per_piece * on_time as u32, late: per_piece * all as u32 }
+    }
+
+    /// Time for each piece as they were made lately, if the queue has been busy for long enough to tell.
+    fn measured_pace(&self, now: Moment) -> Option<Duration> {
+        let busy = now.since(self.busy_since?).min(Self::RATE_WINDOW);
+        if busy < Self::RATE_LEAST {
+            return None;
+        }
+        let made: u32 = self.made.iter().filter(|(at, _)| now.since(*at) <= busy).map(|(_, made)| made).sum();
+        Some(busy / made.max(1))
+    }
+
+    fn note_made(&mut self, made: u32, now: Moment) {
+        self.made.push_back((now, made));
+        while self.made.front().is_some_and(|(at, _)| now.since(*at) > Self::RATE_WINDOW) {
+            self.made.pop_front();
+        }
     }
 
     /// The next call to make, if a target is free for one.
     pub fn plan(&mut self, spec: &BatchSpec, open: &[&TargetView], now: Moment) -> Option<CallPlan> {
         if self.waiting.is_empty() {
+            self.busy_since = None;
             return None;
         }
         let free: Vec<&TargetView> = open.iter().filter(|view| self.is_free(spec, view, now)).copied().collect();
@@ -297,7 +355,10 @@
         let lane = self.lanes.entry(view.entry.target.clone()).or_default();
         let mut room = spec.room_bytes.saturating_sub(lane.kept_bytes(now) + lane.reserved);
         let mut keys = Vec::new();
-        for (key, piece) in &self.waiting {
+        // Pieces that can still be on time go first: what is late anyway must not make the others late, too.
+        let (on_time, late): (Vec<_>, Vec<_>) =
+            self.waiting.iter().partition(|(key, piece)| key.0 == StagePhase::Begun || piece.job.is_on_time(now));
+        for (key, piece) in on_time.into_iter().chain(late) {
             let home = piece.job.wanted_in.as_ref();
             let here = home.is_none_or(|dc| *dc == view.entry.dc);
             let penalty = Self::REMOTE_MB.mul_f64(piece.job.remote_bytes as f64 / 1e6).min(Self::LONGEST_PENALTY);
@@ -312,6 +373,8 @@
                 let bytes = stage_bytes.get(&stage).copied().unwrap_or_default();
                 // One that never fits whole is begun alone.
                 if bytes > spare && !(is_first && bytes > spec.room_bytes) {
+                    // What follows must not take the room that this one waits for.
+                    spare = spare.min(spec.room_bytes / Self::SMALL_PART);
                     continue;
                 }
                 spare = spare.saturating_sub(bytes);
@@ -384,6 +447,7 @@
         lane.calls = lane.calls.saturating_sub(1);
         let bytes: u64 = plan.pieces.iter().map(|(_, job)| job.result_bytes).sum();
         lane.reserved = lane.reserved.saturating_sub(bytes);
+        let made = ends.iter().filter(|end| end.is_ok()).count() as u32;
         if ends.contains(&Err(PieceFailure::NoRoom)) {
             lane.full_until = now + Self::FULL_FOR;
         }
@@ -392,6 +456,7 @@
                 lane.kept.insert(result.handle.clone(), (job.result_bytes, now + spec.keep_for));
             }
         }
+        self.note_made(made, now);
         let mut told = Vec::new();
         let ends = ends.into_iter().chain(std::iter::repeat(Err(PieceFailure::Failed)));
         for ((ticket, job), end) in plan.pieces.iter().zip(ends) {
@@ -405,7 +470,7 @@
                 piece.tries -= 1;
             }
             let again = matches!(end, Err(PieceFailure::NoRoom | PieceFailure::Failed));
-            if again && piece.tries < Self::MOST_TRIES && job.deadline > now {
+            if again && piece.tries < Self::MOST_TRIES && !job.is_lost(now) {
                 self.wait(*ticket, piece);
             } else {
                 told.push((*ticket, end));
@@ -442,6 +507,12 @@
         self.queues.entry(service.clone()).or_default()
     }
 
+    /// The queue of a service, if it was ever used.
+    #[must_use]
+    pub fn get(&self, service: &ServiceName) -> Option<&PieceQueue> {
+        self.queues.get(service)
+    }
+
     /// Services with pieces that wait.
     #[must_use]
     pub fn busy(&self) -> Vec<ServiceName> {
--- a/crates/core/tests/relay/fixtures.rs
+++ b/crates/core/tests/relay/fixtures.rs
@@ -81,6 +81,7 @@
         proofs: Vec::new(),
         loads: Vec::new(),
         prompts: Vec::new(),
+        waits: Vec::new(),
     }
 }
 
--- a/crates/core/tests/relay/graph.rs
+++ b/crates/core/tests/relay/graph.rs
@@ -43,3 +43,15 @@
     assert_eq!(graph.finish(1), [0; 0]);
     assert_eq!(graph.last_stages(), [0, 1]);
 }
+
+/// Pattern: a large result that only the final call needs takes up room at its maker while a long chain runs beside it.
+#[test]
+fn a_stage_for_the_final_call_starts_with_the_last_of_the_others() {
+    let mut graph = StageGraph::new(vec![stage(&[]), stage(&[]), stage(&[1]), stage(&[2])], &[2, 1, 8, 16]);
+
+    assert_eq!(graph.start_ready(), [1]);
+    graph.finish(1);
+    assert_eq!(graph.start_ready(), [2]);
+    graph.finish(2);
+    assert_eq!(graph.start_ready(), [0, 3]);
+}
--- a/crates/core/tests/relay/pieces.rs
+++ b/crates/core/tests/relay/pieces.rs
@@ -32,6 +32,8 @@
         segment,
         source: PieceSource::Content(Arc::from("key")),
         deadline: at(1_000_000),
+        objective: at(1_000_000),
+        needs: millis(238),
         rank,
         wanted_in: None,
         result_bytes: 60_000,
@@ -269,3 +271,66 @@
 
     assert!(queue.is_empty());
 }
+
+/// Pattern: a large urgent request waits for room that smaller, less urgent ones would take piece by piece.
+#[test]
+fn room_that_an_urgent_stage_waits_for_is_not_given_to_others() {
+    let (mut queue, book) = (PieceQueue::default(), targets(1));
+    let large = |request, segment, rank| PieceJob { result_bytes: 500_000, ..job(request, segment, rank) };
+    for segment in 0..3 {
+        queue.push(large(1, segment, 0), at(0));
+    }
+    let first = queue.plan(&spec(), &open(&book), at(0)).expect("the target is free");
+    let made = |ticket: PieceTicket| {
+        Ok(PieceResult { handle: Arc::from(format!("i-0/{}", ticket.0)), dc: DcName::new("khomas-a") })
+    };
+    let ends = first.pieces.iter().map(|(ticket, _)| made(*ticket)).collect();
+    queue.finish(&spec(), &first, ends, at(200));
+
+    // 0.7 MB are free. The urgent stage needs 1 MB, the other ones 0.5 MB and almost nothing.
+    queue.push(large(2, 0, 0), at(200));
+    queue.push(large(2, 1, 0), at(200));
+    queue.push(large(3, 0, 2), at(200));
+    queue.push(PieceJob { result_bytes: 8_000, ..job(4, 0, 2) }, at(200));
+
+    let second = queue.plan(&spec(), &open(&book), at(200)).expect("small results need no room");
+    let requests: Vec<&str> = second.pieces.iter().map(|(_, job)| &*job.request).collect();
+    assert_eq!(requests, ["request-4"]);
+
+    queue.free(&[Arc::from("i-0/1")]);
+    let ends = second.pieces.iter().map(|(ticket, _)| made(*ticket)).collect();
+    queue.finish(&spec(), &second, ends, at(400));
+    let third = queue.plan(&spec(), &open(&book), at(400)).expect("room came back");
+    assert_eq!(third.pieces.len(), 2);
+    assert_eq!(&*third.pieces[0].1.request, "request-2");
+}
+
+/// Pattern: targets make far fewer pieces than full calls would bring, since results find no room.
+#[test]
+fn the_expected_wait_follows_what_is_really_made() {
+    let (mut queue, book) = (PieceQueue::default(), targets(1));
+    for request in 0..100 {
+        queue.push(job(request, 0, 0), at(0));
+    }
+    let full = queue.expected_wait(&spec(), 1, 0, at(0)).late;
+    for round in 0..10_u64 {
+        let plan = queue.plan(&spec(), &open(&book), at(round * 200)).expect("the target is free");
+        // One piece of a call is made, the others wait again.
+        let ends: Vec<PieceEnd> = plan
+            .pieces
+            .iter()
+            .enumerate()
+            .map(|(place, (ticket, _))| match place {
+                0 => Ok(PieceResult { handle: Arc::from(format!("i-0/{}", ticket.0)), dc: DcName::new("khomas-a") }),
+                _ => Err(PieceFailure::NoRoom),
+            })
+            .collect();
+        queue.finish(&spec(), &plan, ends, at(round * 200 + 40));
+    }
+
+    let measured = queue.expected_wait(&spec(), 1, 0, at(2_000)).late;
+
+    assert!(full < millis(2_500), "{full:?}");
+    // 90 pieces at five a second.
+    assert!((millis(12_000)..millis(25_000)).contains(&measured), "{measured:?}");
+}
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -9,6 +9,7 @@
 use wasabipier_core::clock::Moment;
 use wasabipier_core::names::{Fingerprint, ServiceName, stable_hash};
 use wasabipier_core::relay::access::{AccessClaim, AccessDenial, AccessGrant};
+use wasabipier_core::relay::overload::{RequestPlan, refuse_for_load};
 
 use crate::clock;
 use crate::ports::{AskHead, RefusalKind};
@@ -86,9 +87,15 @@
     if !board.has_target(&service) || !needed.all(|service| board.has_target(service)) {
         return Err(Rejection::not_run("no target takes work", COME_AGAIN));
     }
+    let time_left = head.time_left.map_or(grant.route.timeout, |left| left.min(grant.route.timeout));
+    let final_call = board.tuning.weights.first_event(head.prompt.as_ref());
+    let plan = RequestPlan { route: &grant.route, pieces: &head.pieces, rank: grant.rank, final_call, time_left };
+    let overload = board.tuning.overload;
+    if let Some(pause) = refuse_for_load(&mut board, &plan, &overload, started) {
+        return Err(Rejection::not_run("stages are busy", pause));
+    }
     let bounds = board.tuning.repeats;
     board.ledger.note_request(&service, &bounds, started);
-    let time_left = head.time_left.map_or(grant.route.timeout, |left| left.min(grant.route.timeout));
     Ok(AdmittedRequest { service, body, content, started, deadline: started + time_left, grant })
 }
 
--- a/crates/relay/src/prepare.rs
+++ b/crates/relay/src/prepare.rs
@@ -65,6 +65,10 @@
     pub rank: u8,
     /// When it must be answered.
     pub deadline: Moment,
+    /// When it should be answered.
+    pub objective: Moment,
+    /// Usual time of the final call.
+    pub final_call: Duration,
     /// Data centre in which its final call will probably run.
     pub wanted_in: Option<DcName>,
 }
@@ -118,6 +122,18 @@
         Ok((PreparedInputs { held }, bytes))
     }
 
+    /// Time from the start of a stage to the answer, if nothing waits.
+    fn needs(&self, graph: &StageGraph, stage: usize) -> Duration {
+        let rest = graph.users(stage).map(|user| self.needs(graph, user)).max().unwrap_or(self.final_call);
+        let board = self.node.board.borrow();
+        let spec = board.service(&graph.spec(stage).service).and_then(|service| service.batch.as_ref());
+        let pieces = graph.pieces(stage);
+        let work = spec
+            .filter(|_| pieces > 0)
+            .map_or(Duration::ZERO, |spec| spec.call_time + spec.piece_time * pieces.min(spec.most_pieces as u32));
+        work + rest
+    }
+
     fn inputs(&self, graph: &StageGraph, stage: usize, held: &BTreeMap<usize, HeldResults>) -> StageInputs {
         let after = &graph.spec(stage).after;
         if after.is_empty() {
@@ -149,12 +165,15 @@
         let spec = graph.spec(stage);
         // Results are made where their inputs are, else where the final call will run.
         let wanted_in = inputs.dc.clone().or_else(|| self.wanted_in.clone());
+        let needs = self.needs(graph, stage);
         let job = |segment| PieceJob {
             request: self.head.request.clone(),
             stage: stage as u32,
             segment,
             source: inputs.source.clone(),
             deadline: self.deadline,
+            objective: self.objective,
+            needs,
             rank: self.rank,
             wanted_in: wanted_in.clone(),
             result_bytes: spec.result_bytes,
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -207,12 +207,15 @@
             self.inputs = Some(Default::default());
             return Ok(());
         }
+        let final_call = self.node.board.borrow().tuning.weights.first_event(self.head.prompt.as_ref());
         let run = StageRun {
             node: &self.node,
             head: &self.head,
             route: &route,
             rank: self.admitted.grant.rank,
             deadline: self.admitted.deadline,
+            objective: self.admitted.started + route.objective,
+            final_call,
             wanted_in: self.choose().map(|entry| entry.dc),
         };
         match run.run().await {
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -8,9 +8,9 @@
 use serde::{Deserialize, Serialize};
 use wasabipier_core::clock::Moment;
 use wasabipier_core::message::NodeState;
-use wasabipier_core::names::{DcName, InstanceId, NodeName, TargetName};
+use wasabipier_core::names::{DcName, InstanceId, NodeName, ServiceName, TargetName};
 use wasabipier_core::relay::members::{RelayBeat, TableProof, TargetLoad};
-use wasabipier_core::relay::pieces::{PieceEnd, PieceFailure, PieceJob, PieceResult, PieceSource};
+use wasabipier_core::relay::pieces::{PieceEnd, PieceFailure, PieceJob, PieceResult, PieceSource, QueueWait};
 use wasabipier_core::relay::prompts::PromptNews;
 use wasabipier_core::relay::rows::{RowBatch, SharedRow, SharedTable};
 
@@ -32,6 +32,7 @@
     proofs: Vec<(u8, u64, u32)>,
     loads: Vec<(String, u32, u32)>,
     prompts: Vec<(String, Vec<u64>)>,
+    waits: Vec<(String, Vec<(u32, u32)>)>,
 }
 
 /// A row of a shared table.
@@ -51,6 +52,8 @@
     content: Option<String>,
     results: Vec<String>,
     left_ms: u32,
+    aim_ms: u32,
+    needs_ms: u32,
     rank: u8,
     wanted_in: Option<String>,
     result_bytes: u64,
@@ -187,6 +190,7 @@
                 .map(|load| (load.target.to_string(), load.in_flight, load.unread_tokens))
                 .collect(),
             prompts: beat.prompts.iter().map(|news| (news.target.to_string(), news.keys.clone())).collect(),
+            waits: beat.waits.iter().map(|(service, waits)| (service.to_string(), waits_to_wire(waits))).collect(),
         }
     }
 }
@@ -204,6 +208,7 @@
         });
         let prompts =
             beat.prompts.into_iter().map(|(target, keys)| PromptNews { target: TargetName::new(target), keys });
+        let waits = beat.waits.into_iter().map(|(service, waits)| (ServiceName::new(service), waits_from_wire(&waits)));
         Self {
             node: NodeName::new(beat.node),
             instance: InstanceId(beat.instance),
@@ -219,10 +224,20 @@
             proofs: proofs.collect(),
             loads: loads.collect(),
             prompts: prompts.collect(),
+            waits: waits.collect(),
         }
     }
 }
 
+fn waits_to_wire(waits: &[QueueWait]) -> Vec<(u32, u32)> {
+    waits.iter().map(|wait| (wait.on_time.as_millis() as u32, wait.late.as_millis() as u32)).collect()
+}
+
+fn waits_from_wire(waits: &[(u32, u32)]) -> Vec<QueueWait> {
+    let millis = |ms: u32| Duration::from_millis(u64::from(ms));
+    waits.iter().map(|(on_time, late)| QueueWait { on_time: millis(*on_time), late: millis(*late) }).collect()
+}
+
 impl From<&SharedRow> for WireRow {
     fn from(row: &SharedRow) -> Self {
         Self { key: row.key.to_string(), version: row.version, value: row.value.as_ref().map(|value| value.to_vec()) }
@@ -255,6 +270,8 @@
         content,
         results,
         left_ms: now.until(job.deadline).as_millis() as u32,
+        aim_ms: now.until(job.objective).as_millis() as u32,
+        needs_ms: job.needs.as_millis() as u32,
         rank: job.rank,
         wanted_in: job.wanted_in.as_ref().map(ToString::to_string),
         result_bytes: job.result_bytes,
@@ -275,6 +292,8 @@
             None => PieceSource::Results(results.into()),
         },
         deadline: now + Duration::from_millis(u64::from(job.left_ms)),
+        objective: now + Duration::from_millis(u64::from(job.aim_ms)),
+        needs: Duration::from_millis(u64::from(job.needs_ms)),
         rank: job.rank,
         wanted_in: job.wanted_in.map(DcName::new),
         result_bytes: job.result_bytes,
