Pass duties of a node that does not answer to the next one at once

Change: a peer that does not answer a beat within 0.5 s or a call counts as gone until it is heard; calls for pieces move to the next gatherer. Late pieces count as less urgent by one and a half ranks, with half of what they need as a margin; pieces leave a data centre whose targets have no room; chains begin wherever a target is free.

--- a/crates/core/src/relay/members.rs
+++ b/crates/core/src/relay/members.rs
@@ -67,6 +67,8 @@
     pub beat: RelayBeat,
     /// When that came.
     pub heard: Moment,
+    /// When it did not answer a call; it counts as gone until it is heard again.
+    pub suspected: Option<Moment>,
 }
 
 /// Peers by name.
@@ -92,14 +94,20 @@
             return false;
         }
         let is_new = known.is_none_or(|view| view.beat.instance != beat.instance);
-        self.peers.insert(beat.node.clone(), MemberView { beat, heard: now });
+        self.peers.insert(beat.node.clone(), MemberView { beat, heard: now, suspected: None });
         self.most_alive = self.most_alive.max(self.alive(now).count() + 1);
         is_new
     }
 
     /// Peers heard of lately.
     pub fn alive(&self, now: Moment) -> impl Iterator<Item = &MemberView> {
-        self.peers.values().filter(move |view| now.since(view.heard) < Self::GONE_AFTER)
+        self.peers.values().filter(move |view| view.suspected.is_none() && now.since(view.heard) < Self::GONE_AFTER)
+    }
+
+    /// Notes that a peer did not answer; tells whether it counted as alive until now.
+    pub fn suspect(&mut self, node: &NodeName, now: Moment) -> bool {
+        let view = self.peers.get_mut(node).filter(|view| view.suspected.is_none());
+        view.is_some_and(|view| view.suspected.replace(now).is_none())
     }
 
     /// Peers that take new work.
--- a/crates/core/src/relay/pieces.rs
+++ b/crates/core/src/relay/pieces.rs
@@ -49,9 +49,12 @@
 }
 
 impl PieceJob {
+    /// Part of what a request needs that is kept as a margin: at its last moment it would be late by the next wait.
+    const MARGIN_PART: f64 = 0.5;
+
     /// Whether its request can still be answered by its objective.
     fn is_on_time(&self, now: Moment) -> bool {
-        now + self.needs <= self.objective
+        now + self.needs + self.needs.mul_f64(Self::MARGIN_PART) <= self.objective
     }
 
     /// Whether its request cannot be answered by its deadline any more.
@@ -60,6 +63,16 @@
     }
 }
 
+/// What pieces that want to be made in a data centre find there.
+#[derive(Clone, Copy, Debug)]
+struct DcWait {
+    /// Time until a target is free for them.
+    wait: Duration,
+    /// Most room at one target.
+    room: u64,
+    targets: usize,
+}
+
 /// How long a piece waits that comes now.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct QueueWait {
@@ -136,6 +149,24 @@
     Fresh,
 }
 
+/// When a piece is made: lower ones first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Turn {
+    phase: StagePhase,
+    class: u32,
+}
+
+/// Class of a request in the order of service. What is late is worth less, and must not make others late: it counts
+/// as less urgent by one and a half ranks.
+fn class_of(rank: u8, is_late: bool) -> u32 {
+    u32::from(rank) * 2 + if is_late { 3 } else { 0 }
+}
+
+fn turn(phase: StagePhase, job: &PieceJob, now: Moment) -> Turn {
+    let class = if phase == StagePhase::Begun { 0 } else { class_of(job.rank, !job.is_on_time(now)) };
+    Turn { phase, class }
+}
+
 /// A request's stage.
 type StageKey = (Arc<str>, u32);
 
@@ -170,13 +201,13 @@
     /// Times that a piece is begun; then its request is told.
     const MOST_TRIES: u32 = 3;
     /// Waiting that is worth a megabyte from another data centre; source: the price of such bytes.
-    const REMOTE_MB: Duration = Duration::from_millis(100);
+    const REMOTE_MB: Duration = Duration::from_millis(400);
     /// Longest wait for that sake: a fraction of the time that callers give.
     const LONGEST_PENALTY: Duration = Duration::from_millis(300);
     /// A stage whose results take less than this part of a target's room goes past larger ones that wait for room.
     const SMALL_PART: u64 = 50;
     /// Time over which the rate of made pieces is measured, and the least time for which it must have been busy.
-    const RATE_WINDOW: Duration = Duration::from_millis(2_000);
+    const RATE_WINDOW: Duration = Duration::from_secs(2);
     const RATE_LEAST: Duration = Duration::from_millis(600);
     /// Time for which a target that has no room is not asked again, unless a result is freed there.
     const FULL_FOR: Duration = Duration::from_millis(150);
@@ -266,11 +297,11 @@
     /// Time until a piece of urgency `rank` that comes now is begun, if `open` targets work at full calls.
     #[must_use]
     pub fn expected_wait(&self, spec: &BatchSpec, open: usize, rank: u8, now: Moment) -> QueueWait {
-        let ahead = self.waiting.iter().filter(|((phase, other, _), _)| *phase == StagePhase::Begun || *other <= rank);
         let (mut on_time, mut all) = (0, 0);
-        for (_, piece) in ahead {
-            all += 1;
-            on_time += usize::from(piece.job.is_on_time(now));
+        for (place, piece) in &self.waiting {
+            let turn = turn(place.0, &piece.job, now);
+            on_time += usize::from(turn <= Turn { phase: StagePhase::Fresh, class: class_of(rank, false) });
+            all += usize::from(turn <= Turn { phase: StagePhase::Fresh, class: class_of(rank, true) });
         }
         let full = full_call(spec) / (spec.most_pieces.max(1) * open.max(1)) as u32;
         let per_piece = self.measured_pace(now).map_or(full, |pace| pace.max(full));
@@ -344,7 +375,7 @@
     fn fitting(
         &mut self,
         spec: &BatchSpec,
-        waits: &BTreeMap<DcName, Duration>,
+        waits: &BTreeMap<DcName, DcWait>,
         mut spare: u64,
         view: &TargetView,
         now: Moment,
@@ -355,15 +386,15 @@
         let lane = self.lanes.entry(view.entry.target.clone()).or_default();
         let mut room = spec.room_bytes.saturating_sub(lane.kept_bytes(now) + lane.reserved);
         let mut keys = Vec::new();
-        // Pieces that can still be on time go first: what is late anyway must not make the others late, too.
-        let (on_time, late): (Vec<_>, Vec<_>) =
-            self.waiting.iter().partition(|(key, piece)| key.0 == StagePhase::Begun || piece.job.is_on_time(now));
-        for (key, piece) in on_time.into_iter().chain(late) {
+        let mut order: Vec<_> = self.waiting.iter().collect();
+        order.sort_by_key(|(place, piece)| (turn(place.0, &piece.job, now), place.2));
+        for (key, piece) in order {
             let home = piece.job.wanted_in.as_ref();
             let here = home.is_none_or(|dc| *dc == view.entry.dc);
             let penalty = Self::REMOTE_MB.mul_f64(piece.job.remote_bytes as f64 / 1e6).min(Self::LONGEST_PENALTY);
-            let wait_there = home.and_then(|dc| waits.get(dc)).copied();
-            let moves = wait_there.is_none_or(|wait| wait > penalty) || now.since(piece.since) > penalty * 3;
+            let there = home.and_then(|dc| waits.get(dc));
+            let moves = there.is_none_or(|there| there.wait > penalty || there.room < piece.job.result_bytes)
+                || now.since(piece.since) > penalty * 3;
             if !(here || moves) || piece.job.result_bytes > room {
                 continue;
             }
@@ -389,18 +420,19 @@
         keys
     }
 
-    /// Time until a target of each data centre has worked off what waits for it there.
-    fn waits(&self, spec: &BatchSpec, open: &[&TargetView], now: Moment) -> BTreeMap<DcName, Duration> {
-        let mut waits: BTreeMap<DcName, (Duration, u32)> = BTreeMap::new();
+    /// How soon a target of each data centre has worked off what waits for it there, and its room.
+    fn waits(&mut self, spec: &BatchSpec, open: &[&TargetView], now: Moment) -> BTreeMap<DcName, DcWait> {
+        let mut waits: BTreeMap<DcName, DcWait> = BTreeMap::new();
         for view in open {
-            let lane = self.lanes.get(&view.entry.target);
-            let busy = lane
-                .filter(|lane| lane.calls >= spec.slots.max(1))
-                .map_or(Duration::ZERO, |lane| now.until(lane.busy_until));
-            let resting = now.until(view.resting_until);
-            let wait = waits.entry(view.entry.dc.clone()).or_insert((Duration::MAX, 0));
-            wait.0 = wait.0.min(busy.max(resting));
-            wait.1 += 1;
+            let lane = self.lanes.entry(view.entry.target.clone()).or_default();
+            let busy = if lane.calls >= spec.slots.max(1) { now.until(lane.busy_until) } else { Duration::ZERO };
+            let resting = now.until(view.resting_until).max(now.until(lane.full_until));
+            let used = lane.kept_bytes(now) + lane.reserved;
+            let there =
+                waits.entry(view.entry.dc.clone()).or_insert(DcWait { wait: Duration::MAX, room: 0, targets: 0 });
+            there.wait = there.wait.min(busy.max(resting));
+            there.room = there.room.max(spec.room_bytes.saturating_sub(used));
+            there.targets += 1;
         }
         let mut counts: BTreeMap<&DcName, usize> = BTreeMap::new();
         for piece in self.waiting.values() {
@@ -408,11 +440,12 @@
                 *counts.entry(dc).or_default() += 1;
             }
         }
-        let backlog = |dc: &DcName, lanes: u32| {
-            let calls = counts.get(dc).copied().unwrap_or_default().saturating_sub(1) / spec.most_pieces.max(1);
-            full_call(spec) * (calls as u32 / lanes.max(1))
-        };
-        waits.into_iter().map(|(dc, (wait, lanes))| (dc.clone(), wait + backlog(&dc, lanes))).collect()
+        for (dc, there) in &mut waits {
+            let others = counts.get(dc).copied().unwrap_or_default().saturating_sub(1);
+            let calls = others / (spec.most_pieces.max(1) * there.targets.max(1));
+            there.wait += full_call(spec) * calls as u32;
+        }
+        waits
     }
 
     fn start(&mut self, spec: &BatchSpec, view: &TargetView, keys: &[PieceOrder], now: Moment) -> CallPlan {
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -10,6 +10,8 @@
 mod fixtures;
 #[path = "relay/graph.rs"]
 mod graph;
+#[path = "relay/members.rs"]
+mod members;
 #[path = "relay/pieces.rs"]
 mod pieces;
 #[path = "relay/repeats.rs"]
--- a/crates/core/tests/relay/pieces.rs
+++ b/crates/core/tests/relay/pieces.rs
@@ -334,3 +334,27 @@
     // 90 pieces at five a second.
     assert!((millis(12_000)..millis(25_000)).contains(&measured), "{measured:?}");
 }
+
+/// Pattern: more urgent requests than a target can serve, beside less urgent ones. Those that are late make way for
+/// what can still be on time, but not for what is much less urgent.
+#[test]
+fn late_requests_make_way_for_the_next_urgency_only() {
+    let (mut queue, book) = (PieceQueue::default(), targets(1));
+    let narrow = BatchSpec { most_pieces: 1, ..spec() };
+    let due = |request, rank, objective_ms| PieceJob { objective: at(objective_ms), ..job(request, 0, rank) };
+    queue.push(due(1, 2, 5_000), at(0));
+    queue.push(due(2, 0, 100), at(0));
+    queue.push(due(3, 1, 5_000), at(0));
+    queue.push(due(4, 0, 5_000), at(0));
+
+    let mut order = Vec::new();
+    for round in 0..4_u64 {
+        let now = at(300 * round);
+        let plan = queue.plan(&narrow, &open(&book), now).expect("the target is free");
+        order.push(plan.pieces[0].1.request.to_string());
+        let end = Ok(PieceResult { handle: Arc::from(format!("i-0/{round}")), dc: DcName::new("khomas-a") });
+        queue.finish(&narrow, &plan, vec![end], now + millis(200));
+    }
+
+    assert_eq!(order, ["request-4", "request-3", "request-2", "request-1"]);
+}
--- a/crates/relay/src/announce.rs
+++ b/crates/relay/src/announce.rs
@@ -19,7 +19,7 @@
 use crate::store::{self, StoreLink};
 
 /// Time for a beat's reply.
-const BEAT_WITHIN: Duration = Duration::from_millis(900);
+const BEAT_WITHIN: Duration = Duration::from_millis(500);
 /// Share of the pause between two beats for each peer: in a large fleet beats are rarer, so that their cost stays.
 const PAUSE_PER_PEER: Duration = Duration::from_millis(10);
 /// Shortest pause between two beats when there is news, and its share for each peer.
@@ -116,7 +116,11 @@
             }
             true
         }
-        Ok(_) | Err(_) => false,
+        Ok(_) => false,
+        Err(error) => {
+            peers::suspect(&node, address, &error);
+            false
+        }
     };
     let is_seed = node.addresses.seeds.contains(&address);
     node.contacts.settle(address, answered, is_seed, node.times.beat_every, clock::now());
--- a/crates/relay/src/gather.rs
+++ b/crates/relay/src/gather.rs
@@ -142,7 +142,9 @@
     if node.pace.admits(now) {
         let (target, pieces, took) = (entry.target.as_str(), plan.pieces.len(), guard.took().as_millis() as u64);
         let service = service.as_str();
-        info!("{STAGES} call ended.", kv: { service, target, pieces, made, took_ms = took });
+        let away = plan.pieces.iter().filter(|(_, job)| job.wanted_in.as_ref().is_some_and(|dc| *dc != entry.dc));
+        let remote_kb = away.map(|(_, job)| job.remote_bytes).sum::<u64>() / 1_000;
+        info!("{STAGES} call ended.", kv: { service, target, pieces, made, remote_kb, took_ms = took });
     }
     drop(guard);
     let told = node.board.borrow_mut().pieces.of(&service).finish(&spec, &plan, ends, now);
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -197,6 +197,18 @@
     }
 }
 
+/// Notes that a peer did not answer: its duties pass to others until it is heard again.
+pub fn suspect(node: &SharedNode, address: SocketAddr, error: &PeerError) {
+    let mut board = node.board.borrow_mut();
+    let peer = board.members.known().find(|view| view.beat.peer_address == address).map(|view| view.beat.node.clone());
+    let Some(peer) = peer else { return };
+    if board.members.suspect(&peer, clock::now()) {
+        drop(board);
+        let error = error.to_string();
+        warn!("{PEERS} a peer did not answer; others take over.", kv: { peer = peer.as_str(), error = error.as_str() });
+    }
+}
+
 /// Takes a peer's beat in.
 pub fn hear(node: &SharedNode, beat: RelayBeat) {
     let (peer, state, instance) = (beat.node.clone(), beat.state, beat.instance);
--- a/crates/relay/src/prepare.rs
+++ b/crates/relay/src/prepare.rs
@@ -7,6 +7,7 @@
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use spdlog::{debug, info};
 use tokio::task::spawn_local;
+use tokio::time::sleep;
 use wasabipier_core::clock::Moment;
 use wasabipier_core::names::{DcName, NodeName, ServiceName};
 use wasabipier_core::relay::document::RelayRoute;
@@ -17,9 +18,12 @@
 use crate::clock;
 use crate::gather;
 use crate::part::{PEERS, STAGES};
+use crate::peers::{self, PeerError};
 use crate::ports::AskHead;
 use crate::state::SharedNode;
 
+/// Interval at which it is looked whether the peer that makes pieces still lives.
+const LOOK_AGAIN: Duration = Duration::from_millis(100);
 /// Time for a peer to take results back.
 const FREE_WITHIN: Duration = Duration::from_secs(1);
 
@@ -163,8 +167,10 @@
         inputs: &StageInputs,
     ) -> impl Future<Output = StageEnd> + use<'s> {
         let spec = graph.spec(stage);
-        // Results are made where their inputs are, else where the final call will run.
-        let wanted_in = inputs.dc.clone().or_else(|| self.wanted_in.clone());
+        // Results are made where their inputs are, or where the final call will run if it fetches them. A chain
+        // begins wherever a target is free.
+        let is_last = graph.users(stage).next().is_none();
+        let wanted_in = inputs.dc.clone().or_else(|| self.wanted_in.clone().filter(|_| is_last));
         let needs = self.needs(graph, stage);
         let job = |segment| PieceJob {
             request: self.head.request.clone(),
@@ -206,21 +212,39 @@
     }
 }
 
-/// Makes pieces where the pieces of all nodes meet, or here if that node cannot be reached.
+/// Makes pieces where the pieces of all nodes meet; if that node falls silent, at the next one.
 async fn make(node: &SharedNode, service: &ServiceName, jobs: Vec<PieceJob>) -> Vec<PieceEnd> {
-    let Some((peer, address)) = gatherer(node, service) else { return gather::make_here(node, service, jobs).await };
-    let now = clock::now();
-    let within = jobs.iter().map(|job| now.until(job.deadline)).max().unwrap_or_default();
-    let count = jobs.len();
-    let wire = jobs.iter().map(|job| job_to_wire(job, now)).collect();
-    let call = WireCall::Pieces { service: service.to_string(), jobs: wire };
-    match node.peers.call(address, &call, within).await {
-        Ok(WireReply::Pieces(ends)) if ends.len() == count => ends.into_iter().map(end_from_wire).collect(),
-        Ok(_) => vec![Err(PieceFailure::Failed); count],
-        Err(error) => {
-            let (peer, error) = (peer.as_str(), error.to_string());
-            info!("{PEERS} gatherer not reached; making the pieces here.", kv: { peer, error = error.as_str(), service = service.as_str() });
-            gather::make_here(node, service, jobs).await
+    while let Some((peer, address)) = gatherer(node, service) {
+        let now = clock::now();
+        let within = jobs.iter().map(|job| now.until(job.deadline)).max().unwrap_or_default();
+        let wire = jobs.iter().map(|job| job_to_wire(job, now)).collect();
+        let call = WireCall::Pieces { service: service.to_string(), jobs: wire };
+        let reply = tokio::select! {
+            reply = node.peers.call(address, &call, within) => reply,
+            () = falls_silent(node, &peer) => Err(PeerError::Silent),
+        };
+        match reply {
+            Ok(WireReply::Pieces(ends)) if ends.len() == jobs.len() => {
+                return ends.into_iter().map(end_from_wire).collect();
+            }
+            Ok(_) => return vec![Err(PieceFailure::Failed); jobs.len()],
+            Err(error) => {
+                peers::suspect(node, address, &error);
+                let (peer, error) = (peer.as_str(), error.to_string());
+                info!("{PEERS} gatherer did not answer; asking the next one.", kv: { peer, error = error.as_str(), service = service.as_str() });
+            }
+        }
+    }
+    gather::make_here(node, service, jobs).await
+}
+
+/// Ends when a peer does not count as alive any more.
+async fn falls_silent(node: &SharedNode, peer: &NodeName) {
+    loop {
+        sleep(LOOK_AGAIN).await;
+        let now = clock::now();
+        if !node.board.borrow().members.alive(now).any(|view| view.beat.node == *peer) {
+            return;
         }
     }
 }
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -292,8 +292,11 @@
             let (id, target, own, others) =
                 (&*self.head.request, entry.target.as_str(), view.in_flight, view.others_in_flight);
             let ahead = view.unread_tokens + view.others_unread;
+            let inputs = self.inputs.iter().flat_map(|(_, bytes)| bytes);
+            let remote: u64 = inputs.filter(|(dc, _)| **dc != entry.dc).map(|(_, bytes)| bytes).sum();
+            let remote_kb = remote / 1_000;
             let waited_ms = now.since(self.admitted.started).as_millis() as u64;
-            info!("{REQUEST} target chosen.", kv: { id, target, own, others, ahead, unread, waited_ms });
+            info!("{REQUEST} target chosen.", kv: { id, target, own, others, ahead, unread, remote_kb, waited_ms });
         }
         unread
     }
