--- a/crates/core/src/relay/overload.rs
+++ b/crates/core/src/relay/overload.rs
@@ -81,7 +81,9 @@
     now: Moment,
 ) -> Option<Duration> {
     let times = expected_times(board, plan, now);
-    if times.on_time <= plan.route.objective || times.late <= plan.time_left.mul_f64(bounds.late_part) {
+    if times.on_time <= plan.route.objective
+        || times.late <= plan.route.objective.mul_f64(1.3).min(plan.time_left.mul_f64(bounds.late_part))
+    {
         return None;
     }
     // Callers come back spread over the time in which the queue is worked off.
--- a/crates/core/src/relay/pieces.rs
+++ b/crates/core/src/relay/pieces.rs
@@ -57,10 +57,20 @@
         now + self.needs + self.needs.mul_f64(Self::MARGIN_PART) <= self.objective
     }
 
+    /// Part of the time between objective and deadline for which a late piece waits to be begun. What is late goes
+    /// behind what can be on time; its caller does better to come back than to wait for the rest of its time.
+    const LATE_PART: f64 = 0.3;
+
     /// Whether its request cannot be answered by its deadline any more.
     fn is_lost(&self, now: Moment) -> bool {
         now + self.needs > self.deadline
     }
+
+    /// Whether it is so late that it is not begun any more.
+    fn is_given_up(&self, now: Moment) -> bool {
+        let spare = self.deadline.since(self.objective).mul_f64(Self::LATE_PART);
+        self.is_lost(now) || now + self.needs > self.objective + spare
+    }
 }
 
 /// What pieces that want to be made in a data centre find there.
@@ -201,9 +211,9 @@
     /// Times that a piece is begun; then its request is told.
     const MOST_TRIES: u32 = 3;
     /// Waiting that is worth a megabyte from another data centre; source: the price of such bytes.
-    const REMOTE_MB: Duration = Duration::from_millis(400);
+    const REMOTE_MB: Duration = Duration::from_millis(200);
     /// Longest wait for that sake: a fraction of the time that callers give.
-    const LONGEST_PENALTY: Duration = Duration::from_millis(300);
+    const LONGEST_PENALTY: Duration = Duration::from_millis(150);
     /// A stage whose results take less than this part of a target's room goes past larger ones that wait for room.
     const SMALL_PART: u64 = 50;
     /// Time over which the rate of made pieces is measured, and the least time for which it must have been busy.
@@ -286,8 +296,15 @@
 
     /// Takes out pieces whose requests cannot be answered in time any more.
     pub fn take_late(&mut self, now: Moment) -> Vec<PieceTicket> {
-        let late: Vec<PieceOrder> =
-            self.waiting.iter().filter(|(_, piece)| piece.job.is_lost(now)).map(|(place, _)| *place).collect();
+        let late: Vec<PieceOrder> = self
+            .waiting
+            .iter()
+            .filter(|((phase, ..), piece)| match phase {
+                StagePhase::Begun => piece.job.is_lost(now),
+                StagePhase::Fresh => piece.job.is_given_up(now),
+            })
+            .map(|(place, _)| *place)
+            .collect();
         for place in &late {
             self.unwait(*place);
         }
--- a/crates/relay/src/gather.rs
+++ b/crates/relay/src/gather.rs
@@ -128,6 +128,7 @@
 }
 
 async fn run_call(node: SharedNode, service: ServiceName, spec: BatchSpec, plan: CallPlan, entry: TargetEntry) {
+    let plan_service = service.clone();
     let mut guard = CallGuard::new(&node, &entry, 0);
     let usual = spec.call_time + spec.piece_time * plan.pieces.len() as u32;
     let call = timeout(usual * SILENT_FACTOR + SILENT_SLACK, call_target(&node, &plan, &entry));
@@ -142,9 +143,10 @@
     if node.pace.admits(now) {
         let (target, pieces, took) = (entry.target.as_str(), plan.pieces.len(), guard.took().as_millis() as u64);
         let service = service.as_str();
+        let waiting = node.board.borrow_mut().pieces.of(&plan_service).len();
         let away = plan.pieces.iter().filter(|(_, job)| job.wanted_in.as_ref().is_some_and(|dc| *dc != entry.dc));
         let remote_kb = away.map(|(_, job)| job.remote_bytes).sum::<u64>() / 1_000;
-        info!("{STAGES} call ended.", kv: { service, target, pieces, made, remote_kb, took_ms = took });
+        info!("{STAGES} call ended.", kv: { service, target, pieces, made, remote_kb, waiting, took_ms = took });
     }
     drop(guard);
     let told = node.board.borrow_mut().pieces.of(&service).finish(&spec, &plan, ends, now);
