--- a/crates/relay/src/announce.rs
+++ b/crates/relay/src/announce.rs
@@ -107,10 +107,10 @@
 
 async fn beat(node: SharedNode, address: SocketAddr) {
     let own = node.board.borrow_mut().beat(clock::now());
-    let reply = node.peers.call(address, &WireCall::Beat((&own).into()), BEAT_WITHIN).await;
+    let reply = node.peers.call(address, &WireCall::Beat(Box::new((&own).into())), BEAT_WITHIN).await;
     let answered = match reply {
         Ok(WireReply::Beat(beat, known)) => {
-            peers::hear(&node, RelayBeat::from(beat));
+            peers::hear(&node, RelayBeat::from(*beat));
             for other in known {
                 node.contacts.add(node.addresses.peers, other);
             }
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -176,7 +176,7 @@
     let now = clock::now();
     match call {
         WireCall::Beat(beat) => {
-            hear(node, RelayBeat::from(beat));
+            hear(node, RelayBeat::from(*beat));
             beat_reply(node)
         }
         WireCall::Rows { table, have } => rows_reply(node, table, have),
@@ -222,7 +222,7 @@
     let now = clock::now();
     let mut board = node.board.borrow_mut();
     let known = board.members.alive(now).map(|view| view.beat.peer_address).collect();
-    WireReply::Beat((&board.beat(now)).into(), known)
+    WireReply::Beat(Box::new((&board.beat(now)).into()), known)
 }
 
 fn rows_reply(node: &SharedNode, table: u8, have: u64) -> WireReply {
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -73,7 +73,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum WireCall {
     /// Tells how it is, and asks the same.
-    Beat(WireBeat),
+    Beat(Box<WireBeat>),
     /// Asks for a shared table, if the peer's copy is newer than this version.
     Rows {
         /// The table.
@@ -108,7 +108,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum WireReply {
     /// How the peer is, and addresses of the nodes that it knows.
-    Beat(WireBeat, Vec<SocketAddr>),
+    Beat(Box<WireBeat>, Vec<SocketAddr>),
     /// A shared table as the peer has it, and its age in milliseconds; no rows if it is not newer.
     Rows {
         /// All rows, if they are newer.
