--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -5,13 +5,15 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
+use spdlog::info;
 use tokio::time::timeout;
 use wasabipier_core::clock::Moment;
 use wasabipier_core::names::{Fingerprint, ServiceName, stable_hash};
 use wasabipier_core::relay::access::{AccessClaim, AccessDenial, AccessGrant};
-use wasabipier_core::relay::overload::{RequestPlan, refuse_for_load};
+use wasabipier_core::relay::overload::{RequestPlan, expected_times, refuse_for_load};
 
 use crate::clock;
+use crate::part::REQUEST;
 use crate::ports::{AskHead, RefusalKind};
 use crate::state::SharedNode;
 
@@ -92,6 +94,13 @@
     let plan = RequestPlan { route: &grant.route, pieces: &head.pieces, rank: grant.rank, final_call, time_left };
     let overload = board.tuning.overload;
     if let Some(pause) = refuse_for_load(&mut board, &plan, &overload, started) {
+        if node.pace.admits(started) {
+            let times = expected_times(&board, &plan, started);
+            let (id, route, rank) = (&*head.request, &*grant.route.name, grant.rank);
+            let (on_time_ms, late_ms) = (times.on_time.as_millis() as u64, times.late.as_millis() as u64);
+            let objective_ms = grant.route.objective.as_millis() as u64;
+            info!("{REQUEST} refused for load.", kv: { id, route, rank, on_time_ms, late_ms, objective_ms });
+        }
         return Err(Rejection::not_run("stages are busy", pause));
     }
     let bounds = board.tuning.repeats;
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -16,6 +16,7 @@
 
 use crate::body::AnswerBody;
 use crate::clock;
+use crate::head_timer::{GuardedBody, HeadSignal, TimedStream};
 use crate::part::CALLERS;
 use crate::ports::{CallerCall, ListenKind, RefusalKind, RefusalNotice};
 use crate::request;
@@ -48,23 +49,27 @@
         return;
     }
     let limits = node.board.borrow().index.limits;
-    let service = service_fn(move |request| answer(node.clone(), kind, request));
+    let signal = HeadSignal::default();
+    let timed = TimedStream::new(stream, signal.clone(), limits.header_within);
+    let service = service_fn(move |request| {
+        let (node, guard) = (node.clone(), signal.head_read());
+        async move {
+            let response = answer(node, kind, request).await;
+            Ok::<_, Infallible>(response.map(|body| GuardedBody { body, _guard: guard }))
+        }
+    });
     let mut builder = hyper::server::conn::http1::Builder::new();
     builder
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_within)
         .max_buf_size(limits.header_bytes.max(LEAST_BUFFER_BYTES))
         .pipeline_flush(true);
-    if let Err(error) = builder.serve_connection(TokioIo::new(stream), service).await {
+    if let Err(error) = builder.serve_connection(TokioIo::new(timed), service).await {
         debug!("{CALLERS} a connection ended: {error}.");
     }
 }
 
-async fn answer(
-    node: SharedNode,
-    kind: ListenKind,
-    request: Request<Incoming>,
-) -> Result<Response<AnswerBody>, Infallible> {
+async fn answer(node: SharedNode, kind: ListenKind, request: Request<Incoming>) -> Response<AnswerBody> {
     let (parts, body) = request.into_parts();
     let mut response = match node.port.read_call(kind, &parts) {
         CallerCall::Ask(head) => request::serve(node.clone(), *head, parts, body).await,
@@ -81,7 +86,7 @@
     if node.is_leaving() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    Ok(response)
+    response
 }
 
 fn status(status: StatusCode) -> Response<AnswerBody> {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -20,6 +20,7 @@
 
 mod admission;
 mod front;
+mod head_timer;
 mod request;
 
 mod gather;
