Never call a request not run once its answer has begun

The mark that an attempt is on its way was taken off with the head of the answer; a deadline that passed while the body was read then counted as not run.

Ruled out: a second server (one arrival), a server's own 503.

Change: the mark stays until the attempt's end is counted. The test, a server that sends a head and no body, was red before (503) for bookings and streams.

--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -147,7 +147,7 @@
     tally: AttemptTally,
     avoid: Vec<TargetName>,
     inputs: Option<(PreparedInputs, BTreeMap<DcName, u64>)>,
-    /// Whether an attempt is on its way whose end is not counted yet.
+    /// Whether an attempt is on its way, up to the end of its answer, whose end is not counted yet.
     is_sent: bool,
 }
 
@@ -193,6 +193,7 @@
         let wants = self.tally.wants_repeat(kind, end, most);
         let affordable = wants && self.node.board.borrow_mut().take_repeat(&self.admitted.service, clock::now());
         let step = self.tally.decide(kind, end, most, affordable);
+        self.is_sent = false;
         if self.node.pace.admits(clock::now()) {
             let (id, end, step) = (&*self.head.request, end.to_string(), step.to_string());
             let target = self.avoid.last().map_or("", |target| target.as_str());
@@ -250,7 +251,6 @@
             Some(patience) => timeout(patience, self.call(&entry, last_event)).await.unwrap_or(Err(AttemptEnd::Lost)),
             None => self.call(&entry, last_event).await,
         };
-        self.is_sent = false;
         let answer = match outcome {
             Ok(answer) => answer,
             Err(end) => {
