--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -1,5 +1,7 @@
 //! The way of one request: admission, stages, attempts, and its answer.
 
+mod streaming;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -7,7 +9,6 @@
 use http::{HeaderMap, Response, StatusCode};
 use hyper::body::Incoming;
 use spdlog::info;
-use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 use wasabipier_core::names::{DcName, TargetName};
@@ -19,7 +20,7 @@
 
 use crate::admission::{self, AdmittedRequest, Rejection};
 use crate::attempt::{self, CallGuard, HeadVerdict, OpenAnswer};
-use crate::body::{AnswerBody, StreamCut};
+use crate::body::AnswerBody;
 use crate::clock;
 use crate::metering;
 use crate::part::REQUEST;
@@ -28,10 +29,6 @@
 use crate::state::{OpenRequest, SharedNode};
 use crate::stream::{OpenStream, StreamPart};
 
-/// Events that may wait for a caller that reads slowly; then its target waits too.
-const EVENTS_WAITING: usize = 8;
-/// Time beyond the deadline for what a target sends as it stops at the deadline itself.
-const PAST_DEADLINE: Duration = Duration::from_millis(150);
 /// Tokens of a prompt that other nodes are told of at once: it keeps its engine busy for longer than a beat's pause
 /// lets them see.
 const LONG_PROMPT_TOKENS: u32 = 4_000;
@@ -414,90 +411,6 @@
         }
     }
 
-    /// Answers with a stream, which goes on at other targets if its own breaks off.
-    fn stream(mut self, stream: OpenStream, open: OpenRequest) -> Response<AnswerBody> {
-        let (sender, receiver) = mpsc::channel(EVENTS_WAITING);
-        let mut response = Response::new(AnswerBody::Stream(receiver));
-        *response.status_mut() = stream.status;
-        *response.headers_mut() = stream.headers.clone();
-        self.node.port.clean_answer(response.headers_mut());
-        spawn_local(async move {
-            let left = clock::now().until(self.admitted.deadline) + PAST_DEADLINE;
-            let pump = timeout(left, self.pump(stream, &sender));
-            let reason = tokio::select! {
-                reason = pump => reason.unwrap_or("deadline"),
-                () = sender.closed() => "caller left",
-            };
-            let outcome = if reason == "answered" { "200" } else { "cut" };
-            if outcome == "cut" {
-                // The caller is gone, or sees by this that the stream is not whole.
-                let _ = sender.try_send(Err(StreamCut));
-            }
-            self.log_end(outcome, reason);
-            drop(open);
-        });
-        response
-    }
-
-    /// Passes events on until the stream ends; says how it ended.
-    async fn pump(&mut self, mut stream: OpenStream, sender: &mpsc::Sender<Result<Bytes, StreamCut>>) -> &'static str {
-        // The target has fetched its inputs before it made its first event.
-        self.inputs = Some(Default::default());
-        let kind = self.admitted.grant.route.kind;
-        let pause = self.node.board.borrow().tuning.patience.next_event(kind);
-        loop {
-            let is_last = self.tally.may_have_run + 1 >= self.admitted.grant.route.most_attempts;
-            let reason = match stream.next(&self.node, pause.filter(|_| !is_last)).await {
-                StreamPart::Events(bytes) => {
-                    if sender.send(Ok(bytes)).await.is_err() {
-                        return "caller left";
-                    }
-                    continue;
-                }
-                StreamPart::End => {
-                    self.node.board.borrow_mut().harmful.acquit(self.admitted.content);
-                    return "answered";
-                }
-                StreamPart::Broken(reason) => reason,
-            };
-            stream.set_result(CallResult::Broken);
-            let last_event = stream.last_event();
-            drop(stream);
-            match self.resume(last_event).await {
-                Some(next) => stream = next,
-                None => return reason,
-            }
-        }
-    }
-
-    /// Goes on with a broken stream at another target.
-    async fn resume(&mut self, last_event: Option<u64>) -> Option<OpenStream> {
-        let mut end = AttemptEnd::Lost;
-        loop {
-            if let Some(target) = self.avoid.last().cloned() {
-                self.node.board.borrow_mut().suspect(self.admitted.content, &target, clock::now());
-            }
-            match self.decide(end) {
-                NextStep::Again => {}
-                NextStep::Prepare => self.inputs = None,
-                NextStep::Refuse | NextStep::Fail | NextStep::Relay => return None,
-            }
-            if self.inputs_needed() && self.prepare().await.is_err() {
-                return None;
-            }
-            match self.attempt(last_event).await {
-                Ok(RunEnd::Stream(stream)) => return Some(*stream),
-                Ok(RunEnd::Whole(_)) => return None,
-                Err(failed) => end = failed.end,
-            }
-        }
-    }
-
-    fn inputs_needed(&self) -> bool {
-        let has_stages = self.head.pieces.iter().any(|pieces| *pieces > 0);
-        has_stages && self.inputs.as_ref().is_none_or(|(inputs, _)| inputs.handles().is_empty())
-    }
-
     fn log_end(&self, outcome: &str, reason: &str) {
         let route = &self.admitted.grant.route.name;
         log_end(&self.node, &self.head.request, route, outcome, reason, self.admitted.started);
