Say of a request whose inputs are made again only what is true

Cause, found in reading: a resumable stream that was lost at one target, then found its inputs gone and could not make them again, was answered 503, though the first target may have run it.

Change: such a rejection becomes 502. The property of attempts now also compares with the oracle whether a request may have run; the way through a real node has no test of its own.

--- a/crates/core/src/relay/steps.rs
+++ b/crates/core/src/relay/steps.rs
@@ -86,8 +86,14 @@
             && matches!(after.decide(kind, end, most_attempts, true), NextStep::Again | NextStep::Prepare)
     }
 
+    /// Whether it is true that the request has not run, as far as its counted attempts go.
+    #[must_use]
+    pub fn has_not_run(&self) -> bool {
+        self.may_have_run == 0
+    }
+
     fn give_up(self) -> NextStep {
-        if self.may_have_run == 0 { NextStep::Refuse } else { NextStep::Fail }
+        if self.has_not_run() { NextStep::Refuse } else { NextStep::Fail }
     }
 }
 
--- a/crates/core/tests/relay/steps.rs
+++ b/crates/core/tests/relay/steps.rs
@@ -46,6 +46,7 @@
             attempts += 1;
             ran += u32::from(may_have_run(end));
             let step = tally.decide(kind, end, most, affordable);
+            prop_assert_eq!(tally.has_not_run(), ran == 0);
             match step {
                 NextStep::Again | NextStep::Prepare => {
                     prop_assert!(ran == 0 || kind.is_repeatable(), "{kind} was sent again after it may have run");
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -57,8 +57,8 @@
     let mut request = RelayRequest::new(node.clone(), head, parts, admitted);
     let run = timeout(left, request.run()).await;
     let end = run.unwrap_or_else(|_| {
-        let ran = request.tally.may_have_run > 0 || request.is_sent;
-        let kind = if ran { RefusalKind::TimedOut } else { RefusalKind::NotRun };
+        let has_not_run = request.tally.has_not_run() && !request.is_sent;
+        let kind = if has_not_run { RefusalKind::NotRun } else { RefusalKind::TimedOut };
         Err(Rejection { kind, reason: "deadline", retry_after: None })
     });
     match end {
@@ -158,7 +158,8 @@
     async fn run(&mut self) -> Result<RunEnd, Rejection> {
         loop {
             if self.inputs.is_none() {
-                self.prepare().await?;
+                let prepared = self.prepare().await;
+                prepared.map_err(|rejection| self.reject_truly(rejection))?;
             }
             let failed = match self.attempt(self.head.last_event).await {
                 Ok(end) => {
@@ -184,6 +185,14 @@
         }
     }
 
+    /// A rejection as it may be told: an earlier attempt may have run before inputs had to be made again.
+    fn reject_truly(&self, rejection: Rejection) -> Rejection {
+        if self.tally.has_not_run() {
+            return rejection;
+        }
+        Rejection { kind: RefusalKind::Unknown, retry_after: None, ..rejection }
+    }
+
     fn decide(&mut self, end: AttemptEnd) -> NextStep {
         let kind = self.admitted.grant.route.kind;
         let most = self.admitted.grant.route.most_attempts;
