Refuse a document whose stages wait for each other

Cause, found in reading: such a document would have the search for what a stage still needs go round for ever and end the process.

Test for cycles, and for stages that follow one that is not there.

--- a/crates/core/src/relay/document.rs
+++ b/crates/core/src/relay/document.rs
@@ -201,6 +201,40 @@
     pub holders: Vec<KeyHolder>,
 }
 
+/// Why a document cannot be used.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum DocumentFault {
+    /// Stages of a route wait for each other, or for one that is not there.
+    #[error("stages of route `{0}` can never all start: have each one follow only stages that are there before it")]
+    StageCycle(Arc<str>),
+}
+
+impl RelayDocument {
+    /// Checks what would keep requests from ever ending.
+    ///
+    /// # Errors
+    ///
+    /// The first fault.
+    pub fn check(&self) -> Result<(), DocumentFault> {
+        match self.routes.iter().find(|route| !all_can_start(&route.stages)) {
+            Some(route) => Err(DocumentFault::StageCycle(route.name.clone())),
+            None => Ok(()),
+        }
+    }
+}
+
+/// Whether every stage can start once those that it follows are done.
+fn all_can_start(stages: &[StageSpec]) -> bool {
+    let mut done = vec![false; stages.len()];
+    for _ in stages {
+        for (at, stage) in stages.iter().enumerate() {
+            let follows_done = stage.after.iter().all(|other| done.get(*other).copied().unwrap_or_default());
+            done[at] = done[at] || follows_done;
+        }
+    }
+    done.into_iter().all(|done| done)
+}
+
 /// A document with its lookup tables.
 #[derive(Clone, Debug, Default)]
 pub struct DocumentIndex {
--- a/crates/core/tests/relay/graph.rs
+++ b/crates/core/tests/relay/graph.rs
@@ -1,7 +1,7 @@
 //! Stages in the order of what they need.
 
 use wasabipier_core::names::ServiceName;
-use wasabipier_core::relay::document::StageSpec;
+use wasabipier_core::relay::document::{DocumentFault, RelayDocument, RelayRoute, StageSpec};
 use wasabipier_core::relay::graph::StageGraph;
 
 fn stage(after: &[usize]) -> StageSpec {
@@ -55,3 +55,16 @@
     graph.finish(2);
     assert_eq!(graph.start_ready(), [0, 3]);
 }
+
+#[test]
+fn a_document_whose_stages_wait_for_each_other_is_refused() {
+    let document = |stages: Vec<StageSpec>| RelayDocument {
+        routes: vec![RelayRoute { stages, ..RelayRoute::default() }],
+        ..RelayDocument::default()
+    };
+
+    assert_eq!(document(vec![stage(&[1]), stage(&[]), stage(&[0, 1])]).check(), Ok(()));
+    for stages in [vec![stage(&[0])], vec![stage(&[1]), stage(&[0])], vec![stage(&[]), stage(&[7])]] {
+        assert!(matches!(document(stages).check(), Err(DocumentFault::StageCycle(_))));
+    }
+}
