--- a/crates/core/tests/proofs.rs
+++ b/crates/core/tests/proofs.rs
@@ -34,6 +34,7 @@
     for package in ["core", "wire", "node", "ctl"] {
         sources(&PathBuf::from(ROOT).join("crates").join(package).join("tests"), &mut tests);
     }
+    sources(&PathBuf::from(ROOT).join("platform").join("tests"), &mut tests);
 
     // Act
     let names = test_names(&page);
