--- a/crates/core/src/relay/document.rs
+++ b/crates/core/src/relay/document.rs
@@ -100,13 +100,6 @@
     }
 }
 
-/// What is known of the engines of a service.
-#[derive(Clone, Debug, PartialEq)]
-pub struct EngineSpec {
-    /// Requests that one engine runs at once.
-    pub slots: u32,
-}
-
 /// How the targets of a stage service work on pieces.
 #[derive(Clone, Debug, PartialEq)]
 pub struct BatchSpec {
@@ -140,12 +133,8 @@
 /// One service.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct RelayService {
-    /// Connections that one target accepts, over all nodes; 0 means that none is stated.
-    pub most_connections: u32,
     /// Requests per second that a cold target bears, over all nodes; 0 means that cold targets need no care.
     pub cold_rate: f64,
-    /// Set if its targets are model engines.
-    pub engine: Option<EngineSpec>,
     /// Set if its targets make pieces of stages.
     pub batch: Option<BatchSpec>,
 }
--- a/crates/node/src/relay_settings.rs
+++ b/crates/node/src/relay_settings.rs
@@ -8,7 +8,7 @@
 use wasabipier_core::relay::access::FreshBounds;
 use wasabipier_core::relay::board::RelayTuning;
 use wasabipier_core::relay::budget::RepeatBounds;
-use wasabipier_relay::settings::{RelayAddresses, RelaySettings, RelayTimes, SettingsSource};
+use wasabipier_relay::prelude::*;
 use wasabipier_wire::fault::FaultList;
 use wasabipier_wire::ini::IniReader;
 
--- a/crates/relay/src/prelude.rs
+++ b/crates/relay/src/prelude.rs
@@ -1,6 +1,7 @@
-//! The types that most users of this package need.
+//! The types that a platform's package and the node's program need.
 
 pub use crate::ports::{
-    AnswerHead, AskHead, CallerCall, ListenKind, PlatformPort, RefusalNotice, ServerOrder, StoreFault,
+    AnswerHead, AskHead, CallerCall, ListenKind, PlatformPort, RefusalKind, RefusalNotice, RowPage, RunClaim,
+    ServerOrder, StoreFault,
 };
-pub use crate::settings::{RelaySettings, SettingsSource};
+pub use crate::settings::{RelayAddresses, RelaySettings, RelayTimes, SettingsSource};
