--- a/crates/core/src/relay/board.rs
+++ b/crates/core/src/relay/board.rs
@@ -14,7 +14,7 @@
 use crate::relay::budget::{RepeatBounds, RepeatLedger};
 use crate::relay::choice::{CallWish, ChoiceScene, ChoiceWeights, choose_target};
 use crate::relay::document::{DocumentIndex, RelayRoute, RelayService};
-use crate::relay::members::{MemberBook, RelayBeat, TableProof};
+use crate::relay::members::{MemberBook, RelayHeartbeat, TableProof};
 use crate::relay::overload::OverloadBounds;
 use crate::relay::pieces::{PieceTable, QueueWait};
 use crate::relay::prompts::PromptBook;
@@ -115,7 +115,7 @@
     /// When the store answered again after it had not; entries may be missing for a while after this.
     store_back: Option<Moment>,
     store_out: bool,
-    beats: u64,
+    heartbeats: u64,
 }
 
 impl RelayBoard {
@@ -140,7 +140,7 @@
             random,
             store_back: None,
             store_out: false,
-            beats: 0,
+            heartbeats: 0,
         }
     }
 
@@ -285,21 +285,21 @@
     #[must_use]
     pub fn addresses(&self, now: Moment) -> Vec<SocketAddr> {
         let own = (self.state == NodeState::Serving).then_some(self.identity.caller_address);
-        let peers = self.members.serving(now).map(|view| view.beat.caller_address);
+        let peers = self.members.serving(now).map(|view| view.heartbeat.caller_address);
         own.into_iter().chain(peers).collect()
     }
 
     /// What this node tells its peers.
-    pub fn beat(&mut self, now: Moment) -> RelayBeat {
-        self.beats += 1;
+    pub fn heartbeat(&mut self, now: Moment) -> RelayHeartbeat {
+        self.heartbeats += 1;
         let proofs = self.copies.iter().filter_map(|(table, copy)| {
             let age = now.since(copy.asked()?);
             Some(TableProof { table: *table, version: copy.version(), age_ms: age.as_millis() as u32 })
         });
-        RelayBeat {
+        RelayHeartbeat {
             node: self.identity.node.clone(),
             instance: self.identity.instance,
-            sequence: self.beats,
+            sequence: self.heartbeats,
             dc: self.identity.dc.clone(),
             caller_address: self.identity.caller_address,
             peer_address: self.identity.peer_address,
@@ -335,18 +335,18 @@
         if own.late > told.late { own } else { told }
     }
 
-    /// Takes a peer's beat in; tells whether its instance was not met before.
-    pub fn hear(&mut self, beat: RelayBeat, now: Moment) -> bool {
-        self.targets.learn_loads(&beat.node, beat.loads.clone());
-        for news in &beat.prompts {
+    /// Takes a peer's heartbeat in; tells whether its instance was not met before.
+    pub fn hear(&mut self, heartbeat: RelayHeartbeat, now: Moment) -> bool {
+        self.targets.learn_loads(&heartbeat.node, heartbeat.loads.clone());
+        for news in &heartbeat.prompts {
             self.prompts.learn(news, now);
         }
-        self.members.hear(beat, now)
+        self.members.hear(heartbeat, now)
     }
 
     /// Drops what is due: entries that vanished, peers that are gone, work that they had in flight.
     pub fn sweep(&mut self, now: Moment) -> Vec<TargetName> {
-        let known: Vec<_> = self.members.known().map(|view| (view.beat.node.clone(), view.heard)).collect();
+        let known: Vec<_> = self.members.known().map(|view| (view.heartbeat.node.clone(), view.heard)).collect();
         for (node, heard) in known {
             if now.since(heard) >= MemberBook::GONE_AFTER {
                 self.targets.learn_loads(&node, Vec::new());
--- a/crates/core/src/relay/members.rs
+++ b/crates/core/src/relay/members.rs
@@ -1,4 +1,4 @@
-//! Which nodes live, from the beats that they exchange.
+//! Which nodes live, from the heartbeats that they exchange.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -35,7 +35,7 @@
 
 /// What a node tells its peers at an interval.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct RelayBeat {
+pub struct RelayHeartbeat {
     /// The node.
     pub node: NodeName,
     /// Run of its process.
@@ -63,8 +63,8 @@
 /// A peer as last heard.
 #[derive(Clone, Debug)]
 pub struct MemberView {
-    /// Its last beat.
-    pub beat: RelayBeat,
+    /// Its last heartbeat.
+    pub heartbeat: RelayHeartbeat,
     /// When that came.
     pub heard: Moment,
     /// When it did not answer a call; it counts as gone until it is heard again.
@@ -80,21 +80,22 @@
 }
 
 impl MemberBook {
-    /// Silence after which a peer counts as gone: several beats and a lost packet's repeat.
+    /// Silence after which a peer counts as gone: several heartbeats and a lost packet's repeat.
     pub const GONE_AFTER: Duration = Duration::from_millis(1_800);
     /// Time after which a peer that is gone is forgotten.
     const FORGET_AFTER: Duration = Duration::from_secs(30);
 
-    /// Takes a beat in; tells whether it is of an instance not met before.
-    pub fn hear(&mut self, beat: RelayBeat, now: Moment) -> bool {
-        let known = self.peers.get(&beat.node);
-        let is_older =
-            known.is_some_and(|view| view.beat.instance == beat.instance && view.beat.sequence >= beat.sequence);
+    /// Takes a heartbeat in; tells whether it is of an instance not met before.
+    pub fn hear(&mut self, heartbeat: RelayHeartbeat, now: Moment) -> bool {
+        let known = self.peers.get(&heartbeat.node);
+        let is_older = known.is_some_and(|view| {
+            view.heartbeat.instance == heartbeat.instance && view.heartbeat.sequence >= heartbeat.sequence
+        });
         if is_older {
             return false;
         }
-        let is_new = known.is_none_or(|view| view.beat.instance != beat.instance);
-        self.peers.insert(beat.node.clone(), MemberView { beat, heard: now, suspected: None });
+        let is_new = known.is_none_or(|view| view.heartbeat.instance != heartbeat.instance);
+        self.peers.insert(heartbeat.node.clone(), MemberView { heartbeat, heard: now, suspected: None });
         self.most_alive = self.most_alive.max(self.alive(now).count() + 1);
         is_new
     }
@@ -112,7 +113,7 @@
 
     /// Peers that take new work.
     pub fn serving(&self, now: Moment) -> impl Iterator<Item = &MemberView> {
-        self.alive(now).filter(|view| view.beat.state == NodeState::Serving)
+        self.alive(now).filter(|view| view.heartbeat.state == NodeState::Serving)
     }
 
     /// All peers that are remembered.
@@ -134,7 +135,7 @@
     /// The node that gathers the pieces of `service`: the first by rendezvous hash among `own` and its live peers.
     #[must_use]
     pub fn gatherer<'a>(&'a self, service: &ServiceName, own: &'a NodeName, now: Moment) -> &'a NodeName {
-        let peers = self.serving(now).map(|view| &view.beat.node);
+        let peers = self.serving(now).map(|view| &view.heartbeat.node);
         let nodes = std::iter::once(own).chain(peers);
         nodes.max_by_key(|node| rendezvous(service.as_str(), node.as_str())).unwrap_or(own)
     }
@@ -142,7 +143,7 @@
     /// Wait of a piece at a service, as the node that gathers for it told last.
     #[must_use]
     pub fn queue_wait(&self, service: &ServiceName, rank: u8, now: Moment) -> QueueWait {
-        let told = self.alive(now).flat_map(|view| &view.beat.waits).filter(|(other, _)| other == service);
+        let told = self.alive(now).flat_map(|view| &view.heartbeat.waits).filter(|(other, _)| other == service);
         let waits = told.filter_map(|(_, waits)| waits.get(usize::from(rank)).or(waits.last()));
         waits.copied().max_by_key(|wait| wait.late).unwrap_or_default()
     }
@@ -151,7 +152,7 @@
     #[must_use]
     pub fn place(&self, key: &str, own: &NodeName, now: Moment) -> usize {
         let score = rendezvous(key, own.as_str());
-        self.alive(now).filter(|view| rendezvous(key, view.beat.node.as_str()) > score).count()
+        self.alive(now).filter(|view| rendezvous(key, view.heartbeat.node.as_str()) > score).count()
     }
 
     /// One peer.
--- a/crates/core/src/relay/prompts.rs
+++ b/crates/core/src/relay/prompts.rs
@@ -26,9 +26,9 @@
 impl PromptBook {
     /// Time for which an engine is expected to keep what it has read; engines drop what was not used for longest.
     const KEPT_FOR: Duration = Duration::from_secs(30);
-    /// Time for which news is told: peers hear several beats meanwhile.
+    /// Time for which news is told: peers hear several heartbeats meanwhile.
     const NEWS_FOR: Duration = Duration::from_millis(1_500);
-    /// Most news of one beat.
+    /// Most news of one heartbeat.
     const MOST_NEWS: usize = 200;
     /// Most beginnings remembered of an engine; beyond that old ones are dropped.
     const MOST_KEYS: usize = 4_000;
--- a/crates/core/src/relay/targets.rs
+++ b/crates/core/src/relay/targets.rs
@@ -14,7 +14,7 @@
     /// Its id, which no other target has at the same time.
     pub target: TargetName,
     /// Start of its process in Unix milliseconds: another start is another incarnation.
-    pub born: Option<u64>,
+    pub incarnation: Option<u64>,
     /// The service that it carries.
     pub service: ServiceName,
     /// Where it listens.
@@ -158,7 +158,7 @@
             self.unindex(&old.entry.service.clone(), &entry.target);
         }
         self.by_service.entry(entry.service.clone()).or_default().insert(entry.target.clone());
-        let same = kept.filter(|old| old.entry.born == entry.born && old.entry.address == entry.address);
+        let same = kept.filter(|old| old.entry.incarnation == entry.incarnation && old.entry.address == entry.address);
         let is_new = same.is_none();
         let view = match same {
             Some(old) => {
--- a/crates/core/tests/relay/choice.rs
+++ b/crates/core/tests/relay/choice.rs
@@ -7,7 +7,7 @@
 use wasabipier_core::relay::choice::{CallWish, PromptPart, PromptSpec};
 use wasabipier_core::relay::targets::{CallResult, TargetView};
 
-use crate::fixtures::{at, beat, board, entry, millis};
+use crate::fixtures::{at, board, entry, heartbeat, millis};
 
 const ENGINES: usize = 12;
 
@@ -68,7 +68,7 @@
     let home = choose(&mut one, Some(&prompt(1, 1)), &[], 0).expect("engines are open");
     one.targets.start_call(&home, 100_000, at(0));
 
-    other.hear(one.beat(at(1)), at(1));
+    other.hear(one.heartbeat(at(1)), at(1));
 
     assert_ne!(choose(&mut other, Some(&prompt(1, 2)), &[], 2), Some(home));
 }
@@ -81,12 +81,12 @@
     let engine = TargetName::new("i-3");
     one.prompts.note(&prompt(1, 1), &engine, at(0));
 
-    other.hear(one.beat(at(10)), at(10));
+    other.hear(one.heartbeat(at(10)), at(10));
     assert_eq!(other.prompts.kept_tokens(&prompt(1, 1), &keys, &engine, at(20)), 17_020);
     assert_eq!(other.prompts.kept_tokens(&prompt(1, 2), &keys[..1], &engine, at(20)), 13_300);
 
     let mut reborn = entry("i-3", "coachmodel", "khomas-a");
-    reborn.born = Some(2);
+    reborn.incarnation = Some(2);
     other.upsert_target(reborn, at(30));
     assert_eq!(other.prompts.kept_tokens(&prompt(1, 1), &keys, &engine, at(40)), 0);
 }
@@ -143,7 +143,7 @@
 #[test]
 fn loads_of_a_peer_that_is_gone_do_not_count() {
     let mut board = with_engines("edge-1");
-    let mut peer = beat("edge-2", 1);
+    let mut peer = heartbeat("edge-2", 1);
     peer.loads = vec![wasabipier_core::relay::members::TargetLoad {
         target: TargetName::new("i-1"),
         in_flight: 5,
--- a/crates/core/tests/relay/fixtures.rs
+++ b/crates/core/tests/relay/fixtures.rs
@@ -12,7 +12,7 @@
 use wasabipier_core::names::{DcName, InstanceId, NodeName, ServiceName, TargetName, VersionName};
 use wasabipier_core::relay::board::{RelayBoard, RelayTuning};
 use wasabipier_core::relay::document::{DocumentIndex, KeyHolder, RelayDocument, RelayRoute, WeightedService};
-use wasabipier_core::relay::members::RelayBeat;
+use wasabipier_core::relay::members::RelayHeartbeat;
 use wasabipier_core::relay::targets::TargetEntry;
 
 /// Fixed seeds, so that the verdict is the same each time.
@@ -42,7 +42,7 @@
 pub fn entry(target: &str, service: &str, dc: &str) -> TargetEntry {
     TargetEntry {
         target: TargetName::new(target),
-        born: Some(1),
+        incarnation: Some(1),
         service: ServiceName::new(service),
         address: address(9000),
         dc: DcName::new(dc),
@@ -68,9 +68,9 @@
     RelayBoard::new(identity(node), RelayTuning::default())
 }
 
-/// A beat of a peer that serves.
-pub fn beat(node: &str, sequence: u64) -> RelayBeat {
-    RelayBeat {
+/// A heartbeat of a peer that serves.
+pub fn heartbeat(node: &str, sequence: u64) -> RelayHeartbeat {
+    RelayHeartbeat {
         node: NodeName::new(node),
         instance: InstanceId(1),
         sequence,
--- a/crates/core/tests/relay/members.rs
+++ b/crates/core/tests/relay/members.rs
@@ -3,12 +3,12 @@
 use wasabipier_core::names::{NodeName, ServiceName};
 use wasabipier_core::relay::members::MemberBook;
 
-use crate::fixtures::{at, beat};
+use crate::fixtures::{at, heartbeat};
 
 fn book() -> MemberBook {
     let mut book = MemberBook::default();
     for number in 2..8 {
-        book.hear(beat(&format!("edge-{number}"), 1), at(0));
+        book.hear(heartbeat(&format!("edge-{number}"), 1), at(0));
     }
     book
 }
@@ -17,7 +17,7 @@
     book.gatherer(&ServiceName::new("coaches"), &NodeName::new("edge-1"), at(ms)).clone()
 }
 
-/// Pattern: the node that gathers for a service loses power; pieces must not wait until its beats are missed.
+/// Pattern: the node that gathers for a service loses power; pieces must not wait until its heartbeats are missed.
 #[test]
 fn a_node_that_did_not_answer_gathers_no_more_until_it_is_heard() {
     let mut book = book();
@@ -27,7 +27,7 @@
     let second = gatherer(&book, 100);
     assert_ne!(second, first);
 
-    book.hear(beat(first.as_str(), 2), at(200));
+    book.hear(heartbeat(first.as_str(), 2), at(200));
     assert_eq!(gatherer(&book, 200), first);
 }
 
@@ -47,9 +47,9 @@
 #[test]
 fn an_older_beat_of_an_instance_changes_nothing() {
     let mut book = book();
-    book.hear(beat("edge-2", 5), at(100));
+    book.hear(heartbeat("edge-2", 5), at(100));
 
-    assert!(!book.hear(beat("edge-2", 4), at(1_700)));
+    assert!(!book.hear(heartbeat("edge-2", 4), at(1_700)));
 
     assert_eq!(book.alive(at(1_901)).count(), 0);
 }
--- a/crates/core/tests/relay/repeats.rs
+++ b/crates/core/tests/relay/repeats.rs
@@ -6,7 +6,7 @@
 use wasabipier_core::relay::choice::CallWish;
 use wasabipier_core::relay::document::RelayService;
 
-use crate::fixtures::{at, beat, board, config, entry, index, millis, route};
+use crate::fixtures::{at, board, config, entry, heartbeat, index, millis, route};
 
 const NODES: usize = 7;
 
@@ -60,7 +60,7 @@
             board.upsert_target(cold, at(0));
             for name in &names {
                 if *name != board.identity.node.to_string() {
-                    board.hear(beat(name, 1), at(0));
+                    board.hear(heartbeat(name, 1), at(0));
                 }
             }
         }
--- a/crates/relay/src/announce.rs
+++ b/crates/relay/src/announce.rs
@@ -1,4 +1,4 @@
-//! Finds peers, and exchanges beats with them.
+//! Finds peers, and exchanges heartbeats with them.
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -9,7 +9,7 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 use wasabipier_core::clock::Moment;
-use wasabipier_core::relay::members::RelayBeat;
+use wasabipier_core::relay::members::RelayHeartbeat;
 use wasabipier_wire::relay::{WireCall, WireReply};
 
 use crate::clock;
@@ -18,11 +18,11 @@
 use crate::state::SharedNode;
 use crate::store::{self, StoreLink};
 
-/// Time for a beat's reply.
-const BEAT_WITHIN: Duration = Duration::from_millis(500);
-/// Share of the pause between two beats for each peer: in a large fleet beats are rarer, so that their cost stays.
+/// Time for a heartbeat's reply.
+const HEARTBEAT_WITHIN: Duration = Duration::from_millis(500);
+/// Share of the pause between two heartbeats for each peer: in a large fleet heartbeats are rarer, so that their cost stays.
 const PAUSE_PER_PEER: Duration = Duration::from_millis(10);
-/// Shortest pause between two beats when there is news, and its share for each peer.
+/// Shortest pause between two heartbeats when there is news, and its share for each peer.
 const SHORTEST_PAUSE: Duration = Duration::from_millis(30);
 const SHORTEST_PER_PEER: Duration = Duration::from_millis(4);
 /// Longest pause before a peer that does not answer is tried again.
@@ -42,7 +42,7 @@
     next: Moment,
 }
 
-/// Addresses of peers that this node beats.
+/// Addresses of peers that this node heartbeats.
 #[derive(Debug, Default)]
 pub struct ContactBook {
     contacts: RefCell<BTreeMap<SocketAddr, ContactState>>,
@@ -83,7 +83,7 @@
     }
 }
 
-/// Exchanges beats until the node ends.
+/// Exchanges heartbeats until the node ends.
 pub async fn run(node: SharedNode) {
     let own = node.addresses.peers;
     loop {
@@ -91,26 +91,26 @@
             node.contacts.add(own, *seed);
         }
         for address in node.contacts.take_due(clock::now()) {
-            spawn_local(beat(node.clone(), address));
+            spawn_local(heartbeat(node.clone(), address));
         }
         store::ask_peers(&node);
         let peers = node.contacts.len() as u32;
-        let pause = node.times.beat_every.max(PAUSE_PER_PEER * peers);
+        let pause = node.times.heartbeat_every.max(PAUSE_PER_PEER * peers);
         let shortest = SHORTEST_PAUSE.max(SHORTEST_PER_PEER * peers);
         sleep(shortest).await;
         tokio::select! {
             () = sleep(pause.saturating_sub(shortest)) => {}
-            () = node.beat_now.notified() => {}
+            () = node.heartbeat_now.notified() => {}
         }
     }
 }
 
-async fn beat(node: SharedNode, address: SocketAddr) {
-    let own = node.board.borrow_mut().beat(clock::now());
-    let reply = node.peers.call(address, &WireCall::Beat(Box::new((&own).into())), BEAT_WITHIN).await;
+async fn heartbeat(node: SharedNode, address: SocketAddr) {
+    let own = node.board.borrow_mut().heartbeat(clock::now());
+    let reply = node.peers.call(address, &WireCall::Heartbeat(Box::new((&own).into())), HEARTBEAT_WITHIN).await;
     let answered = match reply {
-        Ok(WireReply::Beat(beat, known)) => {
-            peers::hear(&node, RelayBeat::from(*beat));
+        Ok(WireReply::Heartbeat(heartbeat, known)) => {
+            peers::hear(&node, RelayHeartbeat::from(*heartbeat));
             for other in known {
                 node.contacts.add(node.addresses.peers, other);
             }
@@ -123,15 +123,15 @@
         }
     };
     let is_seed = node.addresses.seeds.contains(&address);
-    node.contacts.settle(address, answered, is_seed, node.times.beat_every, clock::now());
+    node.contacts.settle(address, answered, is_seed, node.times.heartbeat_every, clock::now());
 }
 
 /// Tells all peers at once how this node is.
-pub fn beat_all(node: &SharedNode) {
+pub fn heartbeat_all(node: &SharedNode) {
     let now = clock::now();
-    let addresses: Vec<_> = node.board.borrow().members.alive(now).map(|view| view.beat.peer_address).collect();
+    let addresses: Vec<_> = node.board.borrow().members.alive(now).map(|view| view.heartbeat.peer_address).collect();
     for address in addresses {
-        spawn_local(beat(node.clone(), address));
+        spawn_local(heartbeat(node.clone(), address));
     }
 }
 
@@ -160,7 +160,7 @@
             for address in node.port.read_announced(body) {
                 node.contacts.add(node.addresses.peers, address);
             }
-            node.beat_now.notify_one();
+            node.heartbeat_now.notify_one();
         }
         let pause = if is_announced && seen.is_ok() { LOOK_AGAIN } else { ANNOUNCE_AGAIN };
         sleep(pause.mul_f64(0.75 + 0.5 * fastrand::f64())).await;
--- a/crates/relay/src/gather.rs
+++ b/crates/relay/src/gather.rs
@@ -31,12 +31,12 @@
 
 /// Requests that wait for pieces.
 #[derive(Debug, Default)]
-pub struct GatherDesk {
+pub struct GatherWaits {
     waiters: RefCell<HashMap<(ServiceName, PieceTicket), oneshot::Sender<PieceEnd>>>,
     work: Notify,
 }
 
-impl GatherDesk {
+impl GatherWaits {
     fn tell(&self, service: &ServiceName, ticket: PieceTicket, end: PieceEnd) -> Option<PieceEnd> {
         let waiter = self.waiters.borrow_mut().remove(&(service.clone(), ticket));
         match waiter {
@@ -61,7 +61,7 @@
 
 impl Drop for PieceWait {
     fn drop(&mut self) {
-        let waited = self.node.desk.waiters.borrow_mut().remove(&(self.service.clone(), self.ticket));
+        let waited = self.node.waits.waiters.borrow_mut().remove(&(self.service.clone(), self.ticket));
         if waited.is_some() {
             self.node.board.borrow_mut().pieces.of(&self.service).cancel(self.ticket);
         }
@@ -75,11 +75,11 @@
     for job in jobs {
         let (sender, end) = oneshot::channel();
         let ticket = node.board.borrow_mut().pieces.of(service).push(job, now);
-        node.desk.waiters.borrow_mut().insert((service.clone(), ticket), sender);
+        node.waits.waiters.borrow_mut().insert((service.clone(), ticket), sender);
         waits.push(PieceWait { node: node.clone(), service: service.clone(), ticket, end });
     }
     plan_calls(node, service);
-    node.desk.wake();
+    node.waits.wake();
     let mut ends = Vec::new();
     for wait in &mut waits {
         ends.push((&mut wait.end).await.unwrap_or(Err(PieceFailure::Failed)));
@@ -90,7 +90,7 @@
 /// Looks at the queues until the node ends.
 pub async fn run(node: SharedNode) {
     loop {
-        node.desk.work.notified().await;
+        node.waits.work.notified().await;
         loop {
             let busy = node.board.borrow().pieces.busy();
             if busy.is_empty() {
@@ -109,7 +109,7 @@
     let now = clock::now();
     let late = node.board.borrow_mut().pieces.of(service).take_late(now);
     for ticket in late {
-        node.desk.tell(service, ticket, Err(PieceFailure::Late));
+        node.waits.tell(service, ticket, Err(PieceFailure::Late));
     }
     while let Some((plan, entry, spec)) = next_call(node, service) {
         spawn_local(run_call(node.clone(), service.clone(), spec, plan, entry));
@@ -152,7 +152,7 @@
     let told = node.board.borrow_mut().pieces.of(&service).finish(&spec, &plan, ends, now);
     let mut unclaimed = Vec::new();
     for (ticket, end) in told {
-        if let Some(Ok(result)) = node.desk.tell(&service, ticket, end) {
+        if let Some(Ok(result)) = node.waits.tell(&service, ticket, end) {
             unclaimed.push(result.handle);
         }
     }
@@ -160,7 +160,7 @@
         free_here(&node, &service, &unclaimed);
     }
     plan_calls(&node, &service);
-    node.desk.wake();
+    node.waits.wake();
 }
 
 async fn call_target(node: &SharedNode, plan: &CallPlan, entry: &TargetEntry) -> Result<Vec<PieceEnd>, CallResult> {
@@ -200,7 +200,7 @@
     for (entry, handles) in by_target.into_values() {
         spawn_local(send_free(node.clone(), entry, handles));
     }
-    node.desk.wake();
+    node.waits.wake();
 }
 
 async fn send_free(node: SharedNode, entry: TargetEntry, handles: Vec<Arc<str>>) {
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -18,7 +18,7 @@
 use crate::announce::{self, ContactBook};
 use crate::control;
 use crate::front;
-use crate::gather::{self, GatherDesk};
+use crate::gather::{self, GatherWaits};
 use crate::logging::{self, LinePace};
 use crate::metering;
 use crate::part::NODE;
@@ -117,11 +117,11 @@
         pool: TargetPool::default(),
         peers: PeerLinks::default(),
         contacts: ContactBook::default(),
-        desk: GatherDesk::default(),
+        waits: GatherWaits::default(),
         times: settings.times,
         addresses: settings.addresses,
         open: Cell::new(0),
-        beat_now: Notify::new(),
+        heartbeat_now: Notify::new(),
         pace: LinePace::default(),
         metrics: metering::install()?,
     }))
@@ -172,7 +172,7 @@
     let begun = Instant::now();
     node.board.borrow_mut().state = NodeState::Leaving;
     info!("{NODE} stopping.", kv: { open = node.open.get() });
-    announce::beat_all(node);
+    announce::heartbeat_all(node);
     // Callers that keep an older answer come here until it has lapsed everywhere.
     let lapse = node.times.addresses_kept * ANSWERS_KEPT + BEFORE_KILL;
     let latest = node.times.stop_within.saturating_sub(BEFORE_KILL);
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -17,7 +17,7 @@
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 use wasabipier_core::names::{Fingerprint, ServiceName, TargetName};
-use wasabipier_core::relay::members::RelayBeat;
+use wasabipier_core::relay::members::RelayHeartbeat;
 use wasabipier_core::relay::pieces::PieceJob;
 use wasabipier_wire::frame::{FrameError, MOST_FRAME_BYTES};
 use wasabipier_wire::relay::{WireCall, WireReply, WireRow, decode, encode, end_to_wire, job_from_wire, table_of};
@@ -175,9 +175,9 @@
 async fn handle(node: &SharedNode, call: WireCall) -> WireReply {
     let now = clock::now();
     match call {
-        WireCall::Beat(beat) => {
-            hear(node, RelayBeat::from(*beat));
-            beat_reply(node)
+        WireCall::Heartbeat(heartbeat) => {
+            hear(node, RelayHeartbeat::from(*heartbeat));
+            heartbeat_reply(node)
         }
         WireCall::Rows { table, have } => rows_reply(node, table, have),
         WireCall::Pieces { service, jobs } => {
@@ -200,7 +200,11 @@
 /// Notes that a peer did not answer: its duties pass to others until it is heard again.
 pub fn suspect(node: &SharedNode, address: SocketAddr, error: &PeerError) {
     let mut board = node.board.borrow_mut();
-    let peer = board.members.known().find(|view| view.beat.peer_address == address).map(|view| view.beat.node.clone());
+    let peer = board
+        .members
+        .known()
+        .find(|view| view.heartbeat.peer_address == address)
+        .map(|view| view.heartbeat.node.clone());
     let Some(peer) = peer else { return };
     if board.members.suspect(&peer, clock::now()) {
         drop(board);
@@ -209,20 +213,20 @@
     }
 }
 
-/// Takes a peer's beat in.
-pub fn hear(node: &SharedNode, beat: RelayBeat) {
-    let (peer, state, instance) = (beat.node.clone(), beat.state, beat.instance);
-    if node.board.borrow_mut().hear(beat, clock::now()) {
+/// Takes a peer's heartbeat in.
+pub fn hear(node: &SharedNode, heartbeat: RelayHeartbeat) {
+    let (peer, state, instance) = (heartbeat.node.clone(), heartbeat.state, heartbeat.instance);
+    if node.board.borrow_mut().hear(heartbeat, clock::now()) {
         let (peer, state, instance) = (peer.as_str(), state.to_string(), instance.to_string());
         spdlog::info!("{PEERS} met a peer.", kv: { peer, state = state.as_str(), instance = instance.as_str() });
     }
 }
 
-fn beat_reply(node: &SharedNode) -> WireReply {
+fn heartbeat_reply(node: &SharedNode) -> WireReply {
     let now = clock::now();
     let mut board = node.board.borrow_mut();
-    let known = board.members.alive(now).map(|view| view.beat.peer_address).collect();
-    WireReply::Beat(Box::new((&board.beat(now)).into()), known)
+    let known = board.members.alive(now).map(|view| view.heartbeat.peer_address).collect();
+    WireReply::Heartbeat(Box::new((&board.heartbeat(now)).into()), known)
 }
 
 fn rows_reply(node: &SharedNode, table: u8, have: u64) -> WireReply {
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -30,13 +30,13 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct ConnectionKey {
     target: TargetName,
-    born: Option<u64>,
+    incarnation: Option<u64>,
     address: SocketAddr,
 }
 
 impl From<&TargetEntry> for ConnectionKey {
     fn from(entry: &TargetEntry) -> Self {
-        Self { target: entry.target.clone(), born: entry.born, address: entry.address }
+        Self { target: entry.target.clone(), incarnation: entry.incarnation, address: entry.address }
     }
 }
 
--- a/crates/relay/src/prepare.rs
+++ b/crates/relay/src/prepare.rs
@@ -243,7 +243,7 @@
     loop {
         sleep(LOOK_AGAIN).await;
         let now = clock::now();
-        if !node.board.borrow().members.alive(now).any(|view| view.beat.node == *peer) {
+        if !node.board.borrow().members.alive(now).any(|view| view.heartbeat.node == *peer) {
             return;
         }
     }
@@ -254,7 +254,7 @@
     let board = node.board.borrow();
     let name = board.members.gatherer(service, &board.identity.node, clock::now());
     let view = board.members.get(name)?;
-    Some((name.clone(), view.beat.peer_address))
+    Some((name.clone(), view.heartbeat.peer_address))
 }
 
 /// Gives results up where their pieces were gathered.
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -29,7 +29,7 @@
 use crate::state::{OpenRequest, SharedNode};
 use crate::stream::{OpenStream, StreamPart};
 
-/// Tokens of a prompt that other nodes are told of at once: it keeps its engine busy for longer than a beat's pause
+/// Tokens of a prompt that other nodes are told of at once: it keeps its engine busy for longer than a heartbeat's pause
 /// lets them see.
 const LONG_PROMPT_TOKENS: u32 = 4_000;
 /// Pause before a caller comes again after its targets were full or not reached.
@@ -289,7 +289,7 @@
             board.prompts.note(prompt, &entry.target, now);
             unread = prompt.tokens().saturating_sub(kept);
             if unread >= LONG_PROMPT_TOKENS {
-                self.node.beat_now.notify_one();
+                self.node.heartbeat_now.notify_one();
             }
         }
         if let Some(view) = board.targets.get(&entry.target)
@@ -429,7 +429,7 @@
 /// Tells peers of content that brought a target down.
 fn tell_harmful(node: &SharedNode, content: u64, target: &TargetName) {
     let now = clock::now();
-    let addresses: Vec<_> = node.board.borrow().members.alive(now).map(|view| view.beat.peer_address).collect();
+    let addresses: Vec<_> = node.board.borrow().members.alive(now).map(|view| view.heartbeat.peer_address).collect();
     for address in addresses {
         let (node, call) = (node.clone(), WireCall::Harmful { content, target: target.to_string() });
         spawn_local(async move {
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -15,8 +15,8 @@
     pub store_wait: Duration,
     /// Time beyond that for its answer; source: its answers take 4 ms, and up to 60 times as long when it is slow.
     pub store_slack: Duration,
-    /// Interval of beats between nodes.
-    pub beat_every: Duration,
+    /// Interval of heartbeats between nodes.
+    pub heartbeat_every: Duration,
     /// Time for which callers may keep an answer with addresses.
     pub addresses_kept: Duration,
     /// Time between the signal to stop and the end, at most.
@@ -29,7 +29,7 @@
             connect_within: Duration::from_millis(300),
             store_wait: Duration::from_millis(1_500),
             store_slack: Duration::from_millis(800),
-            beat_every: Duration::from_millis(400),
+            heartbeat_every: Duration::from_millis(400),
             addresses_kept: Duration::from_secs(2),
             stop_within: Duration::from_secs(8),
         }
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -9,7 +9,7 @@
 use wasabipier_core::relay::board::RelayBoard;
 
 use crate::announce::ContactBook;
-use crate::gather::GatherDesk;
+use crate::gather::GatherWaits;
 use crate::logging::LinePace;
 use crate::peers::PeerLinks;
 use crate::pool::TargetPool;
@@ -29,15 +29,15 @@
     /// Addresses of peers.
     pub contacts: ContactBook,
     /// Requests that wait for pieces gathered here.
-    pub desk: GatherDesk,
+    pub waits: GatherWaits,
     /// Times of the edges.
     pub times: RelayTimes,
     /// Addresses.
     pub addresses: RelayAddresses,
     /// Requests being served.
     pub open: Cell<usize>,
-    /// Told when beats shall leave at once.
-    pub beat_now: Notify,
+    /// Told when heartbeats shall leave at once.
+    pub heartbeat_now: Notify,
     /// Bounds the lines about requests.
     pub pace: LinePace,
     /// Renders the metrics.
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -181,7 +181,7 @@
         }
     }
     if !changed.is_empty() {
-        node.desk.wake();
+        node.waits.wake();
     }
     let mut board = node.board.borrow_mut();
     let is_complete =
@@ -190,7 +190,7 @@
         board.state = NodeState::Serving;
         drop(board);
         info!("{STORE} document and targets are known; serving.", kv: { source });
-        node.beat_now.notify_one();
+        node.heartbeat_now.notify_one();
     }
 }
 
@@ -255,9 +255,9 @@
         return None;
     }
     let ages = board.members.alive(now).filter_map(|view| {
-        let proof = view.beat.proofs.iter().find(|proof| proof.table == table)?;
+        let proof = view.heartbeat.proofs.iter().find(|proof| proof.table == table)?;
         let age = Duration::from_millis(u64::from(proof.age_ms)) + now.since(view.heard);
-        Some((age, view.beat.peer_address))
+        Some((age, view.heartbeat.peer_address))
     });
     let (age, address) = ages.min_by_key(|(age, _)| *age)?;
     (age + NEWER_BY < own_age).then_some(address)
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -9,7 +9,7 @@
 use wasabipier_core::clock::Moment;
 use wasabipier_core::message::NodeState;
 use wasabipier_core::names::{DcName, InstanceId, NodeName, ServiceName, TargetName};
-use wasabipier_core::relay::members::{RelayBeat, TableProof, TargetLoad};
+use wasabipier_core::relay::members::{RelayHeartbeat, TableProof, TargetLoad};
 use wasabipier_core::relay::pieces::{PieceEnd, PieceFailure, PieceJob, PieceResult, PieceSource, QueueWait};
 use wasabipier_core::relay::prompts::PromptNews;
 use wasabipier_core::relay::rows::{RowBatch, SharedRow, SharedTable};
@@ -19,9 +19,9 @@
 /// Version of the calls; nodes of different versions do not talk.
 const CALL_VERSION: u8 = 1;
 
-/// A node's beat.
+/// A node's heartbeat.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct WireBeat {
+pub struct WireHeartbeat {
     node: String,
     instance: u64,
     sequence: u64,
@@ -73,7 +73,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum WireCall {
     /// Tells how it is, and asks the same.
-    Beat(Box<WireBeat>),
+    Heartbeat(Box<WireHeartbeat>),
     /// Asks for a shared table, if the peer's copy is newer than this version.
     Rows {
         /// The table.
@@ -108,7 +108,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum WireReply {
     /// How the peer is, and addresses of the nodes that it knows.
-    Beat(Box<WireBeat>, Vec<SocketAddr>),
+    Heartbeat(Box<WireHeartbeat>, Vec<SocketAddr>),
     /// A shared table as the peer has it, and its age in milliseconds; no rows if it is not newer.
     Rows {
         /// All rows, if they are newer.
@@ -169,54 +169,59 @@
     [SharedTable::Orders, SharedTable::Targets].into_iter().find(|table| table_number(*table) == number)
 }
 
-impl From<&RelayBeat> for WireBeat {
-    fn from(beat: &RelayBeat) -> Self {
+impl From<&RelayHeartbeat> for WireHeartbeat {
+    fn from(heartbeat: &RelayHeartbeat) -> Self {
         Self {
-            node: beat.node.to_string(),
-            instance: beat.instance.0,
-            sequence: beat.sequence,
-            dc: beat.dc.to_string(),
-            caller_address: beat.caller_address,
-            peer_address: beat.peer_address,
-            state: match beat.state {
+            node: heartbeat.node.to_string(),
+            instance: heartbeat.instance.0,
+            sequence: heartbeat.sequence,
+            dc: heartbeat.dc.to_string(),
+            caller_address: heartbeat.caller_address,
+            peer_address: heartbeat.peer_address,
+            state: match heartbeat.state {
                 NodeState::Starting => 0,
                 NodeState::Serving => 1,
                 NodeState::Leaving => 2,
             },
-            proofs: beat.proofs.iter().map(|proof| (table_number(proof.table), proof.version, proof.age_ms)).collect(),
-            loads: beat
+            proofs: heartbeat
+                .proofs
+                .iter()
+                .map(|proof| (table_number(proof.table), proof.version, proof.age_ms))
+                .collect(),
+            loads: heartbeat
                 .loads
                 .iter()
                 .map(|load| (load.target.to_string(), load.in_flight, load.unread_tokens))
                 .collect(),
-            prompts: beat.prompts.iter().map(|news| (news.target.to_string(), news.keys.clone())).collect(),
-            waits: beat.waits.iter().map(|(service, waits)| (service.to_string(), waits_to_wire(waits))).collect(),
+            prompts: heartbeat.prompts.iter().map(|news| (news.target.to_string(), news.keys.clone())).collect(),
+            waits: heartbeat.waits.iter().map(|(service, waits)| (service.to_string(), waits_to_wire(waits))).collect(),
         }
     }
 }
 
-impl From<WireBeat> for RelayBeat {
-    fn from(beat: WireBeat) -> Self {
-        let proofs = beat
+impl From<WireHeartbeat> for RelayHeartbeat {
+    fn from(heartbeat: WireHeartbeat) -> Self {
+        let proofs = heartbeat
             .proofs
             .into_iter()
             .filter_map(|(table, version, age_ms)| Some(TableProof { table: table_of(table)?, version, age_ms }));
-        let loads = beat.loads.into_iter().map(|(target, in_flight, unread_tokens)| TargetLoad {
+        let loads = heartbeat.loads.into_iter().map(|(target, in_flight, unread_tokens)| TargetLoad {
             target: TargetName::new(target),
             in_flight,
             unread_tokens,
         });
         let prompts =
-            beat.prompts.into_iter().map(|(target, keys)| PromptNews { target: TargetName::new(target), keys });
-        let waits = beat.waits.into_iter().map(|(service, waits)| (ServiceName::new(service), waits_from_wire(&waits)));
+            heartbeat.prompts.into_iter().map(|(target, keys)| PromptNews { target: TargetName::new(target), keys });
+        let waits =
+            heartbeat.waits.into_iter().map(|(service, waits)| (ServiceName::new(service), waits_from_wire(&waits)));
         Self {
-            node: NodeName::new(beat.node),
-            instance: InstanceId(beat.instance),
-            sequence: beat.sequence,
-            dc: DcName::new(beat.dc),
-            caller_address: beat.caller_address,
-            peer_address: beat.peer_address,
-            state: match beat.state {
+            node: NodeName::new(heartbeat.node),
+            instance: InstanceId(heartbeat.instance),
+            sequence: heartbeat.sequence,
+            dc: DcName::new(heartbeat.dc),
+            caller_address: heartbeat.caller_address,
+            peer_address: heartbeat.peer_address,
+            state: match heartbeat.state {
                 1 => NodeState::Serving,
                 2 => NodeState::Leaving,
                 _ => NodeState::Starting,
