--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -11,6 +11,7 @@
 pub mod choice;
 pub mod document;
 pub mod events;
+pub mod fleet;
 pub mod graph;
 pub mod members;
 pub mod overload;
--- a/crates/core/src/relay/board.rs
+++ b/crates/core/src/relay/board.rs
@@ -9,11 +9,12 @@
 use crate::clock::Moment;
 use crate::harmful::HarmfulTable;
 use crate::message::NodeState;
-use crate::names::{DcName, Fingerprint, ServiceName, TargetName};
+use crate::names::{DcName, Fingerprint, NodeName, ServiceName, TargetName};
 use crate::relay::access::{AccessClaim, AccessDenial, AccessGrant, FreshBounds, check_access};
 use crate::relay::budget::{RepeatBounds, RepeatLedger};
 use crate::relay::choice::{CallWish, ChoiceScene, ChoiceWeights, choose_target};
 use crate::relay::document::{DocumentIndex, RelayRoute, RelayService};
+use crate::relay::fleet::{FleetNews, sum_loads};
 use crate::relay::members::{MemberBook, RelayHeartbeat, TableProof};
 use crate::relay::overload::OverloadBounds;
 use crate::relay::pieces::{PieceTable, QueueWait};
@@ -39,6 +40,10 @@
     pub harmful_after: usize,
     /// Time that entries may take to come back after the store was out; source: the users' platform page.
     pub return_within: Duration,
+    /// Age of a table at which a node that gets it from a hub reads the store itself.
+    pub own_read_after: Duration,
+    /// Relative strength of this VM; duties for others go to the strongest.
+    pub capacity: u32,
 }
 
 impl Default for RelayTuning {
@@ -51,6 +56,8 @@
             patience: PatienceBounds::default(),
             harmful_after: 2,
             return_within: Duration::from_millis(1_900),
+            own_read_after: Duration::from_millis(1_400),
+            capacity: 0,
         }
     }
 }
@@ -294,13 +301,15 @@
         self.heartbeats += 1;
         let proofs = self.copies.iter().filter_map(|(table, copy)| {
             let age = now.since(copy.asked()?);
-            Some(TableProof { table: *table, version: copy.version(), age_ms: age.as_millis() as u32 })
+            let (version, changed) = (copy.version(), copy.changed());
+            Some(TableProof { table: *table, version, changed, age_ms: age.as_millis() as u32 })
         });
         RelayHeartbeat {
             node: self.identity.node.clone(),
             instance: self.identity.instance,
             sequence: self.heartbeats,
             dc: self.identity.dc.clone(),
+            capacity: self.tuning.capacity,
             caller_address: self.identity.caller_address,
             peer_address: self.identity.peer_address,
             state: self.state,
@@ -337,20 +346,34 @@
 
     /// Takes a peer's heartbeat in; tells whether its instance was not met before.
     pub fn hear(&mut self, heartbeat: RelayHeartbeat, now: Moment) -> bool {
-        self.targets.learn_loads(&heartbeat.node, heartbeat.loads.clone());
-        for news in &heartbeat.prompts {
-            self.prompts.learn(news, now);
-        }
-        self.members.hear(heartbeat, now)
+        let (node, loads) = (heartbeat.node.clone(), heartbeat.loads.clone());
+        self.prompts.hear(&node, &heartbeat.prompts, now);
+        let is_new = self.members.hear(heartbeat, now);
+        let loads = if self.work_sources(now).contains(&node) { loads } else { Vec::new() };
+        self.targets.learn_loads(&node, loads);
+        is_new
+    }
+
+    /// Takes in a peer's heartbeat that was asked for at `asked`, and what it tells of others; tells whether its
+    /// instance was not met before.
+    pub fn hear_reply(&mut self, mut heartbeat: RelayHeartbeat, news: FleetNews, asked: Moment, now: Moment) -> bool {
+        self.members.hear_news(&news, &self.identity.node, asked);
+        heartbeat.loads = sum_loads(heartbeat.loads.iter().chain(&news.loads));
+        heartbeat.prompts.extend(news.prompts);
+        self.hear(heartbeat, now)
+    }
+
+    /// The node that gathers the pieces of a service.
+    #[must_use]
+    pub fn gatherer(&self, service: &ServiceName, now: Moment) -> &NodeName {
+        self.members.gatherer(service, &self.identity.node, self.tuning.capacity, now)
     }
 
     /// Drops what is due: entries that vanished, peers that are gone, work that they had in flight.
     pub fn sweep(&mut self, now: Moment) -> Vec<TargetName> {
-        let known: Vec<_> = self.members.known().map(|view| (view.heartbeat.node.clone(), view.heard)).collect();
-        for (node, heard) in known {
-            if now.since(heard) >= MemberBook::GONE_AFTER {
-                self.targets.learn_loads(&node, Vec::new());
-            }
+        let sources = self.work_sources(now);
+        for node in self.targets.load_sources().iter().filter(|node| !sources.contains(*node)) {
+            self.targets.learn_loads(node, Vec::new());
         }
         self.members.forget(now);
         let gone = self.targets.sweep(now);
--- /dev/null
+++ b/crates/core/src/relay/fleet.rs
@@ -0,0 +1,170 @@
+//! Who talks to whom in a large fleet.
+//!
+//! In a small fleet every node exchanges heartbeats with every other and reads the store itself. Both grow with the
+//! square of the fleet or load the store, so a large fleet has one hub in each data centre: the others exchange
+//! heartbeats with it alone and take the store's tables from it; hubs exchange what they gathered.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use crate::clock::Moment;
+use crate::message::NodeState;
+use crate::names::{DcName, NodeName, TargetName};
+use crate::relay::board::RelayBoard;
+use crate::relay::members::{MemberBook, MemberView, RelayHeartbeat, TargetLoad, rendezvous};
+use crate::relay::prompts::PromptNews;
+use crate::relay::rows::{SharedTable, TableCopy};
+
+/// Nodes up to which all exchange heartbeats with all; at 400 ms a heartbeat that is some 30 calls/s a node.
+pub const SMALL_FLEET: usize = 12;
+
+/// What a hub tells of nodes that the asker does not hear itself.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct FleetNews {
+    /// Heartbeats, without loads, prompts and proofs, and their ages.
+    pub members: Vec<(RelayHeartbeat, Duration)>,
+    /// Work in flight of the nodes that the hub speaks for, added up.
+    pub loads: Vec<TargetLoad>,
+    /// Prompts that these nodes sent to engines lately.
+    pub prompts: Vec<PromptNews>,
+}
+
+/// With whom a node exchanges heartbeats.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum FleetPartners {
+    /// With every node that it knows.
+    All,
+    /// With these.
+    Some(Vec<NodeName>),
+}
+
+impl RelayBoard {
+    /// Whether every node exchanges heartbeats with every other.
+    #[must_use]
+    pub fn is_small_fleet(&self) -> bool {
+        self.members.sharers() <= SMALL_FLEET
+    }
+
+    /// The hub of a data centre: the strongest of the nodes there that are heard of and take work. Nodes with
+    /// different views may take different ones for it; a hub serves whoever asks.
+    #[must_use]
+    pub fn hub(&self, dc: &DcName, now: Moment) -> Option<&NodeName> {
+        let identity = &self.identity;
+        let own = (identity.dc == *dc)
+            .then_some((true, self.state == NodeState::Serving, self.tuning.capacity, &identity.node))
+            .filter(|_| self.state != NodeState::Leaving);
+        let in_dc = |view: &&MemberView| {
+            view.heartbeat.dc == *dc && view.suspected.is_none() && view.heartbeat.state != NodeState::Leaving
+        };
+        let peers = self.members.known().filter(in_dc).map(|view| {
+            let is_serving = view.heartbeat.state == NodeState::Serving;
+            (view.is_alive(now), is_serving, view.heartbeat.capacity, &view.heartbeat.node)
+        });
+        let rank = |(alive, serving, capacity, node): &(bool, bool, u32, &NodeName)| {
+            (*alive, *serving, *capacity, rendezvous(dc.as_str(), node.as_str()))
+        };
+        own.into_iter().chain(peers).max_by_key(rank).map(|(_, _, _, node)| node)
+    }
+
+    /// Whether this node is the hub of its data centre.
+    #[must_use]
+    pub fn is_hub(&self, now: Moment) -> bool {
+        self.hub(&self.identity.dc, now) == Some(&self.identity.node)
+    }
+
+    /// With whom this node exchanges heartbeats.
+    #[must_use]
+    pub fn partners(&self, now: Moment) -> FleetPartners {
+        if self.is_small_fleet() {
+            return FleetPartners::All;
+        }
+        let own = &self.identity.node;
+        if !self.is_hub(now) {
+            return FleetPartners::Some(self.hub(&self.identity.dc, now).cloned().into_iter().collect());
+        }
+        let hubs = self.dcs().into_iter().filter_map(|dc| self.hub(&dc, now).cloned());
+        FleetPartners::Some(hubs.filter(|node| node != own).collect())
+    }
+
+    fn dcs(&self) -> Vec<DcName> {
+        let peers = self.members.known().map(|view| view.heartbeat.dc.clone());
+        let mut dcs: Vec<DcName> = peers.chain([self.identity.dc.clone()]).collect();
+        dcs.sort();
+        dcs.dedup();
+        dcs
+    }
+
+    /// What this node tells a peer of others: a hub of another data centre learns what was gathered in this one.
+    #[must_use]
+    pub fn fleet_news(&self, peer: &NodeName, peer_dc: &DcName, now: Moment) -> FleetNews {
+        if self.is_small_fleet() {
+            return FleetNews::default();
+        }
+        let is_for_hub = *peer_dc != self.identity.dc && self.hub(peer_dc, now) == Some(peer);
+        let told: Vec<&MemberView> = self.members.alive(now).filter(|view| view.heartbeat.node != *peer).collect();
+        // Hubs add up what they hear, so that each node's work is told by one of them.
+        let is_added = |view: &&&MemberView| !is_for_hub || (view.is_direct && view.heartbeat.dc == self.identity.dc);
+        let added: BTreeSet<&NodeName> = told.iter().filter(is_added).map(|view| &view.heartbeat.node).collect();
+        let is_hub = self.is_hub(now);
+        FleetNews {
+            members: told.iter().map(|view| (summary(&view.heartbeat), now.since(view.heard))).collect(),
+            loads: if is_hub { self.targets.loads_of(&added) } else { Vec::new() },
+            prompts: if is_hub { self.prompts.heard(|node| added.contains(node), now) } else { Vec::new() },
+        }
+    }
+
+    /// Peers whose heartbeats tell work that no other peer's heartbeats tell here.
+    #[must_use]
+    pub fn work_sources(&self, now: Moment) -> BTreeSet<NodeName> {
+        let peers =
+            self.members.known().filter(|view| view.is_direct && now.since(view.heard) < MemberBook::GONE_AFTER);
+        if self.is_small_fleet() {
+            return peers.map(|view| view.heartbeat.node.clone()).collect();
+        }
+        let FleetPartners::Some(partners) = self.partners(now) else { return BTreeSet::new() };
+        let followers = self.followers(now).into_iter();
+        followers.chain(partners).collect()
+    }
+
+    /// What this node tells a peer that it calls: only hubs know more than their peers.
+    #[must_use]
+    pub fn news_for(&self, peer: &NodeName, now: Moment) -> FleetNews {
+        let dc = self.members.get(peer).map(|view| view.heartbeat.dc.clone());
+        dc.filter(|_| self.is_hub(now)).map(|dc| self.fleet_news(peer, &dc, now)).unwrap_or_default()
+    }
+
+    /// Nodes that get what they know from this one.
+    #[must_use]
+    pub fn followers(&self, now: Moment) -> Vec<NodeName> {
+        if self.is_small_fleet() || !self.is_hub(now) {
+            return Vec::new();
+        }
+        let direct = self.members.alive(now).filter(|view| view.is_direct && view.heartbeat.dc == self.identity.dc);
+        direct.map(|view| view.heartbeat.node.clone()).collect()
+    }
+
+    /// Whether this node reads a table from the store: in a large fleet hubs do, and whoever gets it from no hub.
+    #[must_use]
+    pub fn reads_store(&self, table: SharedTable, now: Moment) -> bool {
+        let asked = self.copies.get(&table).and_then(TableCopy::asked);
+        let is_old = asked.is_none_or(|asked| now.since(asked) >= self.tuning.own_read_after);
+        is_old || self.state == NodeState::Starting || self.is_small_fleet() || self.is_hub(now)
+    }
+}
+
+/// A heartbeat with what the nodes of other data centres need.
+fn summary(heartbeat: &RelayHeartbeat) -> RelayHeartbeat {
+    RelayHeartbeat { proofs: Vec::new(), loads: Vec::new(), prompts: Vec::new(), ..heartbeat.clone() }
+}
+
+/// Adds loads up by target.
+pub(crate) fn sum_loads<'a>(loads: impl Iterator<Item = &'a TargetLoad>) -> Vec<TargetLoad> {
+    let mut sums: BTreeMap<&TargetName, (u32, u32)> = BTreeMap::new();
+    for load in loads {
+        let sum = sums.entry(&load.target).or_default();
+        *sum = (sum.0 + load.in_flight, sum.1 + load.unread_tokens);
+    }
+    let sums = sums.into_iter();
+    sums.map(|(target, (in_flight, unread_tokens))| TargetLoad { target: target.clone(), in_flight, unread_tokens })
+        .collect()
+}
--- a/crates/core/src/relay/members.rs
+++ b/crates/core/src/relay/members.rs
@@ -7,6 +7,7 @@
 use crate::clock::Moment;
 use crate::message::NodeState;
 use crate::names::{DcName, InstanceId, NodeName, ServiceName, TargetName, stable_hash};
+use crate::relay::fleet::FleetNews;
 use crate::relay::pieces::QueueWait;
 use crate::relay::prompts::PromptNews;
 use crate::relay::rows::SharedTable;
@@ -29,6 +30,8 @@
     pub table: SharedTable,
     /// The store's version that the copy stands at.
     pub version: u64,
+    /// The store's version after which no row of it changed.
+    pub changed: u64,
     /// Time since that state was asked for, in milliseconds.
     pub age_ms: u32,
 }
@@ -44,6 +47,8 @@
     pub sequence: u64,
     /// Its data centre.
     pub dc: DcName,
+    /// Relative strength of its VM.
+    pub capacity: u32,
     /// Address for callers.
     pub caller_address: SocketAddr,
     /// Address for peers.
@@ -65,12 +70,30 @@
 pub struct MemberView {
     /// Its last heartbeat.
     pub heartbeat: RelayHeartbeat,
-    /// When that came.
+    /// When that came, or left the node itself if another told it.
     pub heard: Moment,
-    /// When it did not answer a call; it counts as gone until it is heard again.
+    /// Whether it came from the node itself; otherwise a hub told it.
+    pub is_direct: bool,
+    /// When it did not answer a call; it counts as gone until it is heard of again.
     pub suspected: Option<Moment>,
 }
 
+impl MemberView {
+    /// Whether it was heard of lately: if it did not answer this node, a hub has to speak for it. News that hubs pass
+    /// on is older by up to three pauses between heartbeats.
+    #[must_use]
+    pub fn is_alive(&self, now: Moment) -> bool {
+        let gone_after = if self.is_direct { MemberBook::GONE_AFTER } else { MemberBook::RELAYED_GONE_AFTER };
+        (self.suspected.is_none() || !self.is_direct) && now.since(self.heard) < gone_after
+    }
+
+    /// Whether it lives and answers this node.
+    #[must_use]
+    pub fn is_reachable(&self, now: Moment) -> bool {
+        self.suspected.is_none() && self.is_alive(now)
+    }
+}
+
 /// Peers by name.
 #[derive(Clone, Debug, Default)]
 pub struct MemberBook {
@@ -82,6 +105,10 @@
 impl MemberBook {
     /// Silence after which a peer counts as gone: several heartbeats and a lost packet's repeat.
     pub const GONE_AFTER: Duration = Duration::from_millis(1_800);
+    /// The same for a peer of which hubs tell.
+    pub const RELAYED_GONE_AFTER: Duration = Duration::from_millis(3_600);
+    /// Time after which a hub's news of a peer that did not answer is believed again.
+    const SUSPECTED_FOR: Duration = Duration::from_secs(2);
     /// Time after which a peer that is gone is forgotten.
     const FORGET_AFTER: Duration = Duration::from_secs(30);
 
@@ -95,14 +122,34 @@
             return false;
         }
         let is_new = known.is_none_or(|view| view.heartbeat.instance != heartbeat.instance);
-        self.peers.insert(heartbeat.node.clone(), MemberView { heartbeat, heard: now, suspected: None });
+        let view = MemberView { heartbeat, heard: now, is_direct: true, suspected: None };
+        self.peers.insert(view.heartbeat.node.clone(), view);
         self.most_alive = self.most_alive.max(self.alive(now).count() + 1);
         is_new
     }
 
+    /// Takes in what a hub tells of other nodes; `asked` is when it was asked for.
+    pub fn hear_news(&mut self, news: &FleetNews, own: &NodeName, asked: Moment) {
+        for (heartbeat, age) in news.members.iter().filter(|(heartbeat, _)| heartbeat.node != *own) {
+            self.hear_relayed(heartbeat, asked - *age);
+        }
+        self.most_alive = self.most_alive.max(self.alive(asked).count() + 1);
+    }
+
+    fn hear_relayed(&mut self, heartbeat: &RelayHeartbeat, heard: Moment) {
+        let known = self.peers.get(&heartbeat.node);
+        if known.is_some_and(|view| view.heard >= heard || (view.is_direct && view.is_alive(heard))) {
+            return;
+        }
+        let suspected = known.and_then(|view| view.suspected);
+        let suspected = suspected.filter(|since| heard.since(*since) < Self::SUSPECTED_FOR);
+        let view = MemberView { heartbeat: heartbeat.clone(), heard, is_direct: false, suspected };
+        self.peers.insert(heartbeat.node.clone(), view);
+    }
+
     /// Peers heard of lately.
     pub fn alive(&self, now: Moment) -> impl Iterator<Item = &MemberView> {
-        self.peers.values().filter(move |view| view.suspected.is_none() && now.since(view.heard) < Self::GONE_AFTER)
+        self.peers.values().filter(move |view| view.is_alive(now))
     }
 
     /// Notes that a peer did not answer; tells whether it counted as alive until now.
@@ -132,12 +179,21 @@
         self.most_alive.max(1)
     }
 
-    /// The node that gathers the pieces of `service`: the first by rendezvous hash among `own` and its live peers.
+    /// The node that gathers the pieces of `service`: the first by rendezvous hash among the strongest of `own` and
+    /// its live peers.
     #[must_use]
-    pub fn gatherer<'a>(&'a self, service: &ServiceName, own: &'a NodeName, now: Moment) -> &'a NodeName {
-        let peers = self.serving(now).map(|view| &view.heartbeat.node);
-        let nodes = std::iter::once(own).chain(peers);
-        nodes.max_by_key(|node| rendezvous(service.as_str(), node.as_str())).unwrap_or(own)
+    pub fn gatherer<'a>(
+        &'a self,
+        service: &ServiceName,
+        own: &'a NodeName,
+        capacity: u32,
+        now: Moment,
+    ) -> &'a NodeName {
+        let peers = self.serving(now).filter(|view| view.is_reachable(now));
+        let peers = peers.map(|view| (view.heartbeat.capacity, &view.heartbeat.node));
+        let nodes = std::iter::once((capacity, own)).chain(peers);
+        let first = nodes.max_by_key(|(capacity, node)| (*capacity, rendezvous(service.as_str(), node.as_str())));
+        first.map_or(own, |(_, node)| node)
     }
 
     /// Wait of a piece at a service, as the node that gathers for it told last.
--- a/crates/core/src/relay/prompts.rs
+++ b/crates/core/src/relay/prompts.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::clock::Moment;
-use crate::names::{TargetName, stable_hash};
+use crate::names::{NodeName, TargetName, stable_hash};
 use crate::relay::choice::PromptSpec;
 
 /// Beginnings of one prompt that an engine has read.
@@ -21,6 +21,16 @@
 pub struct PromptBook {
     read: BTreeMap<TargetName, HashMap<u64, Moment>>,
     news: VecDeque<(Moment, PromptNews)>,
+    /// What peers told lately, for a hub to pass on.
+    heard: VecDeque<HeardNews>,
+}
+
+/// News as a peer told it.
+#[derive(Clone, Debug)]
+struct HeardNews {
+    at: Moment,
+    from: NodeName,
+    news: PromptNews,
 }
 
 impl PromptBook {
@@ -30,6 +40,8 @@
     const NEWS_FOR: Duration = Duration::from_millis(1_500);
     /// Most news of one heartbeat.
     const MOST_NEWS: usize = 200;
+    /// Time for which news of peers is passed on: they tell it several times.
+    const PASSED_FOR: Duration = Duration::from_millis(900);
     /// Most beginnings remembered of an engine; beyond that old ones are dropped.
     const MOST_KEYS: usize = 4_000;
 
@@ -54,6 +66,28 @@
         }
     }
 
+    /// Takes in what a peer tells, and keeps it for a while to pass it on.
+    pub fn hear(&mut self, from: &NodeName, told: &[PromptNews], now: Moment) {
+        while self.heard.front().is_some_and(|heard| now.since(heard.at) > Self::NEWS_FOR) {
+            self.heard.pop_front();
+        }
+        for news in told {
+            self.learn(news, now);
+            // A peer tells its news for a while; the first time counts.
+            let is_known = self.heard.iter().any(|heard| heard.news == *news && heard.from == *from);
+            if !is_known && self.heard.len() < Self::MOST_KEYS {
+                self.heard.push_back(HeardNews { at: now, from: from.clone(), news: news.clone() });
+            }
+        }
+    }
+
+    /// What peers told lately.
+    #[must_use]
+    pub fn heard(&self, is_wanted: impl Fn(&NodeName) -> bool, now: Moment) -> Vec<PromptNews> {
+        let fresh = self.heard.iter().filter(|heard| now.since(heard.at) <= Self::PASSED_FOR && is_wanted(&heard.from));
+        fresh.map(|heard| heard.news.clone()).collect()
+    }
+
     /// What this node noted lately, for its peers.
     #[must_use]
     pub fn news(&self, now: Moment) -> Vec<PromptNews> {
--- a/crates/core/src/relay/rows.rs
+++ b/crates/core/src/relay/rows.rs
@@ -41,11 +41,20 @@
 #[derive(Clone, Debug, Default)]
 pub struct TableCopy {
     rows: BTreeMap<Arc<str>, SharedRow>,
+    /// Versions at which rows were removed.
+    removed: BTreeMap<Arc<str>, u64>,
     version: u64,
+    /// Version after which no row changed.
+    changed: u64,
+    /// Version from which on every removal is known.
+    complete_from: u64,
     asked: Option<Moment>,
 }
 
 impl TableCopy {
+    /// Most removals remembered; peers that are further behind get the whole table.
+    const MOST_REMOVED: usize = 2_000;
+
     /// Takes a batch in that was asked for at `asked`; gives back the rows that changed.
     ///
     /// A batch from an older state never undoes a newer row.
@@ -55,13 +64,26 @@
             changed.extend(self.missing_from(batch));
         }
         changed.extend(batch.rows.iter().filter(|row| self.is_newer(row)).cloned());
+        if self.version == 0 {
+            // What was removed before is not known.
+            (self.complete_from, self.changed) = (batch.version, batch.version);
+        }
         for row in &changed {
+            self.changed = self.changed.max(row.version);
             if row.value.is_some() {
+                self.removed.remove(&row.key);
                 self.rows.insert(row.key.clone(), row.clone());
             } else {
                 self.rows.remove(&row.key);
+                self.removed.insert(row.key.clone(), row.version);
             }
         }
+        // A row that came and went between two reads may be held by a peer.
+        for row in batch.rows.iter().filter(|row| row.value.is_none() && row.version > self.version) {
+            self.changed = self.changed.max(row.version);
+            self.removed.insert(row.key.clone(), row.version);
+        }
+        self.forget_removed();
         if batch.version >= self.version {
             self.version = batch.version;
             self.asked = self.asked.max(Some(asked));
@@ -69,6 +91,27 @@
         changed
     }
 
+    /// Drops the oldest removals beyond what is remembered.
+    fn forget_removed(&mut self) {
+        while self.removed.len() > Self::MOST_REMOVED {
+            let oldest = self.removed.iter().min_by_key(|(_, version)| **version);
+            let Some((key, version)) = oldest.map(|(key, version)| (key.clone(), *version)) else { return };
+            self.removed.remove(&key);
+            self.complete_from = self.complete_from.max(version);
+        }
+    }
+
+    /// Notes that a peer's copy at `version`, whose last row changed at `changed`, was the newest at `asked`; tells
+    /// whether this copy holds the same rows.
+    pub fn confirm(&mut self, version: u64, changed: u64, asked: Moment) -> bool {
+        if self.version == 0 || changed > self.version || version < self.version {
+            return false;
+        }
+        self.version = version;
+        self.asked = self.asked.max(Some(asked));
+        true
+    }
+
     fn missing_from<'a>(&'a self, batch: &'a RowBatch) -> impl Iterator<Item = SharedRow> + 'a {
         let kept = move |key: &Arc<str>| batch.rows.iter().any(|row| row.key == *key);
         let gone = self.rows.keys().filter(move |key| !kept(key)).cloned();
@@ -95,9 +138,24 @@
         self.asked
     }
 
-    /// All rows, for a peer.
+    /// The rows.
+    pub fn rows(&self) -> impl Iterator<Item = &SharedRow> {
+        self.rows.values()
+    }
+
+    /// The store's version after which no row changed.
+    #[must_use]
+    pub fn changed(&self) -> u64 {
+        self.changed
+    }
+
+    /// What a peer lacks whose copy stands at `have`: the changes since then, or all rows if not all are known.
     #[must_use]
-    pub fn batch(&self) -> RowBatch {
-        RowBatch { rows: self.rows.values().cloned().collect(), version: self.version, whole: true }
+    pub fn changes_after(&self, have: u64) -> RowBatch {
+        let whole = have < self.complete_from;
+        let rows = self.rows.values().filter(|row| whole || row.version > have).cloned();
+        let removed = self.removed.iter().filter(|(_, version)| !whole && **version > have);
+        let removed = removed.map(|(key, version)| SharedRow { key: key.clone(), version: *version, value: None });
+        RowBatch { rows: rows.chain(removed).collect(), version: self.version, whole }
     }
 }
--- a/crates/core/src/relay/targets.rs
+++ b/crates/core/src/relay/targets.rs
@@ -6,6 +6,7 @@
 
 use crate::clock::Moment;
 use crate::names::{DcName, NodeName, ServiceName, TargetName, VersionName};
+use crate::relay::fleet::sum_loads;
 use crate::relay::members::TargetLoad;
 
 /// A target's own entry.
@@ -262,6 +263,18 @@
         .collect()
     }
 
+    /// What some peers have in flight together, as last told.
+    #[must_use]
+    pub fn loads_of(&self, nodes: &BTreeSet<&NodeName>) -> Vec<TargetLoad> {
+        sum_loads(nodes.iter().filter_map(|node| self.loads.get(*node)).flatten())
+    }
+
+    /// Peers whose loads are known.
+    #[must_use]
+    pub fn load_sources(&self) -> Vec<NodeName> {
+        self.loads.iter().filter(|(_, loads)| !loads.is_empty()).map(|(node, _)| node.clone()).collect()
+    }
+
     /// Takes in what a peer has in flight; an empty list clears it.
     pub fn learn_loads(&mut self, node: &NodeName, loads: Vec<TargetLoad>) {
         let old = self.loads.insert(node.clone(), loads.clone()).unwrap_or_default();
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -8,6 +8,8 @@
 mod events;
 #[path = "relay/fixtures.rs"]
 mod fixtures;
+#[path = "relay/fleet.rs"]
+mod fleet;
 #[path = "relay/graph.rs"]
 mod graph;
 #[path = "relay/members.rs"]
--- a/crates/core/tests/relay/fixtures.rs
+++ b/crates/core/tests/relay/fixtures.rs
@@ -75,6 +75,7 @@
         instance: InstanceId(1),
         sequence,
         dc: DcName::new("khomas-b"),
+        capacity: 0,
         caller_address: address(8001),
         peer_address: address(7001),
         state: NodeState::Serving,
--- a/crates/core/tests/relay/members.rs
+++ b/crates/core/tests/relay/members.rs
@@ -1,7 +1,7 @@
 //! Which nodes live, and who gathers.
 
 use wasabipier_core::names::{NodeName, ServiceName};
-use wasabipier_core::relay::members::MemberBook;
+use wasabipier_core::relay::members::{MemberBook, RelayHeartbeat};
 
 use crate::fixtures::{at, heartbeat};
 
@@ -14,7 +14,7 @@
 }
 
 fn gatherer(book: &MemberBook, ms: u64) -> NodeName {
-    book.gatherer(&ServiceName::new("coaches"), &NodeName::new("edge-1"), at(ms)).clone()
+    book.gatherer(&ServiceName::new("coaches"), &NodeName::new("edge-1"), 0, at(ms)).clone()
 }
 
 /// Pattern: the node that gathers for a service loses power; pieces must not wait until its heartbeats are missed.
@@ -53,3 +53,19 @@
 
     assert_eq!(book.alive(at(1_901)).count(), 0);
 }
+
+/// Pattern: a fleet of weak VMs and a few strong ones; all pieces of a service pass through one node.
+#[test]
+fn pieces_are_gathered_at_the_strongest_nodes() {
+    let mut book = book();
+    for number in [3, 5] {
+        let strong = RelayHeartbeat { capacity: 100, ..heartbeat(&format!("edge-{number}"), 2) };
+        book.hear(strong, at(0));
+    }
+
+    for service in ["clubs", "coaches", "notify", "bookings"] {
+        let own = NodeName::new("edge-1");
+        let chosen = book.gatherer(&ServiceName::new(service), &own, 10, at(100)).clone();
+        assert!(["edge-3", "edge-5"].contains(&chosen.as_str()), "{service} is gathered at {chosen}");
+    }
+}
--- a/crates/core/tests/relay/rows.rs
+++ b/crates/core/tests/relay/rows.rs
@@ -54,15 +54,56 @@
             };
             copy.apply(&batch, at(0));
             prop_assert!(copy.version() as usize >= from);
-            let shown: BTreeMap<u8, u64> = copy
-                .batch()
-                .rows
-                .iter()
-                .map(|row| (row.key.parse().expect("keys are numbers"), row.version))
-                .collect();
-            prop_assert_eq!(&shown, &states[copy.version() as usize]);
+            prop_assert_eq!(&shown(&copy), &states[copy.version() as usize]);
         }
     }
+
+    /// Hubs read the store now and then; a node takes from them what changed, or only that nothing did.
+    #[test]
+    fn a_copy_that_is_taken_from_hubs_shows_what_the_store_showed(
+        writes in prop::collection::vec((0_u8..6, prop::bool::weighted(0.6)), 1..40),
+        steps in prop::collection::vec((0_usize..2, 0_u8..4, any::<prop::sample::Index>()), 1..60),
+    ) {
+        let states = states(&writes);
+        let mut hubs = [TableCopy::default(), TableCopy::default()];
+        let mut follower = TableCopy::default();
+        for (time, (hub, step, index)) in (1..).zip(steps) {
+            let hub = &mut hubs[hub];
+            match step {
+                0 => {
+                    let (from, version) = (hub.version() as usize, index.index(states.len()));
+                    if version >= from {
+                        hub.apply(&store_batch(&writes, &states, from, version), at(time));
+                    }
+                }
+                1 => {
+                    follower.apply(&hub.changes_after(follower.version()), hub.asked().unwrap_or_default());
+                }
+                _ => {
+                    let held = (follower.version(), follower.asked());
+                    let is_same = follower.confirm(hub.version(), hub.changed(), hub.asked().unwrap_or_default());
+                    prop_assert!(is_same || (follower.version(), follower.asked()) == held);
+                }
+            }
+            prop_assert_eq!(&shown(&follower), &states[follower.version() as usize]);
+        }
+    }
+}
+
+fn shown(copy: &TableCopy) -> BTreeMap<u8, u64> {
+    copy.rows().map(|row| (row.key.parse().expect("keys are numbers"), row.version)).collect()
+}
+
+/// What the store answers: all rows to a copy that holds nothing, or the last change of each key since `from`.
+fn store_batch(writes: &[(u8, bool)], states: &[BTreeMap<u8, u64>], from: usize, version: usize) -> RowBatch {
+    let rows = if from == 0 {
+        states[version].iter().map(|(key, version)| row(*key, *version, true)).collect()
+    } else {
+        let changed: BTreeMap<u8, (u64, bool)> =
+            (from..version).map(|at| (writes[at].0, (at as u64 + 1, writes[at].1))).collect();
+        changed.into_iter().map(|(key, (version, kept))| row(key, version, kept)).collect()
+    };
+    RowBatch { rows, version: version as u64, whole: from == 0 }
 }
 
 #[test]
--- a/crates/node/src/relay_settings.rs
+++ b/crates/node/src/relay_settings.rs
@@ -16,6 +16,12 @@
 /// bound runs from the store's acknowledgement, which comes after the state that a read shows.
 const KEYS_MARGIN: Duration = Duration::from_millis(100);
 
+/// Time within which work leaves a target that reports its leaving; source: the users' sites.
+const LEAVE_WITHIN: Duration = Duration::from_secs(2);
+/// Part of the time within which work must leave a target at which a node without news reads the store itself: the
+/// read, and another one if its connection is lost, must still come in time.
+const OWN_READ_PART: f64 = 0.7;
+
 const HOUR_MS: u64 = 3_600_000;
 
 /// The file that the settings of a relaying node are read from.
@@ -45,7 +51,7 @@
 /// Every fault in them.
 pub fn parse(text: &str) -> Result<RelaySettings, FaultList> {
     let mut reader = IniReader::parse(text)?;
-    reader.check_sections(&["relay", "bounds"], &[]);
+    reader.check_sections(&["relay", "bounds", "vm"], &[]);
     let known = [
         "name",
         "data_centre",
@@ -116,8 +122,10 @@
         "repeat_window_s",
         "stop_within_s",
         "addresses_kept_most_s",
+        "leave_within_ms",
     ];
     reader.check_keys("bounds", &known);
+    reader.check_keys("vm", &["cores", "link_mbps"]);
     let tuning = RelayTuning::default();
     let (fresh, repeats) = (tuning.fresh, tuning.repeats);
     let keys = reader.millis("bounds", "revoked_keys_ms", fresh.keys + KEYS_MARGIN, 500..=HOUR_MS);
@@ -131,10 +139,19 @@
             slack: reader.bounded("bounds", "repeat_slack", repeats.slack, 0.0..=1e9),
             window: read_seconds(reader, "repeat_window_s", repeats.window),
         },
+        own_read_after: reader.millis("bounds", "leave_within_ms", LEAVE_WITHIN, 100..=HOUR_MS).mul_f64(OWN_READ_PART),
+        capacity: read_capacity(reader),
         ..tuning
     }
 }
 
+/// Strength of this VM against others: its share of cores times its link.
+fn read_capacity(reader: &mut IniReader) -> u32 {
+    let cores: f64 = reader.bounded("vm", "cores", 1.0, 0.001..=10_000.0);
+    let link_mbps: f64 = reader.bounded("vm", "link_mbps", 1.0, 0.001..=1e6);
+    (cores * link_mbps * 1e3).min(f64::from(u32::MAX)) as u32
+}
+
 fn read_times(reader: &mut IniReader) -> RelayTimes {
     let times = RelayTimes::default();
     let kept_most = read_seconds(reader, "addresses_kept_most_s", times.addresses_kept);
--- a/crates/relay/src/announce.rs
+++ b/crates/relay/src/announce.rs
@@ -9,6 +9,7 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 use wasabipier_core::clock::Moment;
+use wasabipier_core::relay::fleet::{FleetPartners, SMALL_FLEET};
 use wasabipier_core::relay::members::RelayHeartbeat;
 use wasabipier_wire::relay::{WireCall, WireReply};
 
@@ -29,6 +30,9 @@
 const LONGEST_PAUSE: Duration = Duration::from_secs(3);
 /// Failures in a row after which an address is forgotten, unless the settings name it.
 const MOST_FAILURES: u32 = 20;
+/// Interval at which a node of a large fleet calls some others than its partners, and how many.
+const OTHERS_EVERY: Duration = Duration::from_secs(3);
+const OTHERS: usize = 2;
 /// Pause between two tries to announce this node.
 const ANNOUNCE_AGAIN: Duration = Duration::from_millis(500);
 /// Pause between two looks at what others announced: nodes that were cut off at their start are found by it.
@@ -55,9 +59,10 @@
         }
     }
 
-    fn take_due(&self, now: Moment) -> Vec<SocketAddr> {
+    fn take_due(&self, is_wanted: impl Fn(&SocketAddr) -> bool, now: Moment) -> Vec<SocketAddr> {
         let mut contacts = self.contacts.borrow_mut();
         let due = contacts.iter_mut().filter(|(_, state)| !state.is_asked && state.next <= now);
+        let due = due.filter(|(address, _)| is_wanted(address));
         due.map(|(address, state)| {
             state.is_asked = true;
             *address
@@ -81,20 +86,47 @@
     fn len(&self) -> usize {
         self.contacts.borrow().len()
     }
+
+    fn any(&self, most: usize) -> Vec<SocketAddr> {
+        fastrand::choose_multiple(self.contacts.borrow().keys().copied(), most)
+    }
 }
 
 /// Exchanges heartbeats until the node ends.
 pub async fn run(node: SharedNode) {
     let own = node.addresses.peers;
+    let mut looked = None;
     loop {
         for seed in &node.addresses.seeds {
             node.contacts.add(own, *seed);
         }
-        for address in node.contacts.take_due(clock::now()) {
+        let now = clock::now();
+        let partners = partners(&node, now);
+        let mut is_new = partners.is_none() && node.contacts.len() > SMALL_FLEET;
+        if let Some(partners) = &partners {
+            for address in partners {
+                node.contacts.add(own, *address);
+            }
+            is_new = partners.is_empty();
+        }
+        // Besides its partners a node calls some others at times: nodes that lost each other meet again.
+        let is_look = is_new || looked.is_none_or(|at| now.since(at) >= OTHERS_EVERY);
+        let mut others = Vec::new();
+        if is_look {
+            looked = Some(now);
+            others = node.contacts.any(OTHERS);
+            others.extend(node.addresses.seeds.iter().filter(|_| is_new));
+        }
+        let is_small = node.contacts.len() <= SMALL_FLEET;
+        let is_wanted = |address: &SocketAddr| match &partners {
+            None => is_small || others.contains(address),
+            Some(partners) => partners.contains(address) || others.contains(address),
+        };
+        for address in node.contacts.take_due(is_wanted, now) {
             spawn_local(heartbeat(node.clone(), address));
         }
         store::ask_peers(&node);
-        let peers = node.contacts.len() as u32;
+        let peers = partners.map_or(node.contacts.len(), |partners| partners.len()) as u32;
         let pause = node.times.heartbeat_every.max(PAUSE_PER_PEER * peers);
         let shortest = SHORTEST_PAUSE.max(SHORTEST_PER_PEER * peers);
         sleep(shortest).await;
@@ -105,12 +137,30 @@
     }
 }
 
+/// Addresses of the nodes that this one exchanges heartbeats with; none: all.
+fn partners(node: &SharedNode, now: Moment) -> Option<Vec<SocketAddr>> {
+    let board = node.board.borrow();
+    let FleetPartners::Some(names) = board.partners(now) else { return None };
+    let views = names.iter().filter_map(|name| board.members.get(name));
+    Some(views.map(|view| view.heartbeat.peer_address).collect())
+}
+
 async fn heartbeat(node: SharedNode, address: SocketAddr) {
-    let own = node.board.borrow_mut().heartbeat(clock::now());
-    let reply = node.peers.call(address, &WireCall::Heartbeat(Box::new((&own).into())), HEARTBEAT_WITHIN).await;
+    let asked = clock::now();
+    let call = {
+        let mut board = node.board.borrow_mut();
+        let peer = board.members.known().find(|view| view.heartbeat.peer_address == address);
+        let peer = peer.map(|view| view.heartbeat.node.clone());
+        let news = peer.map(|peer| board.news_for(&peer, asked)).unwrap_or_default();
+        WireCall::Heartbeat(Box::new((&board.heartbeat(asked)).into()), (&news).into())
+    };
+    let reply = node.peers.call(address, &call, HEARTBEAT_WITHIN).await;
     let answered = match reply {
-        Ok(WireReply::Heartbeat(heartbeat, known)) => {
-            peers::hear(&node, RelayHeartbeat::from(*heartbeat));
+        Ok(WireReply::Heartbeat(heartbeat, known, news)) => {
+            let heartbeat = RelayHeartbeat::from(*heartbeat);
+            let proofs = heartbeat.proofs.clone();
+            peers::hear(&node, heartbeat, news.into(), asked);
+            store::follow_proofs(&node, address, &proofs, Some(asked));
             for other in known {
                 node.contacts.add(node.addresses.peers, other);
             }
@@ -126,10 +176,24 @@
     node.contacts.settle(address, answered, is_seed, node.times.heartbeat_every, clock::now());
 }
 
-/// Tells all peers at once how this node is.
+/// Tells all peers that this node exchanges heartbeats with at once how it is.
 pub fn heartbeat_all(node: &SharedNode) {
     let now = clock::now();
-    let addresses: Vec<_> = node.board.borrow().members.alive(now).map(|view| view.heartbeat.peer_address).collect();
+    let all = || node.board.borrow().members.alive(now).map(|view| view.heartbeat.peer_address).collect();
+    let addresses: Vec<_> = partners(node, now).unwrap_or_else(all);
+    for address in addresses {
+        spawn_local(heartbeat(node.clone(), address));
+    }
+}
+
+/// Tells the nodes that follow this hub at once that its copies have changed.
+pub fn tell_followers(node: &SharedNode) {
+    let now = clock::now();
+    let addresses: Vec<_> = {
+        let board = node.board.borrow();
+        let views = board.followers(now).into_iter().filter_map(|name| board.members.get(&name));
+        views.map(|view| view.heartbeat.peer_address).collect()
+    };
     for address in addresses {
         spawn_local(heartbeat(node.clone(), address));
     }
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -120,6 +120,7 @@
         waits: GatherWaits::default(),
         times: settings.times,
         addresses: settings.addresses,
+        asking: RefCell::default(),
         open: Cell::new(0),
         heartbeat_now: Notify::new(),
         pace: LinePace::default(),
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -16,17 +16,20 @@
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
-use wasabipier_core::names::{Fingerprint, ServiceName, TargetName};
+use wasabipier_core::clock::Moment;
+use wasabipier_core::names::{DcName, Fingerprint, NodeName, ServiceName, TargetName};
+use wasabipier_core::relay::fleet::FleetNews;
 use wasabipier_core::relay::members::RelayHeartbeat;
 use wasabipier_core::relay::pieces::PieceJob;
 use wasabipier_wire::frame::{FrameError, MOST_FRAME_BYTES};
-use wasabipier_wire::relay::{WireCall, WireReply, WireRow, decode, encode, end_to_wire, job_from_wire, table_of};
+use wasabipier_wire::relay::{WireCall, WireReply, WireRow, decode, encode, end_to_wire, jobs_from_wire, table_of};
 
 use crate::clock;
 use crate::gather;
 use crate::part::PEERS;
 use crate::sockets;
 use crate::state::SharedNode;
+use crate::store;
 
 /// Time for a connection to a peer.
 const CONNECT_WITHIN: Duration = Duration::from_millis(400);
@@ -175,13 +178,17 @@
 async fn handle(node: &SharedNode, call: WireCall) -> WireReply {
     let now = clock::now();
     match call {
-        WireCall::Heartbeat(heartbeat) => {
-            hear(node, RelayHeartbeat::from(*heartbeat));
-            heartbeat_reply(node)
+        WireCall::Heartbeat(heartbeat, news) => {
+            let heartbeat = RelayHeartbeat::from(*heartbeat);
+            let (peer, dc, proofs) = (heartbeat.node.clone(), heartbeat.dc.clone(), heartbeat.proofs.clone());
+            let address = heartbeat.peer_address;
+            hear(node, heartbeat, news.into(), now);
+            store::follow_proofs(node, address, &proofs, None);
+            heartbeat_reply(node, &peer, &dc)
         }
         WireCall::Rows { table, have } => rows_reply(node, table, have),
         WireCall::Pieces { service, jobs } => {
-            let jobs: Vec<PieceJob> = jobs.into_iter().map(|job| job_from_wire(job, now)).collect();
+            let jobs: Vec<PieceJob> = jobs.into_iter().flat_map(|jobs| jobs_from_wire(jobs, now)).collect();
             let ends = gather::make_here(node, &ServiceName::new(service), jobs).await;
             WireReply::Pieces(ends.iter().map(end_to_wire).collect())
         }
@@ -213,20 +220,21 @@
     }
 }
 
-/// Takes a peer's heartbeat in.
-pub fn hear(node: &SharedNode, heartbeat: RelayHeartbeat) {
+/// Takes a peer's heartbeat and its news of others in.
+pub fn hear(node: &SharedNode, heartbeat: RelayHeartbeat, news: FleetNews, asked: Moment) {
     let (peer, state, instance) = (heartbeat.node.clone(), heartbeat.state, heartbeat.instance);
-    if node.board.borrow_mut().hear(heartbeat, clock::now()) {
+    if node.board.borrow_mut().hear_reply(heartbeat, news, asked, clock::now()) {
         let (peer, state, instance) = (peer.as_str(), state.to_string(), instance.to_string());
         spdlog::info!("{PEERS} met a peer.", kv: { peer, state = state.as_str(), instance = instance.as_str() });
     }
 }
 
-fn heartbeat_reply(node: &SharedNode) -> WireReply {
+fn heartbeat_reply(node: &SharedNode, peer: &NodeName, dc: &DcName) -> WireReply {
     let now = clock::now();
     let mut board = node.board.borrow_mut();
     let known = board.members.alive(now).map(|view| view.heartbeat.peer_address).collect();
-    WireReply::Heartbeat(Box::new((&board.heartbeat(now)).into()), known)
+    let news = board.fleet_news(peer, dc, now);
+    WireReply::Heartbeat(Box::new((&board.heartbeat(now)).into()), known, (&news).into())
 }
 
 fn rows_reply(node: &SharedNode, table: u8, have: u64) -> WireReply {
@@ -234,7 +242,8 @@
     let copy = table_of(table).and_then(|table| board.copies.get(&table));
     let known = copy.and_then(|copy| Some((copy, copy.asked()?)));
     let Some((copy, asked)) = known else { return WireReply::Done };
-    let rows = (copy.version() > have).then(|| copy.batch().rows.iter().map(WireRow::from).collect());
+    let batch = copy.changes_after(have);
     let age_ms = clock::now().since(asked).as_millis() as u32;
-    WireReply::Rows { rows, version: copy.version(), age_ms }
+    let rows = batch.rows.iter().map(WireRow::from).collect();
+    WireReply::Rows { rows, whole: batch.whole, version: batch.version, age_ms }
 }
--- a/crates/relay/src/prepare.rs
+++ b/crates/relay/src/prepare.rs
@@ -13,7 +13,7 @@
 use wasabipier_core::relay::document::RelayRoute;
 use wasabipier_core::relay::graph::StageGraph;
 use wasabipier_core::relay::pieces::{PieceEnd, PieceFailure, PieceJob, PieceResult, PieceSource};
-use wasabipier_wire::relay::{WireCall, WireReply, end_from_wire, job_to_wire};
+use wasabipier_wire::relay::{WireCall, WireReply, end_from_wire, jobs_to_wire};
 
 use crate::clock;
 use crate::gather;
@@ -217,8 +217,7 @@
     while let Some((peer, address)) = gatherer(node, service) {
         let now = clock::now();
         let within = jobs.iter().map(|job| now.until(job.deadline)).max().unwrap_or_default();
-        let wire = jobs.iter().map(|job| job_to_wire(job, now)).collect();
-        let call = WireCall::Pieces { service: service.to_string(), jobs: wire };
+        let call = WireCall::Pieces { service: service.to_string(), jobs: jobs_to_wire(&jobs, now) };
         let reply = tokio::select! {
             reply = node.peers.call(address, &call, within) => reply,
             () = falls_silent(node, &peer) => Err(PeerError::Silent),
@@ -243,7 +242,7 @@
     loop {
         sleep(LOOK_AGAIN).await;
         let now = clock::now();
-        if !node.board.borrow().members.alive(now).any(|view| view.heartbeat.node == *peer) {
+        if !node.board.borrow().members.alive(now).any(|view| view.is_reachable(now) && view.heartbeat.node == *peer) {
             return;
         }
     }
@@ -252,7 +251,7 @@
 /// The peer that gathers for a service; none: this node.
 fn gatherer(node: &SharedNode, service: &ServiceName) -> Option<(NodeName, std::net::SocketAddr)> {
     let board = node.board.borrow();
-    let name = board.members.gatherer(service, &board.identity.node, clock::now());
+    let name = board.gatherer(service, clock::now());
     let view = board.members.get(name)?;
     Some((name.clone(), view.heartbeat.peer_address))
 }
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -1,12 +1,14 @@
 //! What the tasks of a node share. All run on one thread.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::sync::Notify;
 use wasabipier_core::message::NodeState;
 use wasabipier_core::relay::board::RelayBoard;
+use wasabipier_core::relay::rows::SharedTable;
 
 use crate::announce::ContactBook;
 use crate::gather::GatherWaits;
@@ -34,6 +36,8 @@
     pub times: RelayTimes,
     /// Addresses.
     pub addresses: RelayAddresses,
+    /// Tables that a peer is being asked for.
+    pub asking: RefCell<BTreeSet<SharedTable>>,
     /// Requests being served.
     pub open: Cell<usize>,
     /// Told when heartbeats shall leave at once.
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -15,9 +15,11 @@
 use wasabipier_core::clock::Moment;
 use wasabipier_core::message::NodeState;
 use wasabipier_core::relay::board::OrderChange;
+use wasabipier_core::relay::members::TableProof;
 use wasabipier_core::relay::rows::{RowBatch, SharedRow, SharedTable, TableCopy};
 use wasabipier_wire::relay::{WireCall, WireReply, batch, table_number};
 
+use crate::announce;
 use crate::clock;
 use crate::metering;
 use crate::part::STORE;
@@ -28,6 +30,12 @@
 /// Pause after a failed call, doubled with each further one up to the longest.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+/// Shortest time from one call for changes to the next: many targets that start at a time are read together.
+const BETWEEN_CALLS: Duration = Duration::from_millis(100);
+/// Interval at which a node that does not read the store looks whether it has to.
+const LOOK_AGAIN: Duration = Duration::from_millis(100);
+/// Part of the age at which others read the store themselves for which a hub's call is held.
+const HUB_WAIT_PART: u32 = 4;
 /// Time for a connection to the store.
 const CONNECT_WITHIN: Duration = Duration::from_millis(500);
 /// Time for a peer to hand its copy over.
@@ -116,6 +124,10 @@
     let mut pause = FIRST_PAUSE;
     let mut is_lost = false;
     loop {
+        if !node.board.borrow().reads_store(table, clock::now()) {
+            sleep(LOOK_AGAIN).await;
+            continue;
+        }
         let asked = clock::now();
         let read =
             if whole { read_whole(&node, &mut link, table).await } else { read_changes(&node, &mut link, table).await };
@@ -127,6 +139,8 @@
                 node.board.borrow_mut().note_store_answer(clock::now());
                 apply(&node, table, &batch, asked, "store");
                 (whole, pause) = (false, FIRST_PAUSE);
+                // Changes that come close together are read in one call.
+                sleep(BETWEEN_CALLS.saturating_sub(clock::now().since(asked))).await;
             }
             Err(StoreError::Fault(StoreFault::HistoryGone)) => {
                 info!("{STORE} history is gone; reading the whole table.", kv: { table = table.to_string().as_str() });
@@ -165,9 +179,15 @@
 }
 
 async fn read_changes(node: &SharedNode, link: &mut StoreLink, table: SharedTable) -> Result<RowBatch, StoreError> {
-    let after = node.board.borrow().copies.get(&table).map_or(0, TableCopy::version);
-    let request = node.port.changes_request(table, after, node.times.store_wait);
-    let (status, body) = link.call(request, node.times.store_wait + node.times.store_slack).await?;
+    let (after, wait) = {
+        let board = node.board.borrow();
+        // Others depend on a hub's copies, which are as old as its last call was held.
+        let hub_wait = board.tuning.own_read_after / HUB_WAIT_PART;
+        let wait = if board.is_small_fleet() { node.times.store_wait } else { node.times.store_wait.min(hub_wait) };
+        (board.copies.get(&table).map_or(0, TableCopy::version), wait)
+    };
+    let request = node.port.changes_request(table, after, wait);
+    let (status, body) = link.call(request, wait + node.times.store_slack).await?;
     Ok(node.port.read_rows(status, &body, false)?.batch)
 }
 
@@ -182,6 +202,7 @@
     }
     if !changed.is_empty() {
         node.waits.wake();
+        announce::tell_followers(node);
     }
     let mut board = node.board.borrow_mut();
     let is_complete =
@@ -247,6 +268,31 @@
     }
 }
 
+/// Follows what a hub tells of its copies: takes changes from it, and counts this node's copies as new as the hub's
+/// where nothing changed. `asked` is when the hub was asked; what came unasked may have been under way for long.
+pub fn follow_proofs(node: &SharedNode, address: SocketAddr, proofs: &[TableProof], asked: Option<Moment>) {
+    let now = clock::now();
+    for proof in proofs {
+        let mut board = node.board.borrow_mut();
+        if board.is_small_fleet() || board.is_hub(now) {
+            continue;
+        }
+        let copy = board.copies.entry(proof.table).or_default();
+        if proof.changed > copy.version() {
+            drop(board);
+            let (node, table) = (node.clone(), proof.table);
+            if node.asking.borrow_mut().insert(table) {
+                spawn_local(async move {
+                    ask_peer(&node, table, address).await;
+                    node.asking.borrow_mut().remove(&table);
+                });
+            }
+        } else if let Some(asked) = asked {
+            copy.confirm(proof.version, proof.changed, asked - Duration::from_millis(u64::from(proof.age_ms)));
+        }
+    }
+}
+
 fn newer_peer(node: &SharedNode, table: SharedTable, now: Moment) -> Option<SocketAddr> {
     let board = node.board.borrow();
     let own = board.copies.get(&table).and_then(TableCopy::asked);
@@ -268,14 +314,10 @@
     let have = node.board.borrow().copies.get(&table).map_or(0, TableCopy::version);
     let call = WireCall::Rows { table: table_number(table), have };
     match node.peers.call(address, &call, PEER_WITHIN).await {
-        Ok(WireReply::Rows { rows, version, age_ms }) => {
+        Ok(WireReply::Rows { rows, whole, version, age_ms }) => {
             // The peer's state was the newest that long before it was asked for it here.
             let asked = asked - Duration::from_millis(u64::from(age_ms));
-            let rows = match rows {
-                Some(rows) => batch(rows, version),
-                None => RowBatch { rows: Vec::new(), version, whole: false },
-            };
-            apply(node, table, &rows, asked, "peer");
+            apply(node, table, &batch(rows, version, whole), asked, "peer");
         }
         Ok(_) => {}
         Err(error) => {
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -9,6 +9,7 @@
 use wasabipier_core::clock::Moment;
 use wasabipier_core::message::NodeState;
 use wasabipier_core::names::{DcName, InstanceId, NodeName, ServiceName, TargetName};
+use wasabipier_core::relay::fleet::FleetNews;
 use wasabipier_core::relay::members::{RelayHeartbeat, TableProof, TargetLoad};
 use wasabipier_core::relay::pieces::{PieceEnd, PieceFailure, PieceJob, PieceResult, PieceSource, QueueWait};
 use wasabipier_core::relay::prompts::PromptNews;
@@ -17,7 +18,7 @@
 use crate::frame::{FrameError, MOST_FRAME_BYTES};
 
 /// Version of the calls; nodes of different versions do not talk.
-const CALL_VERSION: u8 = 1;
+const CALL_VERSION: u8 = 2;
 
 /// A node's heartbeat.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -26,15 +27,29 @@
     instance: u64,
     sequence: u64,
     dc: String,
+    capacity: u32,
     caller_address: SocketAddr,
     peer_address: SocketAddr,
     state: u8,
-    proofs: Vec<(u8, u64, u32)>,
-    loads: Vec<(String, u32, u32)>,
-    prompts: Vec<(String, Vec<u64>)>,
+    proofs: Vec<(u8, u64, u64, u32)>,
+    loads: Vec<WireLoad>,
+    prompts: Vec<WirePrompt>,
     waits: Vec<(String, Vec<(u32, u32)>)>,
 }
 
+/// A target, its calls in flight and its unread prompt tokens.
+type WireLoad = (String, u32, u32);
+/// A target and keys of prompts.
+type WirePrompt = (String, Vec<u64>);
+
+/// What a hub tells of other nodes.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WireNews {
+    members: Vec<(WireHeartbeat, u32)>,
+    loads: Vec<WireLoad>,
+    prompts: Vec<WirePrompt>,
+}
+
 /// A row of a shared table.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WireRow {
@@ -43,12 +58,12 @@
     value: Option<Vec<u8>>,
 }
 
-/// A piece to be made.
+/// Pieces of one stage of a request to be made; they differ in nothing but their positions.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct WireJob {
+pub struct WireJobs {
     request: String,
     stage: u32,
-    segment: u32,
+    segments: Vec<u32>,
     content: Option<String>,
     results: Vec<String>,
     left_ms: u32,
@@ -72,8 +87,8 @@
 /// What a node asks of another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum WireCall {
-    /// Tells how it is, and asks the same.
-    Heartbeat(Box<WireHeartbeat>),
+    /// Tells how it is and, if it is a hub, how others are, and asks the same.
+    Heartbeat(Box<WireHeartbeat>, WireNews),
     /// Asks for a shared table, if the peer's copy is newer than this version.
     Rows {
         /// The table.
@@ -86,7 +101,7 @@
         /// The service.
         service: String,
         /// The pieces.
-        jobs: Vec<WireJob>,
+        jobs: Vec<WireJobs>,
     },
     /// Gives results up.
     Free {
@@ -107,12 +122,14 @@
 /// The answer to a call.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum WireReply {
-    /// How the peer is, and addresses of the nodes that it knows.
-    Heartbeat(Box<WireHeartbeat>, Vec<SocketAddr>),
-    /// A shared table as the peer has it, and its age in milliseconds; no rows if it is not newer.
+    /// How the peer is, addresses of the nodes that it knows, and how these are in a large fleet.
+    Heartbeat(Box<WireHeartbeat>, Vec<SocketAddr>, WireNews),
+    /// A shared table as the peer has it, and its age in milliseconds.
     Rows {
-        /// All rows, if they are newer.
-        rows: Option<Vec<WireRow>>,
+        /// Rows that changed since the asker's version, or all.
+        rows: Vec<WireRow>,
+        /// Whether these are all rows.
+        whole: bool,
         /// The store's version.
         version: u64,
         /// Time since this state was asked for.
@@ -176,6 +193,7 @@
             instance: heartbeat.instance.0,
             sequence: heartbeat.sequence,
             dc: heartbeat.dc.to_string(),
+            capacity: heartbeat.capacity,
             caller_address: heartbeat.caller_address,
             peer_address: heartbeat.peer_address,
             state: match heartbeat.state {
@@ -186,14 +204,10 @@
             proofs: heartbeat
                 .proofs
                 .iter()
-                .map(|proof| (table_number(proof.table), proof.version, proof.age_ms))
-                .collect(),
-            loads: heartbeat
-                .loads
-                .iter()
-                .map(|load| (load.target.to_string(), load.in_flight, load.unread_tokens))
+                .map(|proof| (table_number(proof.table), proof.version, proof.changed, proof.age_ms))
                 .collect(),
-            prompts: heartbeat.prompts.iter().map(|news| (news.target.to_string(), news.keys.clone())).collect(),
+            loads: loads_to_wire(&heartbeat.loads),
+            prompts: prompts_to_wire(&heartbeat.prompts),
             waits: heartbeat.waits.iter().map(|(service, waits)| (service.to_string(), waits_to_wire(waits))).collect(),
         }
     }
@@ -201,17 +215,9 @@
 
 impl From<WireHeartbeat> for RelayHeartbeat {
     fn from(heartbeat: WireHeartbeat) -> Self {
-        let proofs = heartbeat
-            .proofs
-            .into_iter()
-            .filter_map(|(table, version, age_ms)| Some(TableProof { table: table_of(table)?, version, age_ms }));
-        let loads = heartbeat.loads.into_iter().map(|(target, in_flight, unread_tokens)| TargetLoad {
-            target: TargetName::new(target),
-            in_flight,
-            unread_tokens,
+        let proofs = heartbeat.proofs.into_iter().filter_map(|(table, version, changed, age_ms)| {
+            Some(TableProof { table: table_of(table)?, version, changed, age_ms })
         });
-        let prompts =
-            heartbeat.prompts.into_iter().map(|(target, keys)| PromptNews { target: TargetName::new(target), keys });
         let waits =
             heartbeat.waits.into_iter().map(|(service, waits)| (ServiceName::new(service), waits_from_wire(&waits)));
         Self {
@@ -219,6 +225,7 @@
             instance: InstanceId(heartbeat.instance),
             sequence: heartbeat.sequence,
             dc: DcName::new(heartbeat.dc),
+            capacity: heartbeat.capacity,
             caller_address: heartbeat.caller_address,
             peer_address: heartbeat.peer_address,
             state: match heartbeat.state {
@@ -227,13 +234,55 @@
                 _ => NodeState::Starting,
             },
             proofs: proofs.collect(),
-            loads: loads.collect(),
-            prompts: prompts.collect(),
+            loads: loads_from_wire(heartbeat.loads),
+            prompts: prompts_from_wire(heartbeat.prompts),
             waits: waits.collect(),
         }
     }
 }
 
+fn loads_to_wire(loads: &[TargetLoad]) -> Vec<WireLoad> {
+    loads.iter().map(|load| (load.target.to_string(), load.in_flight, load.unread_tokens)).collect()
+}
+
+fn loads_from_wire(loads: Vec<WireLoad>) -> Vec<TargetLoad> {
+    let loads = loads.into_iter();
+    loads
+        .map(|(target, in_flight, unread_tokens)| TargetLoad {
+            target: TargetName::new(target),
+            in_flight,
+            unread_tokens,
+        })
+        .collect()
+}
+
+fn prompts_to_wire(prompts: &[PromptNews]) -> Vec<WirePrompt> {
+    prompts.iter().map(|news| (news.target.to_string(), news.keys.clone())).collect()
+}
+
+fn prompts_from_wire(prompts: Vec<WirePrompt>) -> Vec<PromptNews> {
+    prompts.into_iter().map(|(target, keys)| PromptNews { target: TargetName::new(target), keys }).collect()
+}
+
+impl From<&FleetNews> for WireNews {
+    fn from(news: &FleetNews) -> Self {
+        let members = news.members.iter().map(|(heartbeat, age)| (heartbeat.into(), age.as_millis() as u32));
+        Self { members: members.collect(), loads: loads_to_wire(&news.loads), prompts: prompts_to_wire(&news.prompts) }
+    }
+}
+
+impl From<WireNews> for FleetNews {
+    fn from(news: WireNews) -> Self {
+        let members = news.members.into_iter();
+        let members = members.map(|(heartbeat, ms)| (heartbeat.into(), Duration::from_millis(u64::from(ms))));
+        Self {
+            members: members.collect(),
+            loads: loads_from_wire(news.loads),
+            prompts: prompts_from_wire(news.prompts),
+        }
+    }
+}
+
 fn waits_to_wire(waits: &[QueueWait]) -> Vec<(u32, u32)> {
     waits.iter().map(|wait| (wait.on_time.as_millis() as u32, wait.late.as_millis() as u32)).collect()
 }
@@ -255,23 +304,29 @@
     }
 }
 
-/// A whole table from a peer.
+/// A table from a peer.
 #[must_use]
-pub fn batch(rows: Vec<WireRow>, version: u64) -> RowBatch {
-    RowBatch { rows: rows.into_iter().map(SharedRow::from).collect(), version, whole: true }
+pub fn batch(rows: Vec<WireRow>, version: u64, whole: bool) -> RowBatch {
+    RowBatch { rows: rows.into_iter().map(SharedRow::from).collect(), version, whole }
 }
 
-/// A job as it is sent at `now`.
+/// Jobs as they are sent at `now`, in the same order. Inputs of a stage are the same for each of its pieces, and are
+/// sent once.
 #[must_use]
-pub fn job_to_wire(job: &PieceJob, now: Moment) -> WireJob {
+pub fn jobs_to_wire(jobs: &[PieceJob], now: Moment) -> Vec<WireJobs> {
+    let is_alike = |one: &PieceJob, other: &PieceJob| PieceJob { segment: one.segment, ..other.clone() } == *one;
+    jobs.chunk_by(is_alike).filter_map(|alike| Some(alike_to_wire(alike.first()?, alike, now))).collect()
+}
+
+fn alike_to_wire(job: &PieceJob, alike: &[PieceJob], now: Moment) -> WireJobs {
     let (content, results) = match &job.source {
         PieceSource::Content(key) => (Some(key.to_string()), Vec::new()),
         PieceSource::Results(handles) => (None, handles.iter().map(ToString::to_string).collect()),
     };
-    WireJob {
+    WireJobs {
         request: job.request.to_string(),
         stage: job.stage,
-        segment: job.segment,
+        segments: alike.iter().map(|job| job.segment).collect(),
         content,
         results,
         left_ms: now.until(job.deadline).as_millis() as u32,
@@ -284,26 +339,28 @@
     }
 }
 
-/// A job as it came at `now`.
+/// Jobs as they came at `now`.
 #[must_use]
-pub fn job_from_wire(job: WireJob, now: Moment) -> PieceJob {
-    let results: Vec<Arc<str>> = job.results.into_iter().map(Arc::from).collect();
-    PieceJob {
-        request: job.request.into(),
-        stage: job.stage,
-        segment: job.segment,
-        source: match job.content {
-            Some(key) => PieceSource::Content(key.into()),
-            None => PieceSource::Results(results.into()),
-        },
-        deadline: now + Duration::from_millis(u64::from(job.left_ms)),
-        objective: now + Duration::from_millis(u64::from(job.aim_ms)),
-        needs: Duration::from_millis(u64::from(job.needs_ms)),
-        rank: job.rank,
-        wanted_in: job.wanted_in.map(DcName::new),
-        result_bytes: job.result_bytes,
-        remote_bytes: job.remote_bytes,
-    }
+pub fn jobs_from_wire(jobs: WireJobs, now: Moment) -> Vec<PieceJob> {
+    let results: Vec<Arc<str>> = jobs.results.into_iter().map(Arc::from).collect();
+    let source = match jobs.content {
+        Some(key) => PieceSource::Content(key.into()),
+        None => PieceSource::Results(results.into()),
+    };
+    let first = PieceJob {
+        request: jobs.request.into(),
+        stage: jobs.stage,
+        segment: 0,
+        source,
+        deadline: now + Duration::from_millis(u64::from(jobs.left_ms)),
+        objective: now + Duration::from_millis(u64::from(jobs.aim_ms)),
+        needs: Duration::from_millis(u64::from(jobs.needs_ms)),
+        rank: jobs.rank,
+        wanted_in: jobs.wanted_in.map(DcName::new),
+        result_bytes: jobs.result_bytes,
+        remote_bytes: jobs.remote_bytes,
+    };
+    jobs.segments.into_iter().map(|segment| PieceJob { segment, ..first.clone() }).collect()
 }
 
 /// Failures by their numbers in replies.
