Tell work in flight between heartbeats in a large fleet

Ruled out: heartbeats at shorter intervals (7 KB each); placing by the hub itself (one more process that a request depends on).

Change: a node asks its hub for work in flight before it places a prompt (25 ms at most) and tells it after; hubs tell each other every 40 ms while there is news. Small fleets go on as before.

--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -100,16 +100,39 @@
         if self.is_small_fleet() {
             return FleetNews::default();
         }
-        let is_for_hub = *peer_dc != self.identity.dc && self.hub(peer_dc, now) == Some(peer);
         let told: Vec<&MemberView> = self.members.alive(now).filter(|view| view.heartbeat.node != *peer).collect();
-        // Hubs add up what they hear, so that each node's work is told by one of them.
-        let is_added = |view: &&&MemberView| !is_for_hub || (view.is_direct && view.heartbeat.dc == self.identity.dc);
-        let added: BTreeSet<&NodeName> = told.iter().filter(is_added).map(|view| &view.heartbeat.node).collect();
-        let is_hub = self.is_hub(now);
+        let added = self.spoken_for(peer, peer_dc, now);
         FleetNews {
             members: told.iter().map(|view| (summary(&view.heartbeat), now.since(view.heard))).collect(),
-            loads: if is_hub { self.targets.loads_of(&added) } else { Vec::new() },
-            prompts: if is_hub { self.prompts.heard(|node| added.contains(node), now) } else { Vec::new() },
+            loads: self.targets.loads_of(&added),
+            prompts: self.prompts.heard(|node| added.contains(node), now),
+        }
+    }
+
+    /// Nodes whose work this one tells a peer, so that each node's work is told by one hub.
+    fn spoken_for(&self, peer: &NodeName, peer_dc: &DcName, now: Moment) -> BTreeSet<&NodeName> {
+        if self.is_small_fleet() || !self.is_hub(now) {
+            return BTreeSet::new();
+        }
+        let is_for_hub = *peer_dc != self.identity.dc && self.hub(peer_dc, now) == Some(peer);
+        let is_added = |view: &&MemberView| {
+            let is_own = view.is_direct && view.heartbeat.dc == self.identity.dc;
+            view.heartbeat.node != *peer && (is_own || !is_for_hub)
+        };
+        self.members.alive(now).filter(is_added).map(|view| &view.heartbeat.node).collect()
+    }
+
+    /// Work in flight that this node tells a peer between heartbeats: its own, and that of those it speaks for.
+    #[must_use]
+    pub fn work_for(&self, peer: &NodeName, peer_dc: &DcName, now: Moment) -> Vec<TargetLoad> {
+        let added = self.targets.loads_of(&self.spoken_for(peer, peer_dc, now));
+        sum_loads(self.targets.own_loads().iter().chain(&added))
+    }
+
+    /// Takes in what a peer tells of work between heartbeats.
+    pub fn learn_work(&mut self, peer: &NodeName, loads: Vec<TargetLoad>, now: Moment) {
+        if self.work_sources(now).contains(peer) {
+            self.targets.learn_loads(peer, loads);
         }
     }
 
--- a/crates/core/tests/relay/fleet.rs
+++ b/crates/core/tests/relay/fleet.rs
@@ -4,8 +4,9 @@
 
 use wasabipier_core::blackboard::Identity;
 use wasabipier_core::message::NodeState;
-use wasabipier_core::names::{DcName, NodeName, TargetName};
+use wasabipier_core::names::{DcName, NodeName, ServiceName, TargetName};
 use wasabipier_core::relay::board::{RelayBoard, RelayTuning};
+use wasabipier_core::relay::choice::{CallWish, PromptPart, PromptSpec};
 use wasabipier_core::relay::fleet::{FleetPartners, SMALL_FLEET};
 use wasabipier_core::relay::rows::{RowBatch, SharedTable};
 
@@ -86,6 +87,16 @@
         self.now += PAUSE;
     }
 
+    /// Two nodes tell each other of work between heartbeats.
+    fn exchange_work(&mut self, one: &NodeName, other: &NodeName) {
+        let now = at(self.now);
+        for (from, to) in [(one, other), (other, one)] {
+            let to_dc = self.boards[to].identity.dc.clone();
+            let work = self.boards[from].work_for(to, &to_dc, now);
+            self.boards.get_mut(to).expect("the peer is of this fleet").learn_work(from, work, now);
+        }
+    }
+
     fn run(&mut self, steps: usize) {
         for _ in 0..steps {
             self.step();
@@ -198,3 +209,53 @@
     assert!(fleet.live().all(|(_, board)| board.partners(now) == FleetPartners::All));
     assert!(fleet.live().all(|(_, board)| board.reads_store(SharedTable::Orders, now)));
 }
+
+/// Pattern: a burst of long prompts that nothing ties to an engine; nodes that see the same idle engine all take it.
+#[test]
+fn long_prompts_of_many_nodes_do_not_pile_up_on_one_engine() {
+    const ENGINES: usize = 140;
+    /// Prompts that are placed between two exchanges of the hubs.
+    const BETWEEN_HUBS: usize = 8;
+    let mut fleet = Fleet::new(61);
+    fleet.run(8);
+    let service = ServiceName::new("coachmodel");
+    for board in fleet.boards.values_mut() {
+        for engine in 0..ENGINES {
+            board.upsert_target(entry(&format!("engine-{engine}"), "coachmodel", DCS[engine % DCS.len()]), at(0));
+        }
+    }
+
+    let mut placed: BTreeMap<TargetName, usize> = BTreeMap::new();
+    let names: Vec<NodeName> = fleet.boards.keys().cloned().collect();
+    for (number, name) in names.iter().chain(&names).enumerate() {
+        let now = at(fleet.now);
+        let hub = match fleet.boards[name].partners(now) {
+            FleetPartners::Some(partners) if !fleet.boards[name].is_hub(now) => partners.first().cloned(),
+            _ => None,
+        };
+        if let Some(hub) = &hub {
+            fleet.exchange_work(name, hub);
+        }
+        let prompt = PromptSpec { parts: vec![PromptPart { id: number as u64, tokens: 13_000 }] };
+        let inputs = BTreeMap::new();
+        let wish = CallWish { service: &service, avoid: &[], prompt: Some(&prompt), inputs: &inputs };
+        let board = fleet.boards.get_mut(name).expect("it is of this fleet");
+        let target = board.choose(&wish, now).expect("engines are free").target;
+        board.targets.start_call(&target, 13_000, now);
+        *placed.entry(target).or_default() += 1;
+        if let Some(hub) = &hub {
+            fleet.exchange_work(name, hub);
+        }
+        if number % BETWEEN_HUBS == 0 {
+            let hubs = fleet.hubs();
+            for (one, other) in [(0, 1), (0, 2), (1, 2)] {
+                fleet.exchange_work(&hubs[one], &hubs[other]);
+            }
+        }
+    }
+
+    // 122 prompts before 140 engines: those that other hubs had not told of yet may meet.
+    let worst = placed.values().max().copied().unwrap_or_default();
+    assert!(worst <= DCS.len(), "{worst} prompts at one engine");
+    assert!(placed.len() >= 75, "{} engines used", placed.len());
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -34,3 +34,4 @@
 mod announce;
 mod peers;
 mod store;
+mod work;
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -29,6 +29,7 @@
 use crate::sockets;
 use crate::state::{RelayNode, SharedNode};
 use crate::store;
+use crate::work;
 
 /// Interval at which a stopping node looks whether all requests have ended.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
@@ -103,6 +104,7 @@
     spawn_local(store::follow(node.clone(), SharedTable::Targets));
     spawn_local(announce::announce(node.clone()));
     spawn_local(announce::run(node.clone()));
+    spawn_local(work::run(node.clone()));
     spawn_local(gather::run(node.clone()));
     spawn_local(control::run(node.clone()));
     watch_settings(&node, source, &mut terminate, &mut reload).await;
@@ -123,6 +125,7 @@
         asking: RefCell::default(),
         open: Cell::new(0),
         heartbeat_now: Notify::new(),
+        work_news: Notify::new(),
         pace: LinePace::default(),
         metrics: metering::install()?,
     }))
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -30,6 +30,7 @@
 use crate::sockets;
 use crate::state::SharedNode;
 use crate::store;
+use crate::work;
 
 /// Time for a connection to a peer.
 const CONNECT_WITHIN: Duration = Duration::from_millis(400);
@@ -186,6 +187,7 @@
             store::follow_proofs(node, address, &proofs, None);
             heartbeat_reply(node, &peer, &dc)
         }
+        WireCall::Work(work) => WireReply::Work(work::answer(node, work)),
         WireCall::Rows { table, have } => rows_reply(node, table, have),
         WireCall::Pieces { service, jobs } => {
             let jobs: Vec<PieceJob> = jobs.into_iter().flat_map(|jobs| jobs_from_wire(jobs, now)).collect();
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -28,6 +28,7 @@
 use crate::prepare::{PreparedInputs, StageRun};
 use crate::state::{OpenRequest, SharedNode};
 use crate::stream::{OpenStream, StreamPart};
+use crate::work;
 
 /// Tokens of a prompt that other nodes are told of at once: it keeps its engine busy for longer than a heartbeat's pause
 /// lets them see.
@@ -247,10 +248,16 @@
 
     /// Sends the request to one target.
     async fn attempt(&mut self, last_event: Option<u64>) -> Result<RunEnd, FailedAttempt> {
+        if self.head.prompt.is_some() {
+            work::ask(&self.node).await;
+        }
         let Some(entry) = self.choose() else { return Err(AttemptEnd::NotRun.into()) };
         self.avoid.push(entry.target.clone());
         let tokens = self.note_prompt(&entry);
         let mut guard = CallGuard::new(&self.node, &entry, tokens);
+        if tokens > 0 {
+            work::tell(&self.node);
+        }
         let patience = self.patience(&entry, tokens);
         self.is_sent = true;
         let outcome = match patience {
@@ -288,7 +295,7 @@
             let kept = board.prompts.kept_tokens(prompt, &chain_keys(prompt), &entry.target, now);
             board.prompts.note(prompt, &entry.target, now);
             unread = prompt.tokens().saturating_sub(kept);
-            if unread >= LONG_PROMPT_TOKENS {
+            if unread >= LONG_PROMPT_TOKENS && board.is_small_fleet() {
                 self.node.heartbeat_now.notify_one();
             }
         }
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -42,6 +42,8 @@
     pub open: Cell<usize>,
     /// Told when heartbeats shall leave at once.
     pub heartbeat_now: Notify,
+    /// Told when work in flight has changed that peers should know of.
+    pub work_news: Notify,
     /// Bounds the lines about requests.
     pub pace: LinePace,
     /// Renders the metrics.
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -42,6 +42,28 @@
 /// A target and keys of prompts.
 type WirePrompt = (String, Vec<u64>);
 
+/// Work in flight of a node and of those that it speaks for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WireWork {
+    node: String,
+    dc: String,
+    loads: Vec<WireLoad>,
+}
+
+impl WireWork {
+    /// Work that `node` in `dc` tells.
+    #[must_use]
+    pub fn new(node: &NodeName, dc: &DcName, loads: &[TargetLoad]) -> Self {
+        Self { node: node.to_string(), dc: dc.to_string(), loads: loads_to_wire(loads) }
+    }
+
+    /// Who told it, the data centre, and the work.
+    #[must_use]
+    pub fn read(self) -> (NodeName, DcName, Vec<TargetLoad>) {
+        (NodeName::new(self.node), DcName::new(self.dc), loads_from_wire(self.loads))
+    }
+}
+
 /// What a hub tells of other nodes.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WireNews {
@@ -89,6 +111,8 @@
 pub enum WireCall {
     /// Tells how it is and, if it is a hub, how others are, and asks the same.
     Heartbeat(Box<WireHeartbeat>, WireNews),
+    /// Tells work in flight, and asks the same.
+    Work(WireWork),
     /// Asks for a shared table, if the peer's copy is newer than this version.
     Rows {
         /// The table.
@@ -124,6 +148,8 @@
 pub enum WireReply {
     /// How the peer is, addresses of the nodes that it knows, and how these are in a large fleet.
     Heartbeat(Box<WireHeartbeat>, Vec<SocketAddr>, WireNews),
+    /// Work in flight as the peer knows it.
+    Work(WireWork),
     /// A shared table as the peer has it, and its age in milliseconds.
     Rows {
         /// Rows that changed since the asker's version, or all.
