--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -171,7 +171,13 @@
     pub fn reads_store(&self, table: SharedTable, now: Moment) -> bool {
         let asked = self.copies.get(&table).and_then(TableCopy::asked);
         let is_old = asked.is_none_or(|asked| now.since(asked) >= self.tuning.own_read_after);
-        is_old || self.state == NodeState::Starting || self.is_small_fleet() || self.is_hub(now)
+        is_old || self.state == NodeState::Starting || self.is_reader(now)
+    }
+
+    /// Whether this node reads the store for itself and others at all times.
+    #[must_use]
+    pub fn is_reader(&self, now: Moment) -> bool {
+        self.is_small_fleet() || self.is_hub(now)
     }
 }
 
--- a/crates/core/src/relay/rows.rs
+++ b/crates/core/src/relay/rows.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use crate::clock::Moment;
 
@@ -37,6 +38,14 @@
     pub whole: bool,
 }
 
+/// For which moment an answer of the store shows the newest state: when it was asked for, or when a call that was
+/// held for `wait` without a change came to its end at the store, which is at least that long after.
+#[must_use]
+pub fn proven_at(batch: &RowBatch, asked: Moment, wait: Duration, answered: Moment) -> Moment {
+    let is_held_out = !batch.whole && batch.rows.is_empty() && answered.since(asked) >= wait;
+    if is_held_out { asked + wait } else { asked }
+}
+
 /// A copy of one table.
 #[derive(Clone, Debug, Default)]
 pub struct TableCopy {
--- a/crates/core/tests/relay/rows.rs
+++ b/crates/core/tests/relay/rows.rs
@@ -4,9 +4,9 @@
 use std::sync::Arc;
 
 use proptest::prelude::*;
-use wasabipier_core::relay::rows::{RowBatch, SharedRow, TableCopy};
+use wasabipier_core::relay::rows::{RowBatch, SharedRow, TableCopy, proven_at};
 
-use crate::fixtures::{at, config};
+use crate::fixtures::{at, config, millis};
 
 /// States of a table, one for each version.
 fn states(writes: &[(u8, bool)]) -> Vec<BTreeMap<u8, u64>> {
@@ -118,3 +118,18 @@
     copy.apply(&RowBatch { rows: Vec::new(), version: 5, whole: false }, at(300));
     assert_eq!(copy.asked(), Some(at(700)), "the age does not grow by an older question");
 }
+
+/// Pattern: the store is away; how long keys are still accepted counts from the last proof.
+#[test]
+fn a_call_that_was_held_without_a_change_proves_the_time_for_which_it_was_held() {
+    let wait = millis(1_500);
+    let none = RowBatch { rows: Vec::new(), version: 5, whole: false };
+    let some = RowBatch { rows: vec![row(1, 5, true)], ..none.clone() };
+    let whole = RowBatch { whole: true, ..none.clone() };
+
+    assert_eq!(proven_at(&none, at(100), wait, at(1_604)), at(1_600));
+    assert_eq!(proven_at(&none, at(100), wait, at(9_000)), at(1_600), "its answer may have been under way for long");
+    assert_eq!(proven_at(&none, at(100), wait, at(1_599)), at(100), "it was not held to the end");
+    assert_eq!(proven_at(&some, at(100), wait, at(1_604)), at(100));
+    assert_eq!(proven_at(&whole, at(100), wait, at(1_604)), at(100));
+}
--- a/crates/relay/src/announce.rs
+++ b/crates/relay/src/announce.rs
@@ -1,7 +1,7 @@
 //! Finds peers, and exchanges heartbeats with them.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -59,10 +59,10 @@
         }
     }
 
-    fn take_due(&self, is_wanted: impl Fn(&SocketAddr) -> bool, now: Moment) -> Vec<SocketAddr> {
+    fn take_due(&self, wanted: Option<&BTreeSet<SocketAddr>>, now: Moment) -> Vec<SocketAddr> {
         let mut contacts = self.contacts.borrow_mut();
         let due = contacts.iter_mut().filter(|(_, state)| !state.is_asked && state.next <= now);
-        let due = due.filter(|(address, _)| is_wanted(address));
+        let due = due.filter(|(address, _)| wanted.is_none_or(|wanted| wanted.contains(address)));
         due.map(|(address, state)| {
             state.is_asked = true;
             *address
@@ -95,34 +95,15 @@
 /// Exchanges heartbeats until the node ends.
 pub async fn run(node: SharedNode) {
     let own = node.addresses.peers;
-    let mut looked = None;
+    let mut looked = Moment::default();
     loop {
         for seed in &node.addresses.seeds {
             node.contacts.add(own, *seed);
         }
         let now = clock::now();
         let partners = partners(&node, now);
-        let mut is_new = partners.is_none() && node.contacts.len() > SMALL_FLEET;
-        if let Some(partners) = &partners {
-            for address in partners {
-                node.contacts.add(own, *address);
-            }
-            is_new = partners.is_empty();
-        }
-        // Besides its partners a node calls some others at times: nodes that lost each other meet again.
-        let is_look = is_new || looked.is_none_or(|at| now.since(at) >= OTHERS_EVERY);
-        let mut others = Vec::new();
-        if is_look {
-            looked = Some(now);
-            others = node.contacts.any(OTHERS);
-            others.extend(node.addresses.seeds.iter().filter(|_| is_new));
-        }
-        let is_small = node.contacts.len() <= SMALL_FLEET;
-        let is_wanted = |address: &SocketAddr| match &partners {
-            None => is_small || others.contains(address),
-            Some(partners) => partners.contains(address) || others.contains(address),
-        };
-        for address in node.contacts.take_due(is_wanted, now) {
+        let wanted = wanted_contacts(&node, partners.as_deref(), &mut looked, now);
+        for address in node.contacts.take_due(wanted.as_ref(), now) {
             spawn_local(heartbeat(node.clone(), address));
         }
         store::ask_peers(&node);
@@ -137,6 +118,32 @@
     }
 }
 
+/// Addresses to call in this round; none: all. In a large fleet these are the partners, and at times some others, so
+/// that nodes that lost each other meet again. A node that knows no partner yet asks seeds and others each round.
+fn wanted_contacts(
+    node: &SharedNode,
+    partners: Option<&[SocketAddr]>,
+    looked: &mut Moment,
+    now: Moment,
+) -> Option<BTreeSet<SocketAddr>> {
+    if partners.is_none() && node.contacts.len() <= SMALL_FLEET {
+        return None;
+    }
+    let partners = partners.unwrap_or_default();
+    for address in partners {
+        node.contacts.add(node.addresses.peers, *address);
+    }
+    let mut wanted: BTreeSet<SocketAddr> = partners.iter().copied().collect();
+    if partners.is_empty() {
+        wanted.extend(&node.addresses.seeds);
+    }
+    if partners.is_empty() || now.since(*looked) >= OTHERS_EVERY {
+        *looked = now;
+        wanted.extend(node.contacts.any(OTHERS));
+    }
+    Some(wanted)
+}
+
 /// Addresses of the nodes that this one exchanges heartbeats with; none: all.
 fn partners(node: &SharedNode, now: Moment) -> Option<Vec<SocketAddr>> {
     let board = node.board.borrow();
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -16,7 +16,7 @@
 use wasabipier_core::message::NodeState;
 use wasabipier_core::relay::board::OrderChange;
 use wasabipier_core::relay::members::TableProof;
-use wasabipier_core::relay::rows::{RowBatch, SharedRow, SharedTable, TableCopy};
+use wasabipier_core::relay::rows::{RowBatch, SharedRow, SharedTable, TableCopy, proven_at};
 use wasabipier_wire::relay::{WireCall, WireReply, batch, table_number};
 
 use crate::announce;
@@ -35,7 +35,9 @@
 /// Interval at which a node that does not read the store looks whether it has to.
 const LOOK_AGAIN: Duration = Duration::from_millis(100);
 /// Part of the age at which others read the store themselves for which a hub's call is held.
-const HUB_WAIT_PART: u32 = 4;
+const HUB_WAIT_PART: u32 = 2;
+/// Multiple of the longest pause that nodes with a hub may take: the hub tells them when the store is back.
+const FOLLOWERS_WAIT: u32 = 3;
 /// Time for a connection to the store.
 const CONNECT_WITHIN: Duration = Duration::from_millis(500);
 /// Time for a peer to hand its copy over.
@@ -129,15 +131,20 @@
             continue;
         }
         let asked = clock::now();
-        let read =
-            if whole { read_whole(&node, &mut link, table).await } else { read_changes(&node, &mut link, table).await };
+        let wait = if whole { Duration::ZERO } else { held_for(&node) };
+        let read = if whole {
+            read_whole(&node, &mut link, table).await
+        } else {
+            read_changes(&node, &mut link, table, wait).await
+        };
         match read {
             Ok(batch) => {
+                let proven = proven_at(&batch, asked, wait, clock::now());
                 if std::mem::take(&mut is_lost) {
                     info!("{STORE} the store answers again.", kv: { table = table.to_string().as_str() });
                 }
                 node.board.borrow_mut().note_store_answer(clock::now());
-                apply(&node, table, &batch, asked, "store");
+                apply(&node, table, &batch, proven, "store");
                 (whole, pause) = (false, FIRST_PAUSE);
                 // Changes that come close together are read in one call.
                 sleep(BETWEEN_CALLS.saturating_sub(clock::now().since(asked))).await;
@@ -153,7 +160,8 @@
                 }
                 node.board.borrow_mut().note_store_out();
                 sleep(pause.mul_f64(0.5 + 0.5 * fastrand::f64())).await;
-                pause = (pause * 2).min(LONGEST_PAUSE);
+                let has_hub = !node.board.borrow().is_reader(clock::now());
+                pause = (pause * 2).min(if has_hub { LONGEST_PAUSE * FOLLOWERS_WAIT } else { LONGEST_PAUSE });
             }
         }
     }
@@ -178,20 +186,26 @@
     }
 }
 
-async fn read_changes(node: &SharedNode, link: &mut StoreLink, table: SharedTable) -> Result<RowBatch, StoreError> {
-    let (after, wait) = {
-        let board = node.board.borrow();
-        // Others depend on a hub's copies, which are as old as its last call was held.
-        let hub_wait = board.tuning.own_read_after / HUB_WAIT_PART;
-        let wait = if board.is_small_fleet() { node.times.store_wait } else { node.times.store_wait.min(hub_wait) };
-        (board.copies.get(&table).map_or(0, TableCopy::version), wait)
-    };
+/// Time for which the store may hold a call: others depend on a hub's copies, which get as old as its last call.
+fn held_for(node: &SharedNode) -> Duration {
+    let board = node.board.borrow();
+    let hub_wait = board.tuning.own_read_after / HUB_WAIT_PART;
+    if board.is_small_fleet() { node.times.store_wait } else { node.times.store_wait.min(hub_wait) }
+}
+
+async fn read_changes(
+    node: &SharedNode,
+    link: &mut StoreLink,
+    table: SharedTable,
+    wait: Duration,
+) -> Result<RowBatch, StoreError> {
+    let after = node.board.borrow().copies.get(&table).map_or(0, TableCopy::version);
     let request = node.port.changes_request(table, after, wait);
     let (status, body) = link.call(request, wait + node.times.store_slack).await?;
     Ok(node.port.read_rows(status, &body, false)?.batch)
 }
 
-/// Takes rows in that were asked for at `asked`.
+/// Takes rows in that were the newest at `asked`.
 fn apply(node: &SharedNode, table: SharedTable, batch: &RowBatch, asked: Moment, source: &str) {
     let changed = node.board.borrow_mut().copies.entry(table).or_default().apply(batch, asked);
     for row in &changed {
