Keep counting a node as alive that was called once

Cause: every 3 s a node of a large fleet calls two others than its hub. Their next heartbeats came by way of hubs and were passed over while the direct one was fresh (1.8 s); the first that counted came up to a second after that had run out. Meanwhile the node seemed gone: requests that waited for pieces at it asked the next gatherer, and two gathered one service.

Ruled out: slow gatherers (their calls were answered in 2 ms by others), links (no heartbeat failed).

Change: news by way of hubs counts when it is newer than what was heard; when a node was heard directly is kept beside. Also: a node with a hub looks at the announced addresses every 80 s instead of 20 s. Test that failed first: `a_node_that_was_called_once_is_not_missed_when_it_is_not_called_again`.

--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -11,7 +11,7 @@
 use crate::message::NodeState;
 use crate::names::{DcName, NodeName, TargetName};
 use crate::relay::board::RelayBoard;
-use crate::relay::members::{MemberBook, MemberView, RelayHeartbeat, TargetLoad, rendezvous};
+use crate::relay::members::{MemberView, RelayHeartbeat, TargetLoad, rendezvous};
 use crate::relay::prompts::PromptNews;
 use crate::relay::rows::{SharedTable, TableCopy};
 
@@ -116,7 +116,7 @@
         }
         let is_for_hub = *peer_dc != self.identity.dc && self.hub(peer_dc, now) == Some(peer);
         let is_added = |view: &&MemberView| {
-            let is_own = view.is_direct && view.heartbeat.dc == self.identity.dc;
+            let is_own = view.is_heard_directly(now) && view.heartbeat.dc == self.identity.dc;
             view.heartbeat.node != *peer && (is_own || !is_for_hub)
         };
         self.members.alive(now).filter(is_added).map(|view| &view.heartbeat.node).collect()
@@ -139,8 +139,7 @@
     /// Peers whose heartbeats tell work that no other peer's heartbeats tell here.
     #[must_use]
     pub fn work_sources(&self, now: Moment) -> BTreeSet<NodeName> {
-        let peers =
-            self.members.known().filter(|view| view.is_direct && now.since(view.heard) < MemberBook::GONE_AFTER);
+        let peers = self.members.known().filter(|view| view.is_heard_directly(now));
         if self.is_small_fleet() {
             return peers.map(|view| view.heartbeat.node.clone()).collect();
         }
@@ -162,8 +161,8 @@
         if self.is_small_fleet() || !self.is_hub(now) {
             return Vec::new();
         }
-        let direct = self.members.alive(now).filter(|view| view.is_direct && view.heartbeat.dc == self.identity.dc);
-        direct.map(|view| view.heartbeat.node.clone()).collect()
+        let is_follower = |view: &&MemberView| view.is_heard_directly(now) && view.heartbeat.dc == self.identity.dc;
+        self.members.alive(now).filter(is_follower).map(|view| view.heartbeat.node.clone()).collect()
     }
 
     /// Whether this node reads a table from the store: in a large fleet hubs do, and whoever gets it from no hub.
--- a/crates/core/src/relay/members.rs
+++ b/crates/core/src/relay/members.rs
@@ -74,6 +74,8 @@
     pub heard: Moment,
     /// Whether it came from the node itself; otherwise a hub told it.
     pub is_direct: bool,
+    /// When the last one came from the node itself.
+    pub heard_directly: Option<Moment>,
     /// When it did not answer a call; it counts as gone until it is heard of again.
     pub suspected: Option<Moment>,
 }
@@ -87,6 +89,12 @@
         (self.suspected.is_none() || !self.is_direct) && now.since(self.heard) < gone_after
     }
 
+    /// Whether it exchanges heartbeats with this node.
+    #[must_use]
+    pub fn is_heard_directly(&self, now: Moment) -> bool {
+        self.heard_directly.is_some_and(|at| now.since(at) < MemberBook::GONE_AFTER)
+    }
+
     /// Whether it lives and answers this node.
     #[must_use]
     pub fn is_reachable(&self, now: Moment) -> bool {
@@ -122,7 +130,7 @@
             return false;
         }
         let is_new = known.is_none_or(|view| view.heartbeat.instance != heartbeat.instance);
-        let view = MemberView { heartbeat, heard: now, is_direct: true, suspected: None };
+        let view = MemberView { heartbeat, heard: now, is_direct: true, heard_directly: Some(now), suspected: None };
         self.peers.insert(view.heartbeat.node.clone(), view);
         self.most_alive = self.most_alive.max(self.alive(now).count() + 1);
         is_new
@@ -138,12 +146,13 @@
 
     fn hear_relayed(&mut self, heartbeat: &RelayHeartbeat, heard: Moment) {
         let known = self.peers.get(&heartbeat.node);
-        if known.is_some_and(|view| view.heard >= heard || (view.is_direct && view.is_alive(heard))) {
+        if known.is_some_and(|view| view.heard >= heard) {
             return;
         }
+        let heard_directly = known.and_then(|view| view.heard_directly);
         let suspected = known.and_then(|view| view.suspected);
         let suspected = suspected.filter(|since| heard.since(*since) < Self::SUSPECTED_FOR);
-        let view = MemberView { heartbeat: heartbeat.clone(), heard, is_direct: false, suspected };
+        let view = MemberView { heartbeat: heartbeat.clone(), heard, is_direct: false, heard_directly, suspected };
         self.peers.insert(heartbeat.node.clone(), view);
     }
 
--- a/crates/core/tests/relay/fleet.rs
+++ b/crates/core/tests/relay/fleet.rs
@@ -162,6 +162,23 @@
     }
 }
 
+/// Pattern: nodes of a large fleet call some others at times; a gatherer that was called must not seem gone after.
+#[test]
+fn a_node_that_was_called_once_is_not_missed_when_it_is_not_called_again() {
+    let mut fleet = Fleet::new(61);
+    fleet.run(8);
+    let (asker, peer) = (NodeName::new("edge-030"), NodeName::new("edge-001"));
+
+    fleet.call(&asker, &peer);
+
+    for step in 0..12 {
+        fleet.step();
+        let now = at(fleet.now);
+        let view = fleet.boards[&asker].members.get(&peer).expect("it is known");
+        assert!(view.is_reachable(now), "{step} steps after the call it seems gone");
+    }
+}
+
 /// Pattern: the load of 61 nodes at one target is what each of them adds, counted once.
 #[test]
 fn loads_are_counted_once_whatever_way_they_come() {
--- a/crates/relay/src/announce.rs
+++ b/crates/relay/src/announce.rs
@@ -37,6 +37,8 @@
 const ANNOUNCE_AGAIN: Duration = Duration::from_millis(500);
 /// Pause between two looks at what others announced: nodes that were cut off at their start are found by it.
 const LOOK_AGAIN: Duration = Duration::from_secs(20);
+/// Multiple of that pause for a node with a hub.
+const FOLLOWERS_LOOK: u32 = 4;
 
 /// How it goes with an address.
 #[derive(Clone, Copy, Debug, Default)]
@@ -233,7 +235,13 @@
             }
             node.heartbeat_now.notify_one();
         }
-        let pause = if is_announced && seen.is_ok() { LOOK_AGAIN } else { ANNOUNCE_AGAIN };
+        let is_reader = node.board.borrow().is_reader(clock::now());
+        let pause = match is_announced && seen.is_ok() {
+            false => ANNOUNCE_AGAIN,
+            true if is_reader => LOOK_AGAIN,
+            // Its hub tells it of others.
+            true => LOOK_AGAIN * FOLLOWERS_LOOK,
+        };
         sleep(pause.mul_f64(0.75 + 0.5 * fastrand::f64())).await;
     }
 }
