--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -35,7 +35,7 @@
     /// With every node that it knows.
     All,
     /// With these.
-    Some(Vec<NodeName>),
+    Only(Vec<NodeName>),
 }
 
 impl RelayBoard {
@@ -80,10 +80,10 @@
         }
         let own = &self.identity.node;
         if !self.is_hub(now) {
-            return FleetPartners::Some(self.hub(&self.identity.dc, now).cloned().into_iter().collect());
+            return FleetPartners::Only(self.hub(&self.identity.dc, now).cloned().into_iter().collect());
         }
         let hubs = self.dcs().into_iter().filter_map(|dc| self.hub(&dc, now).cloned());
-        FleetPartners::Some(hubs.filter(|node| node != own).collect())
+        FleetPartners::Only(hubs.filter(|node| node != own).collect())
     }
 
     fn dcs(&self) -> Vec<DcName> {
@@ -139,13 +139,13 @@
     /// Peers whose heartbeats tell work that no other peer's heartbeats tell here.
     #[must_use]
     pub fn work_sources(&self, now: Moment) -> BTreeSet<NodeName> {
-        let peers = self.members.known().filter(|view| view.is_heard_directly(now));
-        if self.is_small_fleet() {
-            return peers.map(|view| view.heartbeat.node.clone()).collect();
+        match self.partners(now) {
+            FleetPartners::All => {
+                let peers = self.members.known().filter(|view| view.is_heard_directly(now));
+                peers.map(|view| view.heartbeat.node.clone()).collect()
+            }
+            FleetPartners::Only(partners) => self.followers(now).into_iter().chain(partners).collect(),
         }
-        let FleetPartners::Some(partners) = self.partners(now) else { return BTreeSet::new() };
-        let followers = self.followers(now).into_iter();
-        followers.chain(partners).collect()
     }
 
     /// What this node tells a peer that it calls: only hubs know more than their peers.
--- a/crates/core/tests/relay/fleet.rs
+++ b/crates/core/tests/relay/fleet.rs
@@ -72,7 +72,7 @@
         let names: Vec<NodeName> = self.boards.keys().filter(|name| !self.down.contains(*name)).cloned().collect();
         for name in &names {
             let partners = match self.boards[name].partners(at(self.now)) {
-                FleetPartners::Some(partners) if !partners.is_empty() => partners,
+                FleetPartners::Only(partners) if !partners.is_empty() => partners,
                 _ => names.iter().take(3).filter(|other| *other != name).cloned().collect(),
             };
             for partner in partners {
@@ -247,7 +247,7 @@
     for (number, name) in names.iter().chain(&names).enumerate() {
         let now = at(fleet.now);
         let hub = match fleet.boards[name].partners(now) {
-            FleetPartners::Some(partners) if !fleet.boards[name].is_hub(now) => partners.first().cloned(),
+            FleetPartners::Only(partners) if !fleet.boards[name].is_hub(now) => partners.first().cloned(),
             _ => None,
         };
         if let Some(hub) = &hub {
--- a/crates/relay/src/announce.rs
+++ b/crates/relay/src/announce.rs
@@ -9,6 +9,7 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 use wasabipier_core::clock::Moment;
+use wasabipier_core::names::NodeName;
 use wasabipier_core::relay::fleet::{FleetPartners, SMALL_FLEET};
 use wasabipier_core::relay::members::RelayHeartbeat;
 use wasabipier_wire::relay::{WireCall, WireReply};
@@ -98,11 +99,13 @@
 pub async fn run(node: SharedNode) {
     let own = node.addresses.peers;
     let mut looked = Moment::default();
+    let mut hub = None;
     loop {
         for seed in &node.addresses.seeds {
             node.contacts.add(own, *seed);
         }
         let now = clock::now();
+        note_hub(&node, &mut hub, now);
         let partners = partners(&node, now);
         let wanted = wanted_contacts(&node, partners.as_deref(), &mut looked, now);
         for address in node.contacts.take_due(wanted.as_ref(), now) {
@@ -120,6 +123,18 @@
     }
 }
 
+/// Logs which node is the hub of this data centre, when that changes.
+fn note_hub(node: &SharedNode, known: &mut Option<NodeName>, now: Moment) {
+    let board = node.board.borrow();
+    let hub = (!board.is_small_fleet()).then(|| board.hub(&board.identity.dc, now).cloned()).flatten();
+    if *known != hub {
+        let name = hub.as_ref().map_or("none", |hub| hub.as_str());
+        let (is_own, alive) = (board.is_reader(now), board.members.alive(now).count());
+        info!("{PEERS} the hub of this data centre changed.", kv: { hub = name, is_own, alive });
+        *known = hub;
+    }
+}
+
 /// Addresses to call in this round; none: all. In a large fleet these are the partners, and at times some others, so
 /// that nodes that lost each other meet again. A node that knows no partner yet asks seeds and others each round.
 fn wanted_contacts(
@@ -149,7 +164,7 @@
 /// Addresses of the nodes that this one exchanges heartbeats with; none: all.
 fn partners(node: &SharedNode, now: Moment) -> Option<Vec<SocketAddr>> {
     let board = node.board.borrow();
-    let FleetPartners::Some(names) = board.partners(now) else { return None };
+    let FleetPartners::Only(names) = board.partners(now) else { return None };
     let views = names.iter().filter_map(|name| board.members.get(name));
     Some(views.map(|view| view.heartbeat.peer_address).collect())
 }
--- a/crates/relay/src/work.rs
+++ b/crates/relay/src/work.rs
@@ -56,7 +56,7 @@
 
 fn partners(node: &SharedNode) -> Vec<(NodeName, DcName, SocketAddr)> {
     let board = node.board.borrow();
-    let FleetPartners::Some(names) = board.partners(clock::now()) else { return Vec::new() };
+    let FleetPartners::Only(names) = board.partners(clock::now()) else { return Vec::new() };
     let views = names.iter().filter_map(|name| board.members.get(name));
     views.map(|view| (view.heartbeat.node.clone(), view.heartbeat.dc.clone(), view.heartbeat.peer_address)).collect()
 }
