Count the store as answering while a hub brings its tables

Cause, found in reading: a node with a hub whose own call failed once did not call the store again while its hub brought the tables, so it went on taking the store for out, and every entry that vanished got work for 1.9 s more.

Change: a hub's recent proof counts as an answer. Test: `a_store_that_a_hub_reaches_is_not_out_for_its_followers` (written with the change, not run before it).

--- a/crates/core/src/relay/board.rs
+++ b/crates/core/src/relay/board.rs
@@ -269,6 +269,14 @@
         }
     }
 
+    /// Notes that a peer showed a state of the store that was the newest at `proven`: if that is recent, the store
+    /// answers, though not this node.
+    pub fn note_store_proof(&mut self, proven: Moment, now: Moment) {
+        if now.since(proven) < self.tuning.own_read_after {
+            self.note_store_answer(now);
+        }
+    }
+
     /// Takes a target's entry in.
     pub fn upsert_target(&mut self, entry: TargetEntry, now: Moment) {
         let target = entry.target.clone();
--- a/crates/core/tests/relay/choice.rs
+++ b/crates/core/tests/relay/choice.rs
@@ -156,3 +156,17 @@
 
     assert_eq!(board.targets.get(&TargetName::new("i-1")).map(TargetView::load), Some(0));
 }
+
+/// Pattern: a node whose own call to the store failed once, and that gets the tables from its hub since.
+#[test]
+fn a_store_that_a_hub_reaches_is_not_out_for_its_followers() {
+    let mut board = board("edge-1");
+    board.upsert_target(entry("i-a", "coachmodel", "khomas-a"), at(0));
+    board.note_store_out();
+
+    board.note_store_proof(at(0), at(1_000));
+    board.vanish_target(&TargetName::new("i-a"), at(9_000));
+    board.sweep(at(9_000));
+
+    assert_eq!(choose(&mut board, None, &[], 9_000), None, "it left; its entry does not come back");
+}
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -302,7 +302,10 @@
                 });
             }
         } else if let Some(asked) = asked {
-            copy.confirm(proof.version, proof.changed, asked - Duration::from_millis(u64::from(proof.age_ms)));
+            let proven = asked - Duration::from_millis(u64::from(proof.age_ms));
+            if copy.confirm(proof.version, proof.changed, proven) {
+                board.note_store_proof(proven, now);
+            }
         }
     }
 }
