Log the size of orders, and which peer did not return its copy

The lines about copies of tables that did not arrive named neither the peer nor the time that it had, and the size of a document was in no line. With both, a transfer that is too large for its time limit shows in one node's log.

--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -171,7 +171,8 @@
             Err(error) => {
                 if !std::mem::replace(&mut is_unreachable, true) {
                     let (table, error) = (table.to_string(), error.to_string());
-                    warn!("{STORE} the store does not answer.", kv: { table = table.as_str(), error = error.as_str() });
+                    let after_ms = clock::now().since(called_at).as_millis() as u64;
+                    warn!("{STORE} the store does not answer.", kv: { table = table.as_str(), error = error.as_str(), after_ms });
                 }
                 node.board.borrow_mut().record_store_unreachable();
                 sleep(backoff.mul_f64(0.5 + 0.5 * fastrand::f64())).await;
@@ -250,6 +251,7 @@
 
 fn apply_order(node: &SharedNode, row: &SharedRow, source: &str) {
     let (key, version) = (&*row.key, row.version);
+    let bytes = row.value.as_ref().map_or(0, |value| value.len());
     match node.platform.read_order(row) {
         Ok(Some(change)) => {
             let what = match &change {
@@ -262,7 +264,7 @@
                 OrderChange::RolloutWithdrawn(service) => format!("{service} is not moved any more"),
             };
             let changed = node.board.borrow_mut().apply_order(change, clock::now());
-            info!("{STORE} order read.", kv: { key, version, source, what = what.as_str(), changed });
+            info!("{STORE} order read.", kv: { key, version, source, bytes, what = what.as_str(), changed });
         }
         Ok(None) => info!("{STORE} order does not concern this node.", kv: { key, version, source }),
         Err(fault) => {
@@ -366,8 +368,10 @@
         }
         Ok(_) => {}
         Err(error) => {
-            let (table, error) = (table.to_string(), error.to_string());
-            info!("{STORE} peer did not return its copy.", kv: { table = table.as_str(), error = error.as_str() });
+            let (table, error, peer) = (table.to_string(), error.to_string(), address.to_string());
+            let (table, error, peer) = (table.as_str(), error.as_str(), peer.as_str());
+            let after_ms = clock::now().since(called_at).as_millis() as u64;
+            info!("{STORE} peer did not return its copy.", kv: { table, peer, have, error, after_ms });
         }
     }
 }
