Transfer large tables in chunks, and wait for answers that still arrive

Cause: a copy of a table had a fixed time for the whole answer (500 ms from a peer, 800 ms beyond its wait from the store) and a frame of 4 MB, whatever its size, and what had arrived was thrown away and asked for again.

A large copy is now described by the hashes of its content-defined chunks. The receiver takes the chunks of its own copy and those of interrupted transfers, and asks for the others in parts of 64 KB, one at a time and smaller after a failure, so that each byte arrives once, a change costs its own size, and no part can be too large for a link. One transfer a table is under way. An answer of the store must begin in time, and then has as long as some of it arrives.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -4,7 +4,8 @@
 //! promote, defines its route ([`document`], [`access`]). Admission control accepts or refuses it ([`overload`], [`departure`]). Its
 //! preparation stages run ([`graph`], [`pieces`]), a target is chosen ([`targets`], [`prompts`], [`choice`]), and the
 //! answer is passed on or the request is retried ([`steps`], [`budget`], [`events`]). Content that crashes targets is
-//! refused ([`suspects`]). [`members`], [`fleet`] and [`rows`] hold what nodes know of each other and of the store.
+//! refused ([`suspects`]). [`members`], [`fleet`] and [`rows`] hold what nodes know of each other and of the store, and
+//! [`chunks`] transfers it.
 //! [`rollout`], [`rollout_board`] and [`speed`] move a service to another version. [`board`] holds the whole state of a
 //! node.
 
@@ -12,6 +13,7 @@
 pub mod board;
 pub mod budget;
 pub mod choice;
+pub mod chunks;
 pub mod departure;
 pub mod document;
 pub mod events;
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -4,6 +4,8 @@
 mod access;
 #[path = "relay/choice.rs"]
 mod choice;
+#[path = "relay/chunks.rs"]
+mod chunks;
 #[path = "relay/departure.rs"]
 mod departure;
 #[path = "relay/events.rs"]
--- a/crates/relay/src/heartbeats.rs
+++ b/crates/relay/src/heartbeats.rs
@@ -18,7 +18,8 @@
 use crate::log_prefixes::PEERS;
 use crate::peers;
 use crate::state::SharedNode;
-use crate::store::{self, StoreLink};
+use crate::store::StoreLink;
+use crate::table_transfers;
 
 /// Timeout of a heartbeat call.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -121,7 +122,7 @@
         for address in node.contacts.take_due(wanted.as_ref(), now) {
             spawn_local(send_heartbeat(node.clone(), address));
         }
-        store::request_newer_copies(&node);
+        table_transfers::request_newer_copies(&node);
         let peers = partners.map_or(node.contacts.len(), |partners| partners.len()) as u32;
         let interval = node.times.heartbeat_interval.max(INTERVAL_PER_PEER * peers);
         let min_interval = MIN_INTERVAL.max(MIN_INTERVAL_PER_PEER * peers);
@@ -197,7 +198,7 @@
             let heartbeat = RelayHeartbeat::from(*heartbeat);
             let proofs = heartbeat.proofs.clone();
             peers::handle_heartbeat(&node, heartbeat, report.into(), called_at);
-            store::handle_proofs(&node, address, &proofs, Some(called_at));
+            table_transfers::handle_proofs(&node, address, &proofs, Some(called_at));
             for other in known_addresses {
                 node.contacts.add(node.addresses.peers, other);
             }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -38,3 +38,4 @@
 mod peers;
 mod rollouts;
 mod store;
+mod table_transfers;
--- a/crates/relay/src/metering.rs
+++ b/crates/relay/src/metering.rs
@@ -69,6 +69,12 @@
     counter!("wasabipier_relay_store_calls_total", "outcome" => outcome.to_owned()).increment(1);
 }
 
+/// Counts the bytes of a large copy of a table that is complete, and those of them that peers sent.
+pub fn record_table_transfer(blob_bytes: usize, received_bytes: usize) {
+    counter!("wasabipier_relay_table_copy_bytes_total").increment(blob_bytes as u64);
+    counter!("wasabipier_relay_table_received_bytes_total").increment(received_bytes as u64);
+}
+
 /// Counts a connection that was opened to a target of `service`.
 pub fn record_connection(service: &str) {
     counter!("wasabipier_relay_connections_total", "service" => service.to_owned()).increment(1);
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -134,6 +134,8 @@
         times: settings.times,
         addresses: settings.addresses,
         pending_tables: RefCell::default(),
+        assemblies: RefCell::default(),
+        served_blobs: RefCell::default(),
         open_requests: Cell::new(0),
         stop_started: Cell::default(),
         process_end: watch::Sender::new(false),
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -22,9 +22,7 @@
 use wasabipier_core::relay::members::RelayHeartbeat;
 use wasabipier_core::relay::pieces::PieceJob;
 use wasabipier_wire::frame::{FrameError, MAX_FRAME_BYTES};
-use wasabipier_wire::relay::{
-    WireCall, WireReply, WireRow, decode, encode, jobs_from_wire, outcome_to_wire, table_from_number,
-};
+use wasabipier_wire::relay::{WireCall, WireReply, decode, encode, jobs_from_wire, outcome_to_wire};
 
 use crate::batching;
 use crate::blame;
@@ -33,7 +31,7 @@
 use crate::log_prefixes::PEERS;
 use crate::sockets;
 use crate::state::SharedNode;
-use crate::store;
+use crate::table_transfers;
 
 /// Timeout for connecting to a peer.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -195,11 +193,12 @@
             let (peer, dc, proofs) = (heartbeat.node.clone(), heartbeat.dc.clone(), heartbeat.proofs.clone());
             let address = heartbeat.peer_address;
             handle_heartbeat(node, heartbeat, report.into(), now);
-            store::handle_proofs(node, address, &proofs, None);
+            table_transfers::handle_proofs(node, address, &proofs, None);
             heartbeat_reply(node, &peer, &dc)
         }
         WireCall::Work(loads) => WireReply::Work(load_exchange::answer_exchange(node, loads)),
-        WireCall::Rows { table, have } => rows_reply(node, table, have),
+        WireCall::Rows { table, have } => table_transfers::rows_reply(node, table, have),
+        WireCall::Chunks { table, hashes } => table_transfers::chunks_reply(node, table, &hashes),
         WireCall::Pieces { service, jobs } => {
             let jobs: Vec<PieceJob> = jobs.into_iter().flat_map(|jobs| jobs_from_wire(jobs, now)).collect();
             let outcomes = batching::make_pieces_locally(node, &ServiceName::new(service), jobs).await;
@@ -248,16 +247,3 @@
     let report = board.fleet_report(peer, dc, now);
     WireReply::Heartbeat(Box::new((&board.next_heartbeat(now)).into()), known_addresses, (&report).into())
 }
-
-/// Returns the rows of a table that changed after store version `have`, as far as this node's copy shows. Returns
-/// `Done` if this node has no confirmed copy of the table.
-fn rows_reply(node: &SharedNode, table: u8, have: u64) -> WireReply {
-    let board = node.board.borrow();
-    let copy = table_from_number(table).and_then(|table| board.copies.get(&table));
-    let known = copy.and_then(|copy| Some((copy, copy.confirmed_at()?)));
-    let Some((copy, confirmed_at)) = known else { return WireReply::Done };
-    let batch = copy.changes_after(have);
-    let age_ms = clock::now().since(confirmed_at).as_millis() as u32;
-    let rows = batch.rows.iter().map(WireRow::from).collect();
-    WireReply::Rows { rows, whole: batch.whole, version: batch.version, age_ms }
-}
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -1,7 +1,7 @@
 //! State that is shared by the tasks of a node, all of which run on one thread.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -10,6 +10,7 @@
 use wasabipier_core::clock::Moment;
 use wasabipier_core::message::NodeState;
 use wasabipier_core::relay::board::RelayBoard;
+use wasabipier_core::relay::chunks::{BlobAssembly, BlobCache};
 use wasabipier_core::relay::rows::TableId;
 
 use crate::answer_memory::AnswerMemory;
@@ -43,8 +44,12 @@
     pub times: RelayTimes,
     /// Addresses that the node listens at or connects to.
     pub addresses: RelayAddresses,
-    /// Tables that are being read from a peer because its heartbeat reported changes.
+    /// Tables that are being read from a peer.
     pub pending_tables: RefCell<BTreeSet<TableId>>,
+    /// Large copies of tables that have arrived in part.
+    pub assemblies: RefCell<BTreeMap<TableId, BlobAssembly>>,
+    /// Large copies of tables that peers are reading from this node.
+    pub served_blobs: RefCell<BlobCache>,
     /// Number of callers' requests whose answer has not ended, including streams.
     pub open_requests: Cell<usize>,
     /// Time of the SIGTERM, once the node stops.
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -1,12 +1,13 @@
-//! Keeps the copies of the store's tables up to date, from the store or from a peer with newer copies.
+//! Keeps the copies of the store's tables up to date from the store.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use spdlog::{info, warn};
@@ -15,9 +16,7 @@
 use wasabipier_core::clock::Moment;
 use wasabipier_core::message::NodeState;
 use wasabipier_core::relay::board::OrderChange;
-use wasabipier_core::relay::members::TableProof;
 use wasabipier_core::relay::rows::{RowBatch, SharedRow, TableCopy, TableId, proven_at};
-use wasabipier_wire::relay::{WireCall, WireReply, row_batch_from_wire, table_number};
 
 use crate::clock;
 use crate::heartbeats;
@@ -43,12 +42,10 @@
 const FOLLOWER_BACKOFF_FACTOR: u32 = 3;
 /// Timeout for connecting to the store.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Timeout of the call that reads a peer's copy.
-const PEER_TIMEOUT: Duration = Duration::from_millis(500);
-/// Age of this node's copy at which a peer is asked for a newer one. It is more than the usual age.
-const PEER_READ_MIN_AGE: Duration = Duration::from_secs(2);
-/// Minimum difference in age between this node's copy and a peer's for the peer's copy to be read.
-const MIN_AGE_GAIN: Duration = Duration::from_millis(500);
+/// Maximum pause between two parts of an answer. A link that is slow for the size of a table still delivers some.
+const ANSWER_PAUSE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Maximum time for which an answer that has begun may arrive.
+const MAX_ANSWER_TIME: Duration = Duration::from_secs(30);
 /// Maximum size of an answer in bytes. All changes of a table come in one: 10,000 targets at some 400 bytes take 4 MB.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 
@@ -85,8 +82,9 @@
         Self { address, sender: None }
     }
 
-    /// Sends a request and returns the status and body of the answer. After a failure the connection is discarded,
-    /// since data that still arrives on it may belong to the failed call.
+    /// Sends a request and returns the status and body of the answer. The answer must begin within `time_limit`, and
+    /// then arrives for as long as some of it does. After a failure the connection is discarded, since data that still
+    /// arrives on it may belong to the failed call.
     ///
     /// # Errors
     ///
@@ -97,8 +95,7 @@
         time_limit: Duration,
     ) -> Result<(StatusCode, Bytes), StoreError> {
         let sender = self.sender.take();
-        let call = timeout(time_limit, send_request(self.address, sender, request)).await;
-        let answer = call.unwrap_or(Err(StoreError::Timeout));
+        let answer = send_request(self.address, sender, request, time_limit).await;
         metering::record_store_call(if answer.is_ok() { "answered" } else { "failed" });
         let (sender, status, body) = answer?;
         self.sender = Some(sender);
@@ -110,17 +107,34 @@
     address: SocketAddr,
     sender: Option<SendRequest<Full<Bytes>>>,
     request: Request<Bytes>,
+    time_limit: Duration,
 ) -> Result<(SendRequest<Full<Bytes>>, StatusCode, Bytes), StoreError> {
-    let mut sender = match sender.filter(|sender| !sender.is_closed()) {
-        Some(sender) => sender,
-        None => connect(address).await?,
+    let begin_answer = async {
+        let mut sender = match sender.filter(|sender| !sender.is_closed()) {
+            Some(sender) => sender,
+            None => connect(address).await?,
+        };
+        sender.ready().await?;
+        let response = sender.send_request(request.map(Full::new)).await?;
+        Ok::<_, StoreError>((sender, response))
     };
-    sender.ready().await?;
-    let response = sender.send_request(request.map(Full::new)).await?;
+    let (sender, response) = timeout(time_limit, begin_answer).await.unwrap_or(Err(StoreError::Timeout))?;
     let status = response.status();
-    let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES).collect().await;
-    let body = body.map_err(|error| StoreError::Body(error.to_string()))?.to_bytes();
-    Ok((sender, status, body))
+    let body = timeout(MAX_ANSWER_TIME, collect_body(response.into_body())).await;
+    Ok((sender, status, body.unwrap_or(Err(StoreError::Timeout))?))
+}
+
+/// Reads a body whose parts arrive within `ANSWER_PAUSE_TIMEOUT` of each other.
+async fn collect_body(body: Incoming) -> Result<Bytes, StoreError> {
+    let mut body = Limited::new(body, MAX_ANSWER_BYTES);
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = timeout(ANSWER_PAUSE_TIMEOUT, body.frame()).await.map_err(|_| StoreError::Timeout)? {
+        let frame = frame.map_err(|error| StoreError::Body(error.to_string()))?;
+        if let Ok(data) = frame.into_data() {
+            bytes.extend_from_slice(&data);
+        }
+    }
+    Ok(bytes.freeze())
 }
 
 async fn connect(address: SocketAddr) -> Result<SendRequest<Full<Bytes>>, StoreError> {
@@ -226,7 +240,7 @@
 
 /// Applies rows to the copy of a table, and the changed rows to the board. `confirmed_at` is the latest time at which
 /// the rows are known to have been the current state of the store; `source` is logged.
-fn apply_rows(node: &SharedNode, table: TableId, batch: &RowBatch, confirmed_at: Moment, source: &str) {
+pub fn apply_rows(node: &SharedNode, table: TableId, batch: &RowBatch, confirmed_at: Moment, source: &str) {
     let changed = node.board.borrow_mut().copies.entry(table).or_default().apply(batch, confirmed_at);
     for row in &changed {
         match table {
@@ -296,82 +310,3 @@
         }
     }
 }
-
-/// Starts to read each table whose copy is too old from the peer with the most recent copy, without waiting.
-pub fn request_newer_copies(node: &SharedNode) {
-    let now = clock::now();
-    for table in [TableId::Orders, TableId::Targets] {
-        let Some(address) = find_newer_peer(node, table, now) else { continue };
-        let node = node.clone();
-        spawn_local(async move { read_peer_copy(&node, table, address).await });
-    }
-}
-
-/// Handles what a peer's heartbeat says about the peer's copies of tables. Has no effect in a small fleet and at a hub.
-/// Tables that changed are read from the peer. A copy without missing changes counts as equally recent as the peer's if
-/// the heartbeat is the reply to a call that this node sent at `called_at`. `None` stands for an unrequested heartbeat:
-/// it may have been delayed and confirms nothing.
-pub fn handle_proofs(node: &SharedNode, address: SocketAddr, proofs: &[TableProof], called_at: Option<Moment>) {
-    let now = clock::now();
-    for proof in proofs {
-        let mut board = node.board.borrow_mut();
-        if board.is_small_fleet() || board.is_hub(now) {
-            continue;
-        }
-        let copy = board.copies.entry(proof.table).or_default();
-        if proof.last_change_version > copy.version() {
-            drop(board);
-            let (node, table) = (node.clone(), proof.table);
-            if node.pending_tables.borrow_mut().insert(table) {
-                spawn_local(async move {
-                    read_peer_copy(&node, table, address).await;
-                    node.pending_tables.borrow_mut().remove(&table);
-                });
-            }
-        } else if let Some(called_at) = called_at {
-            let confirmed_at = called_at - Duration::from_millis(u64::from(proof.age_ms));
-            if copy.confirm(proof.version, proof.last_change_version, confirmed_at) {
-                board.record_store_proof(confirmed_at, now);
-            }
-        }
-    }
-}
-
-/// Returns the address of the peer with the most recent copy, if this node's copy is at least [`PEER_READ_MIN_AGE`] old
-/// and the peer's is newer by more than [`MIN_AGE_GAIN`].
-fn find_newer_peer(node: &SharedNode, table: TableId, now: Moment) -> Option<SocketAddr> {
-    let board = node.board.borrow();
-    let own_confirmed_at = board.copies.get(&table).and_then(TableCopy::confirmed_at);
-    let own_age = own_confirmed_at.map_or(Duration::MAX, |confirmed_at| now.since(confirmed_at));
-    if own_age < PEER_READ_MIN_AGE {
-        return None;
-    }
-    let ages = board.members.alive(now).filter_map(|view| {
-        let proof = view.heartbeat.proofs.iter().find(|proof| proof.table == table)?;
-        let age = Duration::from_millis(u64::from(proof.age_ms)) + now.since(view.last_heartbeat_at);
-        Some((age, view.heartbeat.peer_address))
-    });
-    let (age, address) = ages.min_by_key(|(age, _)| *age)?;
-    (age + MIN_AGE_GAIN < own_age).then_some(address)
-}
-
-/// Reads the changes that this node's copy of a table lacks from a peer, and applies them. A failure is only logged.
-async fn read_peer_copy(node: &SharedNode, table: TableId, address: SocketAddr) {
-    let called_at = clock::now();
-    let have = node.board.borrow().copies.get(&table).map_or(0, TableCopy::version);
-    let call = WireCall::Rows { table: table_number(table), have };
-    match node.peers.call(address, &call, PEER_TIMEOUT).await {
-        Ok(WireReply::Rows { rows, whole, version, age_ms }) => {
-            // The age counts from the reply. Counting it from `called_at` gives an earlier time, never a later one.
-            let confirmed_at = called_at - Duration::from_millis(u64::from(age_ms));
-            apply_rows(node, table, &row_batch_from_wire(rows, version, whole), confirmed_at, "peer");
-        }
-        Ok(_) => {}
-        Err(error) => {
-            let (table, error, peer) = (table.to_string(), error.to_string(), address.to_string());
-            let (table, error, peer) = (table.as_str(), error.as_str(), peer.as_str());
-            let after_ms = clock::now().since(called_at).as_millis() as u64;
-            info!("{STORE} peer did not return its copy.", kv: { table, peer, have, error, after_ms });
-        }
-    }
-}
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -9,6 +9,7 @@
 use wasabipier_core::clock::Moment;
 use wasabipier_core::message::NodeState;
 use wasabipier_core::names::{DcName, InstanceId, NodeName, ServiceName, TargetName};
+use wasabipier_core::relay::chunks::{BlobOutline, ChunkHash};
 use wasabipier_core::relay::fleet::FleetReport;
 use wasabipier_core::relay::members::{RelayHeartbeat, TableProof, TargetLoad};
 use wasabipier_core::relay::pieces::{PieceFailure, PieceJob, PieceOutcome, PieceResult, PieceSource, QueueWait};
@@ -21,7 +22,9 @@
 use crate::suspects::WireSuspect;
 
 /// Version of the encoding. Nodes of different versions reject each other's calls.
-const CALL_VERSION: u8 = 3;
+const CALL_VERSION: u8 = 4;
+/// Maximum size in bytes of the encoded rows of a table, which is that of the store's answers.
+const MAX_TABLE_BYTES: usize = 16 * 1024 * 1024;
 
 /// Encoded form of [`RelayHeartbeat`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -95,6 +98,23 @@
     value: Option<Vec<u8>>,
 }
 
+/// Changed rows of a table, or a description of them if they are large.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum WireRows {
+    /// The rows.
+    Inline(Vec<WireRow>),
+    /// The chunks of the rows as [`encode_rows`] returns them, which the caller asks for with [`WireCall::Chunks`].
+    Outline(WireOutline),
+}
+
+/// Encoded form of [`BlobOutline`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WireOutline {
+    /// Hash and length in bytes of each chunk.
+    chunks: Vec<(u64, u32)>,
+    checksum: u64,
+}
+
 /// Piece jobs of one stage of a request that differ only in their `segment`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WireJobs {
@@ -146,6 +166,13 @@
         /// Store version of the caller's copy.
         have: u64,
     },
+    /// Asks for chunks of rows that the peer has described.
+    Chunks {
+        /// Number of the table.
+        table: u8,
+        /// Hashes of the chunks.
+        hashes: Vec<u64>,
+    },
     /// Asks the node that batches the pieces of a service to have pieces made.
     Pieces {
         /// Name of the service.
@@ -172,7 +199,7 @@
     /// Changes of a shared table, from the peer's copy.
     Rows {
         /// Rows that changed after the caller's version, or all rows of the table.
-        rows: Vec<WireRow>,
+        rows: WireRows,
         /// Whether `rows` holds all rows of the table.
         whole: bool,
         /// Store version of the peer's copy.
@@ -180,6 +207,8 @@
         /// Time since the peer requested this state, in milliseconds.
         age_ms: u32,
     },
+    /// The first of the chunks that were asked for and that the peer has.
+    Chunks(Vec<Vec<u8>>),
     /// Outcome of each piece, in the order of the jobs.
     Pieces(Vec<WirePieceOutcome>),
     /// The call was handled and has no result, or the peer has no copy of the table.
@@ -204,14 +233,33 @@
 /// Returns [`FrameError::TooLarge`] for more than [`MAX_FRAME_BYTES`] bytes, [`FrameError::WrongVersion`] for another
 /// version, and [`FrameError::Malformed`] for bytes that do not decode to a `T`.
 pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, FrameError> {
-    if bytes.len() > MAX_FRAME_BYTES {
+    decode_bounded::<T, MAX_FRAME_BYTES>(bytes)
+}
+
+/// Returns the encoded form of the rows of a table.
+#[must_use]
+pub fn encode_rows<'a>(rows: impl IntoIterator<Item = &'a SharedRow>) -> Vec<u8> {
+    encode(&rows.into_iter().map(WireRow::from).collect::<Vec<_>>())
+}
+
+/// Decodes bytes that [`encode_rows`] returned.
+///
+/// # Errors
+///
+/// Returns the same errors as [`decode`], with a limit of 16 MB.
+pub fn decode_rows(bytes: &[u8]) -> Result<Vec<WireRow>, FrameError> {
+    decode_bounded::<Vec<WireRow>, MAX_TABLE_BYTES>(bytes)
+}
+
+fn decode_bounded<T: DeserializeOwned, const MAX_BYTES: usize>(bytes: &[u8]) -> Result<T, FrameError> {
+    if bytes.len() > MAX_BYTES {
         return Err(FrameError::TooLarge(bytes.len()));
     }
     let Some((version, body)) = bytes.split_first() else { return Err(FrameError::Malformed("empty".to_owned())) };
     if *version != CALL_VERSION {
         return Err(FrameError::WrongVersion(*version));
     }
-    let config = bincode::config::standard().with_limit::<MAX_FRAME_BYTES>();
+    let config = bincode::config::standard().with_limit::<MAX_BYTES>();
     let (value, _) =
         bincode::serde::decode_from_slice(body, config).map_err(|error| FrameError::Malformed(error.to_string()))?;
     Ok(value)
@@ -358,6 +406,20 @@
     }
 }
 
+impl From<&BlobOutline> for WireOutline {
+    fn from(outline: &BlobOutline) -> Self {
+        let chunks = outline.chunks.iter().map(|(hash, length)| (hash.0, *length)).collect();
+        Self { chunks, checksum: outline.checksum }
+    }
+}
+
+impl From<WireOutline> for BlobOutline {
+    fn from(outline: WireOutline) -> Self {
+        let chunks = outline.chunks.into_iter().map(|(hash, length)| (ChunkHash(hash), length)).collect();
+        Self { chunks, checksum: outline.checksum }
+    }
+}
+
 /// Returns the batch of rows that a peer sent. `version` is the store version of the peer's copy; `whole` says whether
 /// `rows` holds all rows of the table.
 #[must_use]
