Stop serving from a document that is known to be outdated

Callers of public routes were served by an old document seven seconds after a newer one was acknowledged, at nodes that had heard of the newer one and could not get it. Cause: the age of a document limits requests with keys only, since a node without the store cannot know whether there is a newer document. A node that has been told of one by a peer does know it, and that was used for reading the document only.

Heartbeats now tell the version of the newest row of each table, and a copy remembers which of these changes it lacks and since when. After half of config_ms a node refuses all requests as not run until it has the change. A node that reads the store itself asks the peer for changes that it still lacks after 0.4 s, instead of only when its copy is 2 s old.

--- a/crates/core/src/relay/access.rs
+++ b/crates/core/src/relay/access.rs
@@ -15,6 +15,8 @@
     /// Maximum age for reporting that a route or key does not exist. With an older document the denial is
     /// [`AccessDenial::StaleDocument`].
     pub max_document_age_for_absence: Duration,
+    /// Maximum time for which requests are served although a peer is known to have a newer document.
+    pub max_outdated_time: Duration,
 }
 
 impl Default for FreshnessLimits {
@@ -22,6 +24,7 @@
         Self {
             max_document_age_for_keys: Duration::from_millis(4_900),
             max_document_age_for_absence: Duration::from_secs(3),
+            max_outdated_time: Duration::from_secs(1),
         }
     }
 }
--- a/crates/core/src/relay/board.rs
+++ b/crates/core/src/relay/board.rs
@@ -179,12 +179,17 @@
         (self.index.version > 0).then(|| now.since(confirmed_at))
     }
 
-    /// Checks whether a request may be served.
+    /// Checks whether a request may be served. A node that has known for long that its document or another order is not
+    /// the newest serves nothing.
     ///
     /// # Errors
     ///
     /// Returns the reason for the denial.
     pub fn check_access(&self, claim: AccessClaim<'_>, now: Moment) -> Result<AccessGrant, AccessDenial> {
+        let outdated_since = self.copies.get(&TableId::Orders).and_then(TableCopy::outdated_since);
+        if outdated_since.is_some_and(|since| now.since(since) > self.tuning.freshness_limits.max_outdated_time) {
+            return Err(AccessDenial::StaleDocument);
+        }
         check_access(&self.index, self.document_age(now), &self.tuning.freshness_limits, claim)
     }
 
@@ -336,7 +341,8 @@
         let proofs = self.copies.iter().filter_map(|(table, copy)| {
             let age = now.since(copy.confirmed_at()?);
             let (version, last_change_version) = (copy.version(), copy.last_change_version());
-            Some(TableProof { table: *table, version, last_change_version, age_ms: age.as_millis() as u32 })
+            let (newest_row_version, age_ms) = (copy.newest_row_version(), age.as_millis() as u32);
+            Some(TableProof { table: *table, version, last_change_version, newest_row_version, age_ms })
         });
         RelayHeartbeat {
             node: self.identity.node.clone(),
--- a/crates/core/src/relay/members.rs
+++ b/crates/core/src/relay/members.rs
@@ -34,6 +34,8 @@
     pub version: u64,
     /// Store version since which no row of the table changed, up to `version`.
     pub last_change_version: u64,
+    /// Store version of the newest row that the copy has had. Nodes with an older copy lack that row.
+    pub newest_row_version: u64,
     /// Time in milliseconds since the copy was last known to be up to date.
     pub age_ms: u32,
 }
--- a/crates/core/src/relay/rows.rs
+++ b/crates/core/src/relay/rows.rs
@@ -62,11 +62,17 @@
     removals_complete_from: u64,
     /// Latest time at which the copy is known to have been up to date. `None` before the first read.
     confirmed_at: Option<Moment>,
+    /// Store version of the newest row that the copy has had.
+    newest_row_version: u64,
+    /// Store versions of rows that peers have and this copy lacks, with the time at which that became known.
+    missing_changes: BTreeMap<u64, Moment>,
 }
 
 impl TableCopy {
     /// Maximum number of removals that are remembered. Peers that need older ones get the whole table.
     const MAX_REMOVALS: usize = 2_000;
+    /// Maximum number of missing changes that are remembered. The oldest ones matter.
+    const MAX_MISSING_CHANGES: usize = 64;
 
     /// Applies a batch that was the newest state of the store at `up_to_date_at`. Returns the changes of this copy in
     /// order. A row may be among them several times.
@@ -87,6 +93,7 @@
         // Check and apply the rows one by one: a batch may contain several changes of a row.
         for row in &batch.rows {
             if self.is_newer(row) {
+                self.newest_row_version = self.newest_row_version.max(row.version);
                 self.apply_row(row);
                 changed.push(row.clone());
             }
@@ -95,6 +102,7 @@
         // removal must be passed on.
         for row in batch.rows.iter().filter(|row| row.value.is_none()) {
             if row.version > self.version && !self.rows.contains_key(&row.key) {
+                self.newest_row_version = self.newest_row_version.max(row.version);
                 self.apply_row(row);
             }
         }
@@ -103,6 +111,7 @@
             self.version = batch.version;
             self.confirmed_at = self.confirmed_at.max(Some(up_to_date_at));
         }
+        self.forget_applied_changes();
         changed
     }
 
@@ -136,9 +145,29 @@
         }
         self.version = version;
         self.confirmed_at = self.confirmed_at.max(Some(up_to_date_at));
+        self.forget_applied_changes();
         true
     }
 
+    /// Records that a peer's copy has a row of store version `version`.
+    pub fn record_known_change(&mut self, version: u64, now: Moment) {
+        if version > self.version && self.missing_changes.len() < Self::MAX_MISSING_CHANGES {
+            self.missing_changes.entry(version).or_insert(now);
+        }
+    }
+
+    /// Returns since when this copy is known to lack a change that it still lacks, or `None` if it lacks none that is
+    /// known.
+    #[must_use]
+    pub fn outdated_since(&self) -> Option<Moment> {
+        self.missing_changes.values().min().copied()
+    }
+
+    fn forget_applied_changes(&mut self) {
+        let version = self.version;
+        self.missing_changes.retain(|missing, _| *missing > version);
+    }
+
     /// Returns a removal for each row that the whole table in `batch` does not contain.
     fn removals_implied_by<'a>(&'a self, batch: &'a RowBatch) -> impl Iterator<Item = SharedRow> + 'a {
         let is_in_batch = move |key: &Arc<str>| batch.rows.iter().any(|row| row.key == *key);
@@ -178,6 +207,12 @@
         self.last_change_version
     }
 
+    /// Returns the store version of the newest row that the copy has had.
+    #[must_use]
+    pub fn newest_row_version(&self) -> u64 {
+        self.newest_row_version
+    }
+
     /// Returns the changes for a peer whose copy is at version `have`, or all rows if not all removals since then are
     /// known.
     #[must_use]
--- a/crates/core/tests/relay/access.rs
+++ b/crates/core/tests/relay/access.rs
@@ -1,9 +1,13 @@
 //! Tests of access control: routes, API keys and the age of the document.
 
+use std::sync::Arc;
+
 use wasabipier_core::relay::access::{AccessClaim, AccessDenial, FreshnessLimits, check_access};
+use wasabipier_core::relay::board::RelayBoard;
 use wasabipier_core::relay::document::RelayRoute;
+use wasabipier_core::relay::rows::{RowBatch, SharedRow, TableId};
 
-use crate::fixtures::{document_index, millis, route};
+use crate::fixtures::{at, board, document_index, millis, route};
 
 /// Returns a request for `path` at the host nets.example.
 fn claim<'a>(path: &'a str, key: Option<&'a str>) -> AccessClaim<'a> {
@@ -48,8 +52,11 @@
 fn a_node_that_cannot_prove_that_its_document_is_the_newest_refuses_keys() {
     let public = RelayRoute { public: true, ..route("/open/", "open") };
     let index = document_index(vec![route("/", "rest"), public]);
-    let limits =
-        FreshnessLimits { max_document_age_for_keys: millis(4_900), max_document_age_for_absence: millis(3_000) };
+    let limits = FreshnessLimits {
+        max_document_age_for_keys: millis(4_900),
+        max_document_age_for_absence: millis(3_000),
+        ..FreshnessLimits::default()
+    };
     let check = |age, path, key| check_access(&index, Some(millis(age)), &limits, claim(path, key)).err();
 
     assert_eq!(check(4_900, "/x", Some("key-1")), None);
@@ -61,8 +68,11 @@
 #[test]
 fn routes_and_keys_missing_from_an_old_document_are_not_reported_as_absent() {
     let index = document_index(vec![route("/a/", "short")]);
-    let limits =
-        FreshnessLimits { max_document_age_for_keys: millis(4_900), max_document_age_for_absence: millis(3_000) };
+    let limits = FreshnessLimits {
+        max_document_age_for_keys: millis(4_900),
+        max_document_age_for_absence: millis(3_000),
+        ..FreshnessLimits::default()
+    };
     let check = |age, path, key| check_access(&index, Some(millis(age)), &limits, claim(path, key)).err();
 
     assert_eq!(check(100, "/b/", None), Some(AccessDenial::NoRoute));
@@ -89,3 +99,37 @@
         self.as_ref().map(ToString::to_string)
     }
 }
+
+/// Guards against requests that are handled by a document of which the node knows that it is outdated: a node that could
+/// not get the newer one served public routes of the old one without end.
+#[test]
+fn a_node_that_knows_of_a_newer_document_serves_nothing_from_the_old_one_for_long() {
+    let mut board = board("edge-1");
+    let public = RelayRoute { public: true, ..route("/open/", "open") };
+    board.index = Arc::new(document_index(vec![public]));
+    let row = |version| SharedRow { key: "config".into(), version, value: Some(Arc::from(&b"x"[..])) };
+    let batch = |version| RowBatch { rows: vec![row(version)], version, whole: false };
+    board.copies.entry(TableId::Orders).or_default().apply(&batch(5), at(0));
+    let is_served = |board: &RelayBoard, ms| board.check_access(claim("/open/x", None), at(ms)).is_ok();
+    let copy = |board: &mut RelayBoard| board.copies.remove(&TableId::Orders).expect("it was read");
+
+    let was_served_without_news = is_served(&board, 60_000);
+    let mut orders = copy(&mut board);
+    orders.record_known_change(4, at(0));
+    orders.record_known_change(7, at(60_000));
+    orders.record_known_change(8, at(60_900));
+    board.copies.insert(TableId::Orders, orders);
+    let served = [60_900, 61_100].map(|ms| is_served(&board, ms));
+    let mut orders = copy(&mut board);
+    orders.apply(&batch(7), at(61_200));
+    board.copies.insert(TableId::Orders, orders);
+    let served_after_one_change = [61_300, 62_000].map(|ms| is_served(&board, ms));
+    let mut orders = copy(&mut board);
+    orders.apply(&batch(8), at(62_100));
+    board.copies.insert(TableId::Orders, orders);
+
+    assert!(was_served_without_news, "an old document is no reason while nothing newer is known");
+    assert_eq!(served, [true, false]);
+    assert_eq!(served_after_one_change, [true, false], "the time counts for each change");
+    assert!(is_served(&board, 70_000));
+}
--- a/crates/node/src/relay_settings.rs
+++ b/crates/node/src/relay_settings.rs
@@ -24,6 +24,12 @@
 /// must suffice for the read, and for a second one if the connection of the first is lost.
 const OWN_READ_RATIO: f64 = 0.7;
 
+/// Default time within which a change of the configuration is in force. The users' sites ask for this value.
+const CONFIG_TIMEOUT: Duration = Duration::from_secs(2);
+/// Share of `config_ms` for which a node goes on with a document that it knows to be outdated. It may learn of a newer
+/// one late, so that the rest is for the news.
+const OUTDATED_RATIO: f64 = 0.5;
+
 const HOUR_MS: u64 = 3_600_000;
 
 /// File from which the settings of a relaying node are read.
@@ -121,6 +127,7 @@
     let known_keys = [
         "revoked_keys_ms",
         "contact_ms",
+        "config_ms",
         "repeat_ratio",
         "repeat_slack",
         "repeat_window_s",
@@ -150,6 +157,9 @@
                 freshness.max_document_age_for_absence,
                 100..=HOUR_MS,
             ),
+            max_outdated_time: reader
+                .duration_from_ms("bounds", "config_ms", CONFIG_TIMEOUT, 100..=HOUR_MS)
+                .mul_f64(OUTDATED_RATIO),
         },
         retry_limits: RetryLimits {
             ratio: reader.number_in_range("bounds", "repeat_ratio", retry_limits.ratio, 0.0..=100.0),
--- a/crates/relay/src/table_transfers.rs
+++ b/crates/relay/src/table_transfers.rs
@@ -30,6 +30,8 @@
 const MAX_INLINE_BYTES: usize = 16_384;
 /// Age of this node's copy at which a peer is asked for a newer one. It is more than the usual age.
 const PEER_READ_MIN_AGE: Duration = Duration::from_secs(2);
+/// Time after which a node that reads the store asks a peer for a change that the store has not shown to it.
+const MISSED_CHANGE_DELAY: Duration = Duration::from_millis(400);
 /// Minimum difference in age between this node's copy and a peer's for the peer's copy to be read.
 const MIN_AGE_GAIN: Duration = Duration::from_millis(500);
 
@@ -42,7 +44,8 @@
     }
 }
 
-/// Handles what a peer's heartbeat says about the peer's copies of tables. Has no effect in a small fleet and at a hub.
+/// Handles what a peer's heartbeat says about the peer's copies of tables. A node that reads the store itself asks the
+/// peer only for changes that it still lacks after [`MISSED_CHANGE_DELAY`]. For all others the following holds.
 /// Tables that changed are read from the peer. A copy without missing changes counts as equally recent as the peer's if
 /// the heartbeat is the reply to a call that this node sent at `called_at`. `None` stands for an unrequested heartbeat:
 /// it may have been delayed and confirms nothing.
@@ -50,10 +53,17 @@
     let now = clock::now();
     for proof in proofs {
         let mut board = node.board.borrow_mut();
-        if board.is_small_fleet() || board.is_hub(now) {
+        let reads_store = board.is_small_fleet() || board.is_hub(now);
+        let copy = board.copies.entry(proof.table).or_default();
+        copy.record_known_change(proof.newest_row_version, now);
+        if reads_store {
+            let is_missed = copy.outdated_since().is_some_and(|since| now.since(since) >= MISSED_CHANGE_DELAY);
+            if is_missed && proof.newest_row_version > copy.version() {
+                drop(board);
+                start_transfer(node, proof.table, address);
+            }
             continue;
         }
-        let copy = board.copies.entry(proof.table).or_default();
         if proof.last_change_version > copy.version() {
             drop(board);
             start_transfer(node, proof.table, address);
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -40,8 +40,9 @@
     peer_address: SocketAddr,
     /// State of the node: 0 for starting, 1 for serving, 2 for leaving.
     state: u8,
-    /// Freshness of each table copy: number of the table, version, version of the last change and age in milliseconds.
-    proofs: Vec<(u8, u64, u64, u32)>,
+    /// Freshness of each table copy: number of the table, version, version of the last change, version of the newest row
+    /// and age in milliseconds.
+    proofs: Vec<(u8, u64, u64, u64, u32)>,
     loads: Vec<WireTargetLoad>,
     /// Prompt prefixes that targets have read.
     prompts: Vec<WirePromptKeys>,
@@ -298,7 +299,10 @@
             proofs: heartbeat
                 .proofs
                 .iter()
-                .map(|proof| (table_number(proof.table), proof.version, proof.last_change_version, proof.age_ms))
+                .map(|proof| {
+                    let table = table_number(proof.table);
+                    (table, proof.version, proof.last_change_version, proof.newest_row_version, proof.age_ms)
+                })
                 .collect(),
             loads: loads_to_wire(&heartbeat.loads),
             prompts: prompts_to_wire(&heartbeat.prompts),
@@ -311,8 +315,14 @@
 
 impl From<WireHeartbeat> for RelayHeartbeat {
     fn from(heartbeat: WireHeartbeat) -> Self {
-        let proofs = heartbeat.proofs.into_iter().filter_map(|(table, version, changed, age_ms)| {
-            Some(TableProof { table: table_from_number(table)?, version, last_change_version: changed, age_ms })
+        let proofs = heartbeat.proofs.into_iter().filter_map(|(table, version, changed, newest_row, age_ms)| {
+            Some(TableProof {
+                table: table_from_number(table)?,
+                version,
+                last_change_version: changed,
+                newest_row_version: newest_row,
+                age_ms,
+            })
         });
         let waits =
             heartbeat.waits.into_iter().map(|(service, waits)| (ServiceName::new(service), waits_from_wire(&waits)));
