--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -4,12 +4,13 @@
 //! promote, defines its route ([`document`], [`access`]). Admission control accepts or refuses it ([`overload`], [`departure`]). Its
 //! preparation stages run ([`graph`], [`pieces`]), a target is chosen ([`targets`], [`prompts`], [`choice`]), and the
 //! answer is passed on or the request is retried ([`steps`], [`budget`], [`events`]). Content that crashes targets is
-//! refused ([`suspects`]). [`members`], [`fleet`] and [`rows`] hold what nodes know of each other and of the store, and
-//! [`chunks`] transfers it.
+//! refused ([`suspects`]). [`members`], [`fleet`] and [`rows`] hold what nodes know of each other and of the store,
+//! [`chunks`] transfers it, and [`answer_timeout`] bounds calls to the store.
 //! [`rollout`], [`rollout_board`] and [`speed`] move a service to another version. [`board`] holds the whole state of a
 //! node.
 
 pub mod access;
+pub mod answer_timeout;
 pub mod board;
 pub mod budget;
 pub mod choice;
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -2,6 +2,8 @@
 
 #[path = "relay/access.rs"]
 mod access;
+#[path = "relay/answer_timeout.rs"]
+mod answer_timeout;
 #[path = "relay/choice.rs"]
 mod choice;
 #[path = "relay/chunks.rs"]
--- a/crates/relay/src/heartbeats.rs
+++ b/crates/relay/src/heartbeats.rs
@@ -239,14 +239,13 @@
 
 /// Announces this node in the store, and reads the addresses of other nodes there at intervals until the node ends.
 pub async fn announce_and_discover(node: SharedNode) {
-    let mut link = StoreLink::new(node.addresses.store);
+    let mut link = StoreLink::new(&node);
     let name = node.board.borrow().identity.node.to_string();
-    let time_limit = node.times.store_answer_timeout;
     let mut is_announced = false;
     loop {
         if !is_announced {
             let request = node.platform.announce_request(&name, node.addresses.peers);
-            let answer = link.call(request, time_limit).await;
+            let answer = link.call(request, Duration::ZERO).await;
             is_announced = answer.as_ref().is_ok_and(|(status, _)| status.is_success());
             if is_announced {
                 info!("{PEERS} node announced in the store.");
@@ -255,7 +254,7 @@
                 warn!("{PEERS} node not announced in the store; trying again.", kv: { status = status.as_str() });
             }
         }
-        let announced = link.call(node.platform.announced_addresses_request(), time_limit).await;
+        let announced = link.call(node.platform.announced_addresses_request(), Duration::ZERO).await;
         if let Ok((status, body)) = &announced
             && status.is_success()
         {
--- a/crates/relay/src/rollouts.rs
+++ b/crates/relay/src/rollouts.rs
@@ -65,9 +65,9 @@
 
 /// Writes the state of a rollout into the store.
 async fn record_state(node: SharedNode, write: RolloutWrite) {
-    let mut link = StoreLink::new(node.addresses.store);
+    let mut link = StoreLink::new(&node);
     let request = node.platform.rollout_request(&write);
-    let answer = link.call(request, node.times.store_answer_timeout).await;
+    let answer = link.call(request, Duration::ZERO).await;
     let reply = answer.and_then(|(status, body)| Ok(node.platform.read_rollout_reply(status, &body)?));
     let (service, state) = (write.service.as_str(), write.state.to_string());
     let state = state.as_str();
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -14,8 +14,8 @@
     pub connect_timeout: Duration,
     /// Maximum time for which the store is asked to hold a call for changes until one occurs (long poll).
     pub store_poll_wait: Duration,
-    /// Timeout of a store call that the store answers at once. The timeout of a long poll is this time plus the time
-    /// for which the store may hold the call. Answers take 4 ms, and up to 60 times as long when the store is slow.
+    /// Usual timeout for the beginning of the answer to a store call. The timeout of a long poll is this time plus the
+    /// time for which the store may hold the call. Answers take 4 ms, and up to 60 times as long when the store is slow.
     pub store_answer_timeout: Duration,
     /// Minimum regular interval of heartbeats between nodes. It grows with the number of peers. It is also the first
     /// backoff after a failed heartbeat.
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http::{Request, StatusCode};
+use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -15,6 +15,7 @@
 use tokio::time::{sleep, timeout};
 use wasabipier_core::clock::Moment;
 use wasabipier_core::message::NodeState;
+use wasabipier_core::relay::answer_timeout::AnswerTimeout;
 use wasabipier_core::relay::board::OrderChange;
 use wasabipier_core::relay::rows::{RowBatch, SharedRow, TableCopy, TableId, proven_at};
 
@@ -24,7 +25,7 @@
 use crate::metering;
 use crate::ports::{RowPage, StoreFault};
 use crate::sockets;
-use crate::state::SharedNode;
+use crate::state::{RelayNode, SharedNode};
 
 /// Backoff after a failed call. It is doubled with each further failure, up to `MAX_BACKOFF`.
 const MIN_BACKOFF: Duration = Duration::from_millis(100);
@@ -73,55 +74,59 @@
 pub struct StoreLink {
     address: SocketAddr,
     sender: Option<SendRequest<Full<Bytes>>>,
+    answer_timeout: AnswerTimeout,
 }
 
 impl StoreLink {
-    /// Creates a link that connects on first use.
+    /// Creates a link to the store of `node` that connects on first use.
     #[must_use]
-    pub fn new(address: SocketAddr) -> Self {
-        Self { address, sender: None }
+    pub fn new(node: &RelayNode) -> Self {
+        let answer_timeout = AnswerTimeout::new(node.times.store_answer_timeout);
+        Self { address: node.addresses.store, sender: None, answer_timeout }
     }
 
-    /// Sends a request and returns the status and body of the answer. The answer must begin within `time_limit`, and
-    /// then arrives for as long as some of it does. After a failure the connection is discarded, since data that still
-    /// arrives on it may belong to the failed call.
+    /// Sends a request that the store may hold for `wait`, and returns the status and body of the answer. An answer that
+    /// has begun in time may go on for as long as some of it arrives. After a failure the connection is discarded, since
+    /// data that still arrives on it may belong to the failed call.
     ///
     /// # Errors
     ///
     /// Returns why there is no answer. The store may have carried out a write.
-    pub async fn call(
-        &mut self,
-        request: Request<Bytes>,
-        time_limit: Duration,
-    ) -> Result<(StatusCode, Bytes), StoreError> {
-        let sender = self.sender.take();
-        let answer = send_request(self.address, sender, request, time_limit).await;
+    pub async fn call(&mut self, request: Request<Bytes>, wait: Duration) -> Result<(StatusCode, Bytes), StoreError> {
+        let answer = self.exchange(request, wait).await;
         metering::record_store_call(if answer.is_ok() { "answered" } else { "failed" });
-        let (sender, status, body) = answer?;
+        answer
+    }
+
+    async fn exchange(&mut self, request: Request<Bytes>, wait: Duration) -> Result<(StatusCode, Bytes), StoreError> {
+        let called_at = clock::now();
+        let begin_answer = begin_answer(self.address, self.sender.take(), request);
+        let Ok(begun) = timeout(wait + self.answer_timeout.current(), begin_answer).await else {
+            self.answer_timeout.record_timeout();
+            return Err(StoreError::Timeout);
+        };
+        let (sender, response) = begun?;
+        self.answer_timeout.record_answer(clock::now().since(called_at).saturating_sub(wait));
+        let status = response.status();
+        let body = timeout(MAX_ANSWER_TIME, collect_body(response.into_body())).await;
+        let body = body.unwrap_or(Err(StoreError::Timeout))?;
         self.sender = Some(sender);
         Ok((status, body))
     }
 }
 
-async fn send_request(
+async fn begin_answer(
     address: SocketAddr,
     sender: Option<SendRequest<Full<Bytes>>>,
     request: Request<Bytes>,
-    time_limit: Duration,
-) -> Result<(SendRequest<Full<Bytes>>, StatusCode, Bytes), StoreError> {
-    let begin_answer = async {
-        let mut sender = match sender.filter(|sender| !sender.is_closed()) {
-            Some(sender) => sender,
-            None => connect(address).await?,
-        };
-        sender.ready().await?;
-        let response = sender.send_request(request.map(Full::new)).await?;
-        Ok::<_, StoreError>((sender, response))
+) -> Result<(SendRequest<Full<Bytes>>, Response<Incoming>), StoreError> {
+    let mut sender = match sender.filter(|sender| !sender.is_closed()) {
+        Some(sender) => sender,
+        None => connect(address).await?,
     };
-    let (sender, response) = timeout(time_limit, begin_answer).await.unwrap_or(Err(StoreError::Timeout))?;
-    let status = response.status();
-    let body = timeout(MAX_ANSWER_TIME, collect_body(response.into_body())).await;
-    Ok((sender, status, body.unwrap_or(Err(StoreError::Timeout))?))
+    sender.ready().await?;
+    let response = sender.send_request(request.map(Full::new)).await?;
+    Ok((sender, response))
 }
 
 /// Reads a body whose parts arrive within `ANSWER_PAUSE_TIMEOUT` of each other.
@@ -150,7 +155,7 @@
 /// Keeps the copy of one table up to date from the store until the node ends. Does nothing while this node relies on a
 /// hub's copy.
 pub async fn follow_table(node: SharedNode, table: TableId) {
-    let mut link = StoreLink::new(node.addresses.store);
+    let mut link = StoreLink::new(&node);
     let mut needs_whole_table = true;
     let mut backoff = MIN_BACKOFF;
     let mut is_unreachable = false;
@@ -203,7 +208,7 @@
     let mut after: Option<Arc<str>> = None;
     loop {
         let request = node.platform.rows_request(table, after.as_deref());
-        let (status, body) = link.call(request, node.times.store_answer_timeout).await?;
+        let (status, body) = link.call(request, Duration::ZERO).await?;
         let RowPage { batch, next } = node.platform.read_rows(status, &body, true)?;
         match &mut all {
             // Changes made between two pages are read afterwards, from the version of the first page on.
@@ -234,7 +239,7 @@
 ) -> Result<RowBatch, StoreError> {
     let after = node.board.borrow().copies.get(&table).map_or(0, TableCopy::version);
     let request = node.platform.changes_request(table, after, wait);
-    let (status, body) = link.call(request, wait + node.times.store_answer_timeout).await?;
+    let (status, body) = link.call(request, wait).await?;
     Ok(node.platform.read_rows(status, &body, false)?.batch)
 }
 
