Keep to the limits that targets name on their requests

Cause: nothing read the limit, and no part of the relay bounds the sum of all nodes' requests to one target but the rate of cold targets.

Nodes record the limits that answers name, tell each other with their heartbeats, and forget a limit after an answer to a later call that names none. A request to a limited target needs a permit of the service's keeper, which is the node that batches its pieces. The keeper has a token bucket for each target, keeps a reserve for urgent requests, and says when the next request may come. A node that has become the keeper gives half of a limit for four seconds, since views of who it is differ for less, and a node that cannot ask one gives no permit. Requests without a permit go to a target without a limit, or are refused as not run at once. Calls for pieces and for freeing results are counted at the same buckets.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -4,7 +4,7 @@
 //! promote, defines its route ([`document`], [`access`]). Admission control accepts or refuses it ([`overload`], [`departure`]). Its
 //! preparation stages run ([`graph`], [`pieces`]), a target is chosen ([`targets`], [`prompts`], [`choice`]), and the
 //! answer is passed on or the request is retried ([`steps`], [`budget`], [`events`]). Content that crashes targets is
-//! refused ([`suspects`]). [`members`], [`fleet`] and [`rows`] hold what nodes know of each other and of the store,
+//! refused ([`suspects`]), and targets get no more requests than they say they take ([`rate_limits`]). [`members`], [`fleet`] and [`rows`] hold what nodes know of each other and of the store,
 //! [`chunks`] transfers it, and [`answer_timeout`] bounds calls to the store.
 //! [`rollout`], [`rollout_board`] and [`speed`] move a service to another version. [`board`] holds the whole state of a
 //! node.
@@ -24,6 +24,7 @@
 pub mod overload;
 pub mod pieces;
 pub mod prompts;
+pub mod rate_limits;
 pub mod rollout;
 pub mod rollout_board;
 pub mod rows;
--- a/crates/core/src/relay/board.rs
+++ b/crates/core/src/relay/board.rs
@@ -19,6 +19,7 @@
 use crate::relay::overload::OverloadBounds;
 use crate::relay::pieces::{PieceTable, QueueWait};
 use crate::relay::prompts::PromptCacheTable;
+use crate::relay::rate_limits::{PermitBuckets, RateLimitTable};
 use crate::relay::rollout::{RolloutLimits, RolloutOrder, RolloutTable, VersionLane};
 use crate::relay::rollout_board::VersionSightings;
 use crate::relay::rows::{TableCopy, TableId};
@@ -134,6 +135,10 @@
     pub pieces: PieceTable,
     /// Content that may have crashed targets.
     pub suspects: SuspectTable,
+    /// Limits that targets name on their requests per second.
+    pub rate_limits: RateLimitTable,
+    /// Permits that this node has given for limited targets.
+    pub(super) permit_buckets: PermitBuckets,
     /// Random generator for draws and jitter, seeded with the instance of this node.
     pub random: fastrand::Rng,
     /// When the store answered again after its last outage. Target entries may be missing for a while afterwards.
@@ -165,6 +170,8 @@
             retry_ledger: RetryLedger::default(),
             pieces: PieceTable::default(),
             suspects,
+            rate_limits: RateLimitTable::default(),
+            permit_buckets: PermitBuckets::default(),
             random,
             store_recovered_at: None,
             is_store_unreachable: false,
@@ -225,6 +232,7 @@
         let mut random = self.random.clone();
         let context = ChoiceContext {
             targets: &self.targets,
+            rate_limits: &self.rate_limits,
             prompts: &self.prompts,
             members: &self.members,
             service: self.index.services.get(call.service),
@@ -309,6 +317,7 @@
         self.record_version(&entry, now);
         let target = entry.target.clone();
         if self.targets.upsert(entry, now) {
+            self.rate_limits.remove_target(&target);
             self.prompts.remove_target(&target);
         }
     }
@@ -358,6 +367,7 @@
             prompts: self.prompts.own_updates(now),
             waits: self.own_queue_waits(now),
             suspects: self.suspects.reports(now),
+            limits: self.rate_limits.reports(now),
             rollouts: self.rollouts.reports(now),
         }
     }
@@ -393,6 +403,7 @@
     pub fn handle_heartbeat(&mut self, heartbeat: RelayHeartbeat, now: Moment) -> bool {
         let (node, loads) = (heartbeat.node.clone(), heartbeat.loads.clone());
         self.prompts.receive_updates(&node, &heartbeat.prompts, now);
+        self.rate_limits.merge_reports(&heartbeat.limits, now);
         self.handle_rollout_reports(&heartbeat, now, now);
         let is_new = self.members.handle_heartbeat(heartbeat, now);
         let loads = if self.load_reporters(now).contains(&node) { loads } else { Vec::new() };
@@ -433,9 +444,11 @@
             self.targets.set_peer_loads(node, Vec::new());
         }
         self.members.evict_expired(now);
+        self.remove_expired_limits(now);
         let removed = self.targets.remove_due(now);
         for target in &removed {
             self.prompts.remove_target(target);
+            self.rate_limits.remove_target(target);
         }
         if !removed.is_empty() {
             self.forget_versions();
--- a/crates/core/src/relay/choice.rs
+++ b/crates/core/src/relay/choice.rs
@@ -8,6 +8,7 @@
 use crate::relay::document::RelayService;
 use crate::relay::members::{PeerTable, rendezvous_weight};
 use crate::relay::prompts::{PromptCacheTable, prefix_keys};
+use crate::relay::rate_limits::RateLimitTable;
 use crate::relay::rollout::VersionLane;
 use crate::relay::targets::{TargetRegistry, TargetView};
 
@@ -108,6 +109,8 @@
     pub prompt: Option<&'a PromptSpec>,
     /// Bytes of stage results that the target will fetch, by the data centre that stores them.
     pub input_bytes_by_dc: &'a BTreeMap<DcName, u64>,
+    /// Whether only targets that name no limit on their requests are chosen.
+    pub only_unlimited: bool,
 }
 
 /// State that the choice of a target depends on.
@@ -115,6 +118,8 @@
 pub struct ChoiceContext<'a> {
     /// Known targets.
     pub targets: &'a TargetRegistry,
+    /// Limits that targets name on their requests.
+    pub rate_limits: &'a RateLimitTable,
     /// Prompt prefixes that engines have cached.
     pub prompts: &'a PromptCacheTable,
     /// Peers, among which the callers of a cold target are chosen.
@@ -144,7 +149,7 @@
     random: &mut fastrand::Rng,
 ) -> Option<TargetName> {
     let eligible: Vec<&TargetView> =
-        context.targets.of(call.service).filter(|view| is_eligible(context, view)).collect();
+        context.targets.of(call.service).filter(|view| is_eligible(context, call, view)).collect();
     let keys = call.prompt.map(prefix_keys).unwrap_or_default();
     let preferred =
         call.prompt.and_then(PromptSpec::shared_prefix_key).and_then(|key| preferred_target(&eligible, &key));
@@ -166,10 +171,12 @@
     costs.min_by(|left, right| left.0.total_cmp(&right.0)).map(|(_, view)| view.entry.target.clone())
 }
 
-/// Returns whether a target may get the call: the target is not leaving, has an allowed version, its data centre is not closed, and the rate
-/// limit for cold targets allows a call now.
-fn is_eligible(context: &ChoiceContext<'_>, view: &TargetView) -> bool {
+/// Returns whether a target may get the call: the target is not leaving, has an allowed version, its data centre is not
+/// closed, and the rate limit for cold targets allows a call now. A limit that the target names is left to permits.
+fn is_eligible(context: &ChoiceContext<'_>, call: &CallRequirements<'_>, view: &TargetView) -> bool {
+    let is_limited = context.rate_limits.rate(&view.entry.target).is_some();
     !view.entry.leaving
+        && (!call.only_unlimited || !is_limited)
         && context.lane.allows(&view.entry.version)
         && !context.closed_dcs.contains(&view.entry.dc)
         && has_call_capacity(context, view)
--- a/crates/core/src/relay/members.rs
+++ b/crates/core/src/relay/members.rs
@@ -10,6 +10,7 @@
 use crate::relay::fleet::FleetReport;
 use crate::relay::pieces::QueueWait;
 use crate::relay::prompts::PromptCacheUpdate;
+use crate::relay::rate_limits::LimitReport;
 use crate::relay::rollout::RolloutReport;
 use crate::relay::rows::TableId;
 use crate::relay::suspects::SuspectReport;
@@ -69,6 +70,8 @@
     pub waits: Vec<(ServiceName, Vec<QueueWait>)>,
     /// Content that the node suspects of crashes: harmful content and recent changes, its own and those of peers.
     pub suspects: Vec<SuspectReport>,
+    /// Limits that targets named recently.
+    pub limits: Vec<LimitReport>,
     /// The node's view of the rollouts and its own calls to their versions.
     pub rollouts: Vec<RolloutReport>,
 }
--- /dev/null
+++ b/crates/core/src/relay/rate_limits.rs
@@ -0,0 +1,293 @@
+//! Limits that targets name on the requests per second that they take from all nodes together.
+//!
+//! Nodes learn limits from answers and from each other's heartbeats. A request to a limited target needs a permit of the
+//! limit keeper, one node for each service, which all nodes choose alike. The keeper has a token bucket for each target,
+//! so that the limit holds for the sum of all nodes and can be below one request for each of them.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::clock::Moment;
+use crate::message::NodeState;
+use crate::names::{NodeName, ServiceName, TargetName};
+use crate::relay::board::RelayBoard;
+use crate::relay::targets::TargetView;
+
+/// A number of requests per second, stored in thousandths.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RequestRate(pub u32);
+
+impl RequestRate {
+    /// Returns the rate of so many requests per second, or `None` for a number that is negative or not finite.
+    #[must_use]
+    pub fn from_per_second(requests: f64) -> Option<Self> {
+        (requests.is_finite() && requests >= 0.0).then(|| Self((requests * 1e3).min(f64::from(u32::MAX)) as u32))
+    }
+
+    /// Returns the number of requests per second.
+    #[must_use]
+    pub fn per_second(self) -> f64 {
+        f64::from(self.0) / 1e3
+    }
+}
+
+/// What a node knows of a target's limit, as it is sent to peers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LimitReport {
+    /// The target.
+    pub target: TargetName,
+    /// The limit, or `None` if the target has stopped naming one.
+    pub rate: Option<RequestRate>,
+    /// Time since the answer that showed it.
+    pub age: Duration,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct LimitRecord {
+    rate: Option<RequestRate>,
+    shown_at: Moment,
+}
+
+/// Limits of targets, as answers showed them last.
+#[derive(Clone, Debug, Default)]
+pub struct RateLimitTable {
+    records: BTreeMap<TargetName, LimitRecord>,
+}
+
+impl RateLimitTable {
+    /// Time after which a record is dropped. A limited target that is still there has answered since.
+    const RECORD_LIFETIME: Duration = Duration::from_mins(1);
+    /// Time for which a record is announced to peers, which get several heartbeats in it.
+    const ANNOUNCE_TIMEOUT: Duration = Duration::from_secs(3);
+
+    /// Records the limit that an answer named, or `None` for an answer without one, to a call that was made at
+    /// `called_at`. An answer without a limit ends one only if its call is later than the answer that named it.
+    pub fn record_answer(&mut self, target: &TargetName, rate: Option<RequestRate>, called_at: Moment, now: Moment) {
+        match (rate, self.records.get(target)) {
+            (Some(_), _) => {
+                self.records.insert(target.clone(), LimitRecord { rate, shown_at: now });
+            }
+            (None, Some(known)) if known.rate.is_some() && called_at > known.shown_at => {
+                self.records.insert(target.clone(), LimitRecord { rate: None, shown_at: now });
+            }
+            (None, _) => {}
+        }
+    }
+
+    /// Takes over what a peer has learned later than this node.
+    pub fn merge_reports(&mut self, reports: &[LimitReport], now: Moment) {
+        for report in reports {
+            let (rate, shown_at) = (report.rate, now - report.age);
+            if self.records.get(&report.target).is_none_or(|known| known.shown_at < shown_at) {
+                self.records.insert(report.target.clone(), LimitRecord { rate, shown_at });
+            }
+        }
+    }
+
+    /// Returns the recent records for a heartbeat.
+    #[must_use]
+    pub fn reports(&self, now: Moment) -> Vec<LimitReport> {
+        let recent = self.records.iter().filter(|(_, known)| now.since(known.shown_at) <= Self::ANNOUNCE_TIMEOUT);
+        recent
+            .map(|(target, known)| LimitReport {
+                target: target.clone(),
+                rate: known.rate,
+                age: now.since(known.shown_at),
+            })
+            .collect()
+    }
+
+    /// Returns the limit of a target, or `None` if it has none.
+    #[must_use]
+    pub fn rate(&self, target: &TargetName) -> Option<RequestRate> {
+        self.records.get(target)?.rate
+    }
+
+    /// Forgets the limit of a target that is gone or has started again.
+    pub fn remove_target(&mut self, target: &TargetName) {
+        self.records.remove(target);
+    }
+
+    fn remove_expired(&mut self, now: Moment) {
+        self.records.retain(|_, known| now.since(known.shown_at) < Self::RECORD_LIFETIME);
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct TokenBucket {
+    tokens: f64,
+    filled_at: Moment,
+}
+
+/// Token buckets of the targets for whose limits this node has given permits.
+#[derive(Clone, Debug, Default)]
+pub struct PermitBuckets {
+    buckets: BTreeMap<TargetName, TokenBucket>,
+    /// Since when this node has been the keeper of each service by its own view.
+    keeper_since: BTreeMap<ServiceName, Moment>,
+}
+
+impl PermitBuckets {
+    /// Fraction of a limit that is used. The rest covers requests that the network delays and delivers together.
+    const USED_RATIO: f64 = 0.95;
+    /// Fraction of the used rate at which a node gives permits while another one may be the keeper in the view of some
+    /// nodes. The users tolerate one and a half times a limit.
+    const SHARED_RATIO: f64 = 0.5;
+    /// Time for which views of who is the keeper may differ after a change.
+    const TAKEOVER_TIME: Duration = Duration::from_secs(4);
+    /// Size of a bucket: a fixed number of tokens, and those of some time at the limit.
+    const BASE_TOKENS: f64 = 2.0;
+    const BUCKET_TIME: Duration = Duration::from_millis(250);
+    /// Tokens that must remain after a permit for each rank below the most urgent, up to `MAX_RESERVE_RANK`. More urgent
+    /// requests find them.
+    const RANK_RESERVE: f64 = 0.5;
+    const MAX_RESERVE_RANK: u8 = 2;
+    /// Tokens down to which a bucket can be overdrawn by calls that need no permit.
+    const MIN_TOKENS: f64 = -3.0;
+
+    /// Records whether this node is the keeper of `service` in its own view. Returns the fraction of the limits that it
+    /// may give.
+    fn usable_ratio(&mut self, service: &ServiceName, is_keeper: bool, now: Moment) -> f64 {
+        if !is_keeper {
+            self.keeper_since.remove(service);
+            return Self::USED_RATIO * Self::SHARED_RATIO;
+        }
+        let since = *self.keeper_since.entry(service.clone()).or_insert(now);
+        if now.since(since) < Self::TAKEOVER_TIME { Self::USED_RATIO * Self::SHARED_RATIO } else { Self::USED_RATIO }
+    }
+
+    /// Fills the bucket of a target, and returns its tokens.
+    fn fill(&mut self, target: &TargetName, rate: RequestRate, usable_ratio: f64, now: Moment) -> &mut f64 {
+        let size = Self::BASE_TOKENS + rate.per_second() * Self::BUCKET_TIME.as_secs_f64();
+        let bucket =
+            self.buckets.entry(target.clone()).or_insert(TokenBucket { tokens: 1.0_f64.min(size), filled_at: now });
+        let added = now.since(bucket.filled_at).as_secs_f64() * rate.per_second() * usable_ratio;
+        bucket.tokens = (bucket.tokens + added).min(size);
+        bucket.filled_at = now;
+        &mut bucket.tokens
+    }
+
+    /// Returns the tokens that a bucket must hold for a request with priority `rank`.
+    fn tokens_needed(rank: u8) -> f64 {
+        1.0 + Self::RANK_RESERVE * f64::from(rank.min(Self::MAX_RESERVE_RANK))
+    }
+
+    fn remove_expired(&mut self, now: Moment) {
+        self.buckets.retain(|_, bucket| now.since(bucket.filled_at) < RateLimitTable::RECORD_LIFETIME);
+    }
+}
+
+/// A request for a permit to call one of several limited targets.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PermitRequest {
+    /// Service of the targets.
+    pub service: ServiceName,
+    /// Priority rank of the request that is to be sent.
+    pub rank: u8,
+    /// Targets with their limits, in the order of preference.
+    pub targets: Vec<(TargetName, RequestRate)>,
+}
+
+/// Answer to a [`PermitRequest`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PermitAnswer {
+    /// One request may be sent to this target now.
+    Granted(TargetName),
+    /// No target takes a request now. One of them is expected to take one after this time.
+    Denied(Duration),
+}
+
+impl PermitAnswer {
+    /// Minimum and maximum time after which a caller is told to retry.
+    pub const RETRY_AFTER_RANGE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(4));
+}
+
+impl RelayBoard {
+    /// Returns the node that gives permits for the limited targets of `service`: the one that batches its pieces, if
+    /// that is not this node while it is leaving.
+    #[must_use]
+    pub fn limit_keeper(&self, service: &ServiceName, now: Moment) -> &NodeName {
+        let own = &self.identity.node;
+        let keeper = self.batching_node(service, now);
+        if keeper != own || self.state == NodeState::Serving {
+            return keeper;
+        }
+        let peers = self.members.serving(now).filter(|view| view.is_reachable(now));
+        let strongest = peers.max_by_key(|view| (view.heartbeat.capacity, &view.heartbeat.node));
+        strongest.map_or(own, |view| &view.heartbeat.node)
+    }
+
+    /// Gives a permit for the first target whose bucket allows it.
+    pub fn take_permit(&mut self, request: &PermitRequest, now: Moment) -> PermitAnswer {
+        let is_keeper = *self.limit_keeper(&request.service, now) == self.identity.node;
+        let ratio = self.permit_buckets.usable_ratio(&request.service, is_keeper, now);
+        let needed = PermitBuckets::tokens_needed(request.rank);
+        let (min_pause, max_pause) = PermitAnswer::RETRY_AFTER_RANGE;
+        let mut pause = max_pause;
+        for (target, rate) in &request.targets {
+            let tokens = self.permit_buckets.fill(target, *rate, ratio, now);
+            if *tokens >= needed {
+                *tokens -= 1.0;
+                return PermitAnswer::Granted(target.clone());
+            }
+            let seconds = (needed - *tokens) / (rate.per_second() * ratio).max(1e-3);
+            pause = pause.min(Duration::from_secs_f64(seconds.min(max_pause.as_secs_f64())));
+        }
+        // Spreads the retries of callers that were refused together.
+        let pause = pause.mul_f64(1.0 + self.random.f64());
+        PermitAnswer::Denied(pause.clamp(min_pause, max_pause))
+    }
+
+    /// Counts a call to a target that was made without a permit, such as one that frees results.
+    pub fn charge_permit(&mut self, service: &ServiceName, target: &TargetName, now: Moment) {
+        let Some(rate) = self.rate_limits.rate(target) else { return };
+        let is_keeper = *self.limit_keeper(service, now) == self.identity.node;
+        let ratio = self.permit_buckets.usable_ratio(service, is_keeper, now);
+        let tokens = self.permit_buckets.fill(target, rate, ratio, now);
+        *tokens = (*tokens - 1.0).max(PermitBuckets::MIN_TOKENS);
+    }
+
+    /// Returns the targets of `service` whose limits allow a call by this node now, which batches its pieces, together
+    /// with those that have no limit. A call to one of them is counted with [`Self::charge_permit`].
+    #[must_use]
+    pub fn targets_within_limits(&mut self, service: &ServiceName, now: Moment) -> Vec<TargetName> {
+        let is_keeper = *self.limit_keeper(service, now) == self.identity.node;
+        let ratio = self.permit_buckets.usable_ratio(service, is_keeper, now);
+        let Self { targets, rate_limits, permit_buckets, .. } = self;
+        let names = targets.of(service).map(|view| &view.entry.target);
+        let is_allowed = |target: &&TargetName| {
+            rate_limits.rate(target).is_none_or(|rate| *permit_buckets.fill(target, rate, ratio, now) >= 1.0)
+        };
+        names.filter(is_allowed).cloned().collect()
+    }
+
+    /// Returns up to `max_count` limited targets of `service` that may get a call apart from their limits, in random
+    /// order.
+    #[must_use]
+    pub fn limited_targets(
+        &mut self,
+        service: &ServiceName,
+        max_count: usize,
+        now: Moment,
+    ) -> Vec<(TargetName, RequestRate)> {
+        let lanes = self.version_lanes(service, now);
+        let Self { targets, rate_limits, closed_dcs, random, .. } = self;
+        let is_usable = |view: &&TargetView| {
+            let entry = &view.entry;
+            let is_in_lane = lanes.first().is_some_and(|lane| lane.allows(&entry.version));
+            let is_free = !view.is_cold(now) && view.backoff_until <= now;
+            is_in_lane && is_free && !entry.leaving && !closed_dcs.contains(&entry.dc)
+        };
+        let limited = targets.of(service).filter(is_usable).filter_map(|view| {
+            let target = &view.entry.target;
+            Some((target.clone(), rate_limits.rate(target)?))
+        });
+        random.choose_multiple(limited, max_count)
+    }
+
+    /// Drops limits and buckets that have not been used for long.
+    pub(super) fn remove_expired_limits(&mut self, now: Moment) {
+        self.rate_limits.remove_expired(now);
+        self.permit_buckets.remove_expired(now);
+    }
+}
--- a/crates/core/src/relay/steps.rs
+++ b/crates/core/src/relay/steps.rs
@@ -23,6 +23,8 @@
     Failed,
     /// The content of the request is known to crash targets. Nothing was sent.
     Harmful,
+    /// All targets have as many requests as they say they take. Nothing was sent.
+    Limited,
 }
 
 /// What to do after a failed attempt.
@@ -75,7 +77,7 @@
                 let is_retried = policy.is_retryable() && self.may_have_run_count < max_attempts && affordable;
                 if is_retried { NextStep::Again } else { NextStep::Fail }
             }
-            AttemptEnd::Harmful => self.give_up_step(),
+            AttemptEnd::Harmful | AttemptEnd::Limited => self.give_up_step(),
             AttemptEnd::Failed => {
                 self.may_have_run_count += 1;
                 let is_retried = policy.is_retryable() && self.may_have_run_count < max_attempts && affordable;
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -24,6 +24,8 @@
 mod members;
 #[path = "relay/pieces.rs"]
 mod pieces;
+#[path = "relay/rate_limits.rs"]
+mod rate_limits;
 #[path = "relay/rollout.rs"]
 mod rollout;
 #[path = "relay/rows.rs"]
--- a/crates/core/tests/relay/choice.rs
+++ b/crates/core/tests/relay/choice.rs
@@ -25,7 +25,13 @@
     ms: u64,
 ) -> Option<TargetName> {
     let service = ServiceName::new("coachmodel");
-    let requirements = CallRequirements { service: &service, avoid, prompt, input_bytes_by_dc: &BTreeMap::new() };
+    let requirements = CallRequirements {
+        service: &service,
+        avoid,
+        prompt,
+        input_bytes_by_dc: &BTreeMap::new(),
+        only_unlimited: false,
+    };
     board.choose(&requirements, at(ms)).map(|entry| entry.target)
 }
 
--- a/crates/core/tests/relay/fixtures.rs
+++ b/crates/core/tests/relay/fixtures.rs
@@ -86,6 +86,7 @@
         prompts: Vec::new(),
         waits: Vec::new(),
         suspects: Vec::new(),
+        limits: Vec::new(),
         rollouts: Vec::new(),
     }
 }
--- a/crates/core/tests/relay/fleet.rs
+++ b/crates/core/tests/relay/fleet.rs
@@ -299,8 +299,13 @@
         }
         let prompt = PromptSpec { parts: vec![PromptPart { id: number as u64, tokens: 13_000 }] };
         let inputs = BTreeMap::new();
-        let requirements =
-            CallRequirements { service: &service, avoid: &[], prompt: Some(&prompt), input_bytes_by_dc: &inputs };
+        let requirements = CallRequirements {
+            service: &service,
+            avoid: &[],
+            prompt: Some(&prompt),
+            input_bytes_by_dc: &inputs,
+            only_unlimited: false,
+        };
         let board = fleet.boards.get_mut(name).expect("the node is in the fleet");
         let target = board.choose(&requirements, now).expect("engines are available").target;
         board.targets.record_call_start(&target, 13_000, now);
--- a/crates/core/tests/relay/fleet_limits.rs
+++ b/crates/core/tests/relay/fleet_limits.rs
@@ -84,6 +84,7 @@
                 avoid: &[],
                 prompt: None,
                 input_bytes_by_dc: &std::collections::BTreeMap::new(),
+                only_unlimited: false,
             };
             if let Some(chosen) = board.choose(&requirements, at(ms)) {
                 board.targets.record_call_start(&chosen.target, 0, at(ms));
--- a/crates/core/tests/relay/rollout/simulation.rs
+++ b/crates/core/tests/relay/rollout/simulation.rs
@@ -209,7 +209,13 @@
             self.due_calls -= 1.0;
             let (node, route) = (self.random.usize(..self.boards.len()), self.random.usize(..ROUTES.len()));
             let (service, inputs, now) = (service(), BTreeMap::new(), self.now());
-            let call = CallRequirements { service: &service, avoid: &[], prompt: None, input_bytes_by_dc: &inputs };
+            let call = CallRequirements {
+                service: &service,
+                avoid: &[],
+                prompt: None,
+                input_bytes_by_dc: &inputs,
+                only_unlimited: false,
+            };
             let board = &mut self.boards[node];
             let Some(entry) = board.choose(&call, now) else { continue };
             let is_candidate = entry.version.as_str() == "v2";
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -16,6 +16,7 @@
 
 use crate::answer_memory::AnswerBuffer;
 use crate::clock;
+use crate::limits;
 use crate::log_prefixes::TARGETS;
 use crate::metering;
 use crate::pool::PooledConnection;
@@ -228,11 +229,12 @@
     let connect_timeout = node.times.connect_timeout;
     let mut request = request.map(Full::new);
     let mut needs_new_connection = needs_new_connection;
+    let called_at = clock::now();
     loop {
         let connection = node.pool.acquire(entry, connect_timeout, needs_new_connection).await;
         let mut connection = connection.map_err(|_| AttemptEnd::NotSent)?;
         match connection.sender.try_send_request(request).await {
-            Ok(response) => return Ok(open_answer(node, entry, response, connection)),
+            Ok(response) => return Ok(open_answer(node, entry, called_at, response, connection)),
             Err(mut error) => match error.take_message() {
                 // The target had closed an idle connection. Only a new connection shows whether it is reachable.
                 Some(unsent) if connection.is_reused => {
@@ -253,11 +255,16 @@
 fn open_answer(
     node: &SharedNode,
     entry: &TargetEntry,
+    called_at: Moment,
     response: Response<Incoming>,
     connection: PooledConnection,
 ) -> OpenAnswer {
     let (parts, body) = response.into_parts();
     let head = node.platform.read_answer(parts.status, &parts.headers);
+    // Another target has the address, or the answer is too short to name a limit.
+    if head.rate_limit.is_some() || parts.status.is_success() {
+        limits::record_answer(node, &entry.target, head.rate_limit, called_at);
+    }
     let (target, service) = (entry.target.clone(), entry.service.clone());
     OpenAnswer { status: parts.status, headers: parts.headers, head, body, connection, target, service }
 }
@@ -314,7 +321,7 @@
         AttemptEnd::NotSent => CallResult::Unreachable,
         AttemptEnd::NotRun if head.is_some_and(|head| head.claim == RunClaim::Misdirected) => CallResult::Replaced,
         AttemptEnd::NotRun => CallResult::Full,
-        AttemptEnd::InputsGone | AttemptEnd::Harmful => CallResult::Unknown,
+        AttemptEnd::InputsGone | AttemptEnd::Harmful | AttemptEnd::Limited => CallResult::Unknown,
         AttemptEnd::Lost => CallResult::Broken,
         AttemptEnd::Garbled => CallResult::Garbled,
         AttemptEnd::Failed => CallResult::Faulty,
--- a/crates/relay/src/batching.rs
+++ b/crates/relay/src/batching.rs
@@ -125,15 +125,20 @@
 fn plan_next_call(node: &SharedNode, service: &ServiceName) -> Option<(CallPlan, TargetEntry, BatchSpec)> {
     let (mut board, now) = (node.board.borrow_mut(), clock::now());
     let lanes = board.version_lanes(service, now);
+    let within_limits = board.targets_within_limits(service, now);
     let RelayBoard { pieces, targets, index, closed_dcs: closed, .. } = &mut *board;
     let spec = index.services.get(service)?.batch.clone()?;
     let is_usable = |entry: &TargetEntry| !entry.leaving && !closed.contains(&entry.dc);
     let plan = lanes.iter().find_map(|lane| {
-        let is_candidate = |view: &&TargetView| is_usable(&view.entry) && lane.allows(&view.entry.version);
+        let is_candidate = |view: &&TargetView| {
+            let entry = &view.entry;
+            is_usable(entry) && lane.allows(&entry.version) && within_limits.contains(&entry.target)
+        };
         let candidates: Vec<&TargetView> = targets.of(service).filter(is_candidate).collect();
         pieces.queue_mut(service).plan(&spec, &candidates, now)
     })?;
     let entry = targets.get(&plan.target)?.entry.clone();
+    board.charge_permit(service, &plan.target, now);
     Some((plan, entry, spec))
 }
 
@@ -218,6 +223,7 @@
 }
 
 async fn send_free_request(node: SharedNode, entry: TargetEntry, handles: Vec<Arc<str>>) {
+    node.board.borrow_mut().charge_permit(&entry.service, &entry.target, clock::now());
     let request = node.platform.free_request(&entry, &handles);
     let freed = async {
         let mut answer = attempt::send_request(&node, &entry, request, false).await?;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -30,6 +30,7 @@
 mod attempt;
 mod blame;
 mod body;
+mod limits;
 mod pool;
 mod stream;
 
--- a/crates/relay/src/metering.rs
+++ b/crates/relay/src/metering.rs
@@ -75,6 +75,12 @@
     counter!("wasabipier_relay_table_received_bytes_total").increment(received_bytes as u64);
 }
 
+/// Counts a request for a permit to call a limited target of `service`.
+pub fn record_permit(service: &str, is_granted: bool) {
+    let answer = if is_granted { "granted" } else { "denied" };
+    counter!("wasabipier_relay_permits_total", "service" => service.to_owned(), "answer" => answer).increment(1);
+}
+
 /// Counts a connection that was opened to a target of `service`.
 pub fn record_connection(service: &str) {
     counter!("wasabipier_relay_connections_total", "service" => service.to_owned()).increment(1);
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -22,7 +22,7 @@
 use wasabipier_core::relay::members::RelayHeartbeat;
 use wasabipier_core::relay::pieces::PieceJob;
 use wasabipier_wire::frame::{FrameError, MAX_FRAME_BYTES};
-use wasabipier_wire::relay::{WireCall, WireReply, decode, encode, jobs_from_wire, outcome_to_wire};
+use wasabipier_wire::relay::{WireCall, WireReply, decode, encode, jobs_from_wire, outcome_to_wire, permit_to_wire};
 
 use crate::batching;
 use crate::blame;
@@ -199,6 +199,7 @@
         WireCall::Work(loads) => WireReply::Work(load_exchange::answer_exchange(node, loads)),
         WireCall::Rows { table, have } => table_transfers::rows_reply(node, table, have),
         WireCall::Chunks { table, hashes } => table_transfers::chunks_reply(node, table, &hashes),
+        WireCall::Permit(request) => permit_to_wire(&node.board.borrow_mut().take_permit(&request.into(), now)),
         WireCall::Pieces { service, jobs } => {
             let jobs: Vec<PieceJob> = jobs.into_iter().flat_map(|jobs| jobs_from_wire(jobs, now)).collect();
             let outcomes = batching::make_pieces_locally(node, &ServiceName::new(service), jobs).await;
--- a/crates/relay/src/ports.rs
+++ b/crates/relay/src/ports.rs
@@ -12,6 +12,7 @@
 use wasabipier_core::relay::board::OrderChange;
 use wasabipier_core::relay::choice::PromptSpec;
 use wasabipier_core::relay::pieces::{PieceFailure, PieceJob};
+use wasabipier_core::relay::rate_limits::RequestRate;
 use wasabipier_core::relay::rollout::{RolloutRecord, RolloutWrite};
 use wasabipier_core::relay::rows::{RowBatch, SharedRow, TableId};
 use wasabipier_core::relay::targets::TargetEntry;
@@ -152,6 +153,8 @@
     pub claim: RunClaim,
     /// Time for which the target remains cold, if it states one.
     pub cold_time: Option<Duration>,
+    /// Requests per second that the target takes from all nodes together, if it states a limit.
+    pub rate_limit: Option<RequestRate>,
     /// Time for which the target keeps an idle connection, if it states one.
     pub idle_timeout: Option<Duration>,
 }
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -14,6 +14,7 @@
 use wasabipier_core::names::{DcName, TargetName};
 use wasabipier_core::relay::choice::CallRequirements;
 use wasabipier_core::relay::prompts::prefix_keys;
+use wasabipier_core::relay::rate_limits::{PermitAnswer, PermitRequest};
 use wasabipier_core::relay::steps::{AttemptEnd, AttemptTally, NextStep};
 use wasabipier_core::relay::suspects::HarmfulContent;
 use wasabipier_core::relay::targets::{CallResult, TargetEntry};
@@ -23,6 +24,7 @@
 use crate::blame;
 use crate::body::AnswerBody;
 use crate::clock;
+use crate::limits;
 use crate::load_exchange;
 use crate::log_prefixes::REQUEST;
 use crate::metering;
@@ -35,6 +37,8 @@
 /// Number of unread prompt tokens from which on a heartbeat is sent at once. Such a prompt keeps its engine busy, and
 /// with regular heartbeats other nodes would learn of it too late.
 const LONG_PROMPT_TOKENS: u32 = 4_000;
+/// Maximum number of limited targets for which a permit is asked at once.
+const MAX_LIMITED_TARGETS: usize = 16;
 /// Delay after which a caller may retry when its targets were full or unreachable.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
 
@@ -154,6 +158,8 @@
     admitted: AdmittedRequest,
     tally: AttemptTally,
     tried_targets: Vec<TargetName>,
+    /// Time after which a limited target is expected to take a request, if none did.
+    limit_pause: Duration,
     /// Results of the preparation stages and their bytes by data centre; `None` until they are prepared. Empty for a
     /// route without stages, and after the final call has used the results.
     inputs: Option<(PreparedInputs, BTreeMap<DcName, u64>)>,
@@ -167,7 +173,18 @@
     fn new(node: SharedNode, head: RequestHead, parts: http::request::Parts, admitted: AdmittedRequest) -> Self {
         let (tally, tried_targets) = (AttemptTally::default(), Vec::new());
         let (has_begun, has_attempt_in_flight) = (false, false);
-        Self { node, head, parts, admitted, tally, tried_targets, inputs: None, has_begun, has_attempt_in_flight }
+        Self {
+            node,
+            head,
+            parts,
+            admitted,
+            tally,
+            tried_targets,
+            limit_pause: RETRY_AFTER,
+            inputs: None,
+            has_begun,
+            has_attempt_in_flight,
+        }
     }
 
     /// Runs preparation stages and attempts until a target answers or no further attempt is allowed.
@@ -190,6 +207,9 @@
                 NextStep::Again => {}
                 NextStep::Prepare => self.inputs = None,
                 NextStep::Refuse if failed.end == AttemptEnd::Harmful => return Err(Rejection::harmful()),
+                NextStep::Refuse if failed.end == AttemptEnd::Limited => {
+                    return Err(Rejection::not_run("targets are at their limits", self.limit_pause));
+                }
                 NextStep::Refuse => return Err(Rejection::not_run("no target took it", RETRY_AFTER)),
                 NextStep::Fail => {
                     return Err(Rejection { kind: RefusalKind::Unknown, reason: "no answer", retry_after: None });
@@ -248,7 +268,7 @@
             deadline: self.admitted.deadline,
             objective: self.admitted.started + route.objective,
             final_call,
-            wanted_in: self.choose_target().map(|entry| entry.dc),
+            wanted_in: self.choose_target(false).map(|entry| entry.dc),
         };
         match run.run().await {
             Ok(inputs) => {
@@ -259,17 +279,49 @@
         }
     }
 
-    fn choose_target(&self) -> Option<TargetEntry> {
+    fn choose_target(&self, only_unlimited: bool) -> Option<TargetEntry> {
         let no_inputs = BTreeMap::new();
         let requirements = CallRequirements {
             service: &self.admitted.service,
             avoid: &self.tried_targets,
             prompt: self.head.prompt.as_ref(),
             input_bytes_by_dc: self.inputs.as_ref().map_or(&no_inputs, |(_, bytes)| bytes),
+            only_unlimited,
         };
         self.node.board.borrow_mut().choose(&requirements, clock::now())
     }
 
+    /// Chooses a target, and gets a permit for it if it names a limit on its requests. If the target takes no more, one
+    /// without a limit is chosen, or any limited one that still takes requests.
+    async fn choose_target_within_limits(&mut self) -> Result<TargetEntry, AttemptEnd> {
+        let Some(entry) = self.choose_target(false) else { return Err(AttemptEnd::NotRun) };
+        let rate = self.node.board.borrow().rate_limits.rate(&entry.target);
+        let Some(rate) = rate else { return Ok(entry) };
+        let service = self.admitted.service.clone();
+        let mut permit_request =
+            PermitRequest { service, rank: self.admitted.grant.rank, targets: vec![(entry.target.clone(), rate)] };
+        if let PermitAnswer::Granted(_) = limits::request_permit(&self.node, &permit_request).await {
+            return Ok(entry);
+        }
+        if let Some(unlimited) = self.choose_target(true) {
+            return Ok(unlimited);
+        }
+        let mut targets =
+            self.node.board.borrow_mut().limited_targets(&permit_request.service, MAX_LIMITED_TARGETS, clock::now());
+        targets.retain(|(target, _)| !self.tried_targets.contains(target));
+        permit_request.targets = targets;
+        match limits::request_permit(&self.node, &permit_request).await {
+            PermitAnswer::Granted(target) => {
+                let board = self.node.board.borrow();
+                board.targets.get(&target).map(|view| view.entry.clone()).ok_or(AttemptEnd::NotRun)
+            }
+            PermitAnswer::Denied(pause) => {
+                self.limit_pause = pause;
+                Err(AttemptEnd::Limited)
+            }
+        }
+    }
+
     /// Chooses a target, sends the request to it, and reads its answer, or the first part of a stream.
     async fn try_target(&mut self, last_event: Option<u64>) -> Result<RequestAnswer, FailedAttempt> {
         if self.head.prompt.is_some() {
@@ -279,7 +331,7 @@
             blame::log_refused(&self.node, &self.head.request, &content);
             return Err(AttemptEnd::Harmful.into());
         }
-        let Some(entry) = self.choose_target() else { return Err(AttemptEnd::NotRun.into()) };
+        let entry = self.choose_target_within_limits().await?;
         self.tried_targets.push(entry.target.clone());
         let unread_tokens = self.record_prompt(&entry);
         let mut guard = CallGuard::new(&self.node, &entry, &self.admitted.grant.route.name, unread_tokens);
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -14,6 +14,7 @@
 use wasabipier_core::relay::members::{RelayHeartbeat, TableProof, TargetLoad};
 use wasabipier_core::relay::pieces::{PieceFailure, PieceJob, PieceOutcome, PieceResult, PieceSource, QueueWait};
 use wasabipier_core::relay::prompts::PromptCacheUpdate;
+use wasabipier_core::relay::rate_limits::{LimitReport, PermitAnswer, PermitRequest, RequestRate};
 use wasabipier_core::relay::rows::{RowBatch, SharedRow, TableId};
 use wasabipier_core::relay::suspects::SuspectReport;
 
@@ -51,6 +52,8 @@
     waits: Vec<(String, Vec<(u32, u32)>)>,
     /// Content that may have crashed targets.
     suspects: Vec<WireSuspect>,
+    /// Limits on requests: name of the target, thousandths of a request per second or none, and age in milliseconds.
+    limits: Vec<(String, Option<u32>, u32)>,
     rollouts: Vec<WireRolloutReport>,
 }
 
@@ -116,6 +119,48 @@
     checksum: u64,
 }
 
+/// Encoded form of [`PermitRequest`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WirePermitRequest {
+    service: String,
+    rank: u8,
+    /// Names of targets and thousandths of a request per second.
+    targets: Vec<(String, u32)>,
+}
+
+impl From<&PermitRequest> for WirePermitRequest {
+    fn from(request: &PermitRequest) -> Self {
+        let targets = request.targets.iter().map(|(target, rate)| (target.to_string(), rate.0)).collect();
+        Self { service: request.service.to_string(), rank: request.rank, targets }
+    }
+}
+
+impl From<WirePermitRequest> for PermitRequest {
+    fn from(request: WirePermitRequest) -> Self {
+        let targets = request.targets.into_iter();
+        let targets = targets.map(|(target, rate)| (TargetName::new(target), RequestRate(rate))).collect();
+        Self { service: ServiceName::new(request.service), rank: request.rank, targets }
+    }
+}
+
+/// Returns the encoded form of an answer to a request for a permit.
+#[must_use]
+pub fn permit_to_wire(answer: &PermitAnswer) -> WireReply {
+    WireReply::Permit(match answer {
+        PermitAnswer::Granted(target) => Ok(target.to_string()),
+        PermitAnswer::Denied(pause) => Err(pause.as_millis() as u32),
+    })
+}
+
+/// Decodes an answer to a request for a permit.
+#[must_use]
+pub fn permit_from_wire(answer: Result<String, u32>) -> PermitAnswer {
+    match answer {
+        Ok(target) => PermitAnswer::Granted(TargetName::new(target)),
+        Err(pause_ms) => PermitAnswer::Denied(Duration::from_millis(u64::from(pause_ms))),
+    }
+}
+
 /// Piece jobs of one stage of a request that differ only in their `segment`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WireJobs {
@@ -181,6 +226,8 @@
         /// Jobs of the pieces.
         jobs: Vec<WireJobs>,
     },
+    /// Asks the keeper of a service's limits for a permit.
+    Permit(WirePermitRequest),
     /// Releases results that are not needed any more.
     Free {
         /// Name of the service that made the results.
@@ -210,6 +257,8 @@
     },
     /// The first of the chunks that were asked for and that the peer has.
     Chunks(Vec<Vec<u8>>),
+    /// The target that may get a request, or the time in milliseconds after which one may.
+    Permit(Result<String, u32>),
     /// Outcome of each piece, in the order of the jobs.
     Pieces(Vec<WirePieceOutcome>),
     /// The call was handled and has no result, or the peer has no copy of the table.
@@ -308,6 +357,7 @@
             prompts: prompts_to_wire(&heartbeat.prompts),
             waits: heartbeat.waits.iter().map(|(service, waits)| (service.to_string(), waits_to_wire(waits))).collect(),
             suspects: heartbeat.suspects.iter().map(WireSuspect::from).collect(),
+            limits: limits_to_wire(&heartbeat.limits),
             rollouts: heartbeat.rollouts.iter().map(WireRolloutReport::from).collect(),
         }
     }
@@ -344,11 +394,30 @@
             prompts: prompts_from_wire(heartbeat.prompts),
             waits: waits.collect(),
             suspects: heartbeat.suspects.into_iter().map(SuspectReport::from).collect(),
+            limits: limits_from_wire(heartbeat.limits),
             rollouts: heartbeat.rollouts.into_iter().filter_map(WireRolloutReport::into_report).collect(),
         }
     }
 }
 
+fn limits_to_wire(limits: &[LimitReport]) -> Vec<(String, Option<u32>, u32)> {
+    let limits = limits.iter();
+    limits
+        .map(|report| (report.target.to_string(), report.rate.map(|rate| rate.0), report.age.as_millis() as u32))
+        .collect()
+}
+
+fn limits_from_wire(limits: Vec<(String, Option<u32>, u32)>) -> Vec<LimitReport> {
+    let limits = limits.into_iter();
+    limits
+        .map(|(target, rate, age_ms)| LimitReport {
+            target: TargetName::new(target),
+            rate: rate.map(RequestRate),
+            age: Duration::from_millis(u64::from(age_ms)),
+        })
+        .collect()
+}
+
 fn loads_to_wire(loads: &[TargetLoad]) -> Vec<WireTargetLoad> {
     loads.iter().map(|load| (load.target.to_string(), load.in_flight, load.pending_prompt_tokens)).collect()
 }
--- a/crates/wire/tests/relay.rs
+++ b/crates/wire/tests/relay.rs
@@ -12,6 +12,7 @@
 use wasabipier_core::relay::members::{RelayHeartbeat, TableProof, TargetLoad};
 use wasabipier_core::relay::pieces::{PieceJob, PieceSource};
 use wasabipier_core::relay::prompts::PromptCacheUpdate;
+use wasabipier_core::relay::rate_limits::{LimitReport, RequestRate};
 use wasabipier_core::relay::rollout::{RecordedState, RolloutPhase, RolloutReport, VersionTallies};
 use wasabipier_core::relay::rows::TableId;
 use wasabipier_core::relay::suspects::{CrashId, CrashReport, SuspectKey, SuspectReport};
@@ -160,6 +161,9 @@
             suspect_report(SuspectKey::Part(0xdead), true),
             suspect_report(SuspectKey::Content(Fingerprint(5)), false),
         ],
+        limits: [Some(RequestRate(1_500)), None]
+            .map(|rate| LimitReport { target: TargetName::new("engine-1"), rate, age: Duration::from_millis(40) })
+            .to_vec(),
         rollouts: vec![rollout_report()],
     };
     let report = FleetReport {
