Let a keeper know for how long it has been one when a limit is first named

A keeper gave half of a limit for the first four seconds in which it was asked, also when it had been the keeper all the time, so that requests were sent elsewhere or refused without need. Nodes now check twice a second of which services they are the keeper.

--- a/crates/core/src/relay/board.rs
+++ b/crates/core/src/relay/board.rs
@@ -444,7 +444,7 @@
             self.targets.set_peer_loads(node, Vec::new());
         }
         self.members.evict_expired(now);
-        self.remove_expired_limits(now);
+        self.maintain_limits(now);
         let removed = self.targets.remove_due(now);
         for target in &removed {
             self.prompts.remove_target(target);
--- a/crates/core/src/relay/rate_limits.rs
+++ b/crates/core/src/relay/rate_limits.rs
@@ -125,6 +125,8 @@
     buckets: BTreeMap<TargetName, TokenBucket>,
     /// Since when this node has been the keeper of each service by its own view.
     keeper_since: BTreeMap<ServiceName, Moment>,
+    /// When `keeper_since` was last brought up to date for all services.
+    checked_at: Moment,
 }
 
 impl PermitBuckets {
@@ -133,6 +135,9 @@
     /// Fraction of the used rate at which a node gives permits while another one may be the keeper in the view of some
     /// nodes. The users tolerate one and a half times a limit.
     const SHARED_RATIO: f64 = 0.5;
+    /// Interval at which a node checks of which services it is the keeper. It then knows for how long when the first
+    /// target names a limit.
+    const CHECK_INTERVAL: Duration = Duration::from_millis(500);
     /// Time for which views of who is the keeper may differ after a change.
     const TAKEOVER_TIME: Duration = Duration::from_secs(4);
     /// Size of a bucket: a fixed number of tokens, and those of some time at the limit.
@@ -285,9 +290,17 @@
         random.choose_multiple(limited, max_count)
     }
 
-    /// Drops limits and buckets that have not been used for long.
-    pub(super) fn remove_expired_limits(&mut self, now: Moment) {
+    /// Drops limits and buckets that have not been used for long, and checks of which services this node is the keeper.
+    pub(super) fn maintain_limits(&mut self, now: Moment) {
         self.rate_limits.remove_expired(now);
         self.permit_buckets.remove_expired(now);
+        if now.since(self.permit_buckets.checked_at) < PermitBuckets::CHECK_INTERVAL {
+            return;
+        }
+        self.permit_buckets.checked_at = now;
+        for service in self.index.clone().services.keys() {
+            let is_keeper = *self.limit_keeper(service, now) == self.identity.node;
+            self.permit_buckets.usable_ratio(service, is_keeper, now);
+        }
     }
 }
