Try the targets that are left before a request is refused

A sound request was refused with 'no target took it' although targets were free: the first four that its node tried had just crashed, which a node that has started late doesn't know, and four attempts that were not sent ended the request.

An attempt that was not sent now ends the request only after twelve, or after four if every target was tried.

--- a/crates/core/src/relay/steps.rs
+++ b/crates/core/src/relay/steps.rs
@@ -48,25 +48,34 @@
 pub struct AttemptTally {
     /// Number of targets that may have run the request.
     pub may_have_run_count: u32,
-    /// Number of attempts that did not run, except for those without inputs.
+    /// Number of attempts that were not sent, since the target could not be reached.
+    pub not_sent_count: u32,
+    /// Number of attempts that targets did not run, except for those without inputs.
     pub not_run_count: u32,
     /// Number of attempts that did not run because inputs no longer existed.
     pub inputs_gone_count: u32,
 }
 
 impl AttemptTally {
-    /// Number of attempts that did not run at which the request is refused. Further attempts would be as likely to
-    /// fail.
+    /// Number of attempts that targets did not run at which the request is refused. Further attempts would be as likely
+    /// to fail.
     const MAX_NOT_RUN: u32 = 4;
+    /// Number of attempts that were not sent at which the request is refused while there are targets that were not
+    /// tried. Such an attempt costs no target anything and says nothing about the others.
+    const MAX_NOT_SENT: u32 = 12;
 
     /// Counts the end of an attempt and returns the next step. `affordable` tells whether the retry budget allows a
-    /// retry.
+    /// retry, or after an attempt that was not sent, whether there is a target that was not tried.
     pub fn decide(&mut self, policy: RetryPolicy, end: AttemptEnd, max_attempts: u32, affordable: bool) -> NextStep {
         match end {
-            AttemptEnd::NotSent | AttemptEnd::NotRun => {
+            AttemptEnd::NotSent => {
+                self.not_sent_count += 1;
+                let limit = if affordable { Self::MAX_NOT_SENT } else { Self::MAX_NOT_RUN };
+                if self.not_sent_count < limit { NextStep::Again } else { self.give_up_step() }
+            }
+            AttemptEnd::NotRun => {
                 self.not_run_count += 1;
-                let is_retried = self.not_run_count < Self::MAX_NOT_RUN && (affordable || end == AttemptEnd::NotSent);
-                if is_retried { NextStep::Again } else { self.give_up_step() }
+                if self.not_run_count < Self::MAX_NOT_RUN && affordable { NextStep::Again } else { self.give_up_step() }
             }
             AttemptEnd::InputsGone => {
                 self.inputs_gone_count += 1;
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -240,8 +240,10 @@
             && !self.has_begun
             && self.node.board.borrow().suspects.is_nearly_harmful(&self.admitted.keys);
         let wants_retry = !is_suspected && self.tally.wants_retry(retry_policy, end, max_attempts);
-        let affordable =
-            wants_retry && self.node.board.borrow_mut().try_take_retry(&self.admitted.service, clock::now());
+        let affordable = match end {
+            AttemptEnd::NotSent => self.has_untried_target(),
+            _ => wants_retry && self.node.board.borrow_mut().try_take_retry(&self.admitted.service, clock::now()),
+        };
         let step = self.tally.decide(retry_policy, end, max_attempts, affordable);
         self.has_attempt_in_flight = false;
         if self.node.log_limiter.allows(clock::now()) {
@@ -252,6 +254,12 @@
         step
     }
 
+    fn has_untried_target(&self) -> bool {
+        let board = self.node.board.borrow();
+        let mut targets = board.targets.of(&self.admitted.service).map(|view| &view.entry);
+        targets.any(|entry| !entry.leaving && !self.tried_targets.contains(&entry.target))
+    }
+
     /// Runs the preparation stages of the route, if it has any.
     async fn prepare_inputs(&mut self) -> Result<(), Rejection> {
         let route = self.admitted.grant.route.clone();
