--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -1,13 +1,13 @@
 //! Decisions about relayed requests, without I/O. A relay node passes a request unchanged to one of the targets.
 //!
 //! The modules in the order in which a request uses them: the document, which is the configuration that operators
-//! promote, defines its route ([`document`], [`access`]). Admission control accepts or refuses it ([`overload`], [`departure`]). Its
-//! preparation stages run ([`graph`], [`pieces`]), a target is chosen ([`targets`], [`prompts`], [`choice`]), and the
-//! answer is passed on or the request is retried ([`steps`], [`budget`], [`events`]). Content that crashes targets is
-//! refused ([`suspects`]), and targets get no more requests than they say they take ([`rate_limits`]). [`members`], [`fleet`] and [`rows`] hold what nodes know of each other and of the store,
-//! [`chunks`] transfers it, and [`answer_timeout`] bounds calls to the store.
-//! [`rollout`], [`rollout_board`] and [`speed`] move a service to another version. [`board`] holds the whole state of a
-//! node.
+//! promote, defines its route ([`document`], [`access`]). Admission control accepts or refuses it ([`overload`],
+//! [`departure`]). Its preparation stages run ([`graph`], [`pieces`]), a target is chosen ([`targets`], [`prompts`],
+//! [`choice`]), and the answer is passed on or the request is retried ([`steps`], [`budget`], [`events`]). Content that
+//! crashes targets is refused ([`suspects`]), and targets get no more requests than they say they take
+//! ([`rate_limits`]). [`members`], [`fleet`] and [`rows`] hold what nodes know of each other and of the store,
+//! [`chunks`] transfers it, and [`answer_timeout`] bounds calls to the store. [`rollout`], [`rollout_board`] and
+//! [`speed`] move a service to another version. [`board`] holds the whole state of a node.
 
 pub mod access;
 pub mod answer_timeout;
