Bound the log lines and heartbeats about limits of targets

A target whose limit differs in each answer would have caused a line and an immediate heartbeat for each. The lines now pass the limiter of log volume, and only the beginning and the end of a limit is told at once. Found in reading, not in a play.

--- a/crates/relay/src/limits.rs
+++ b/crates/relay/src/limits.rs
@@ -30,9 +30,15 @@
         board.rate_limits.record_answer(target, rate, called_at, now);
         (known, board.rate_limits.rate(target))
     };
-    if known != new {
+    if known == new {
+        return;
+    }
+    if node.log_limiter.allows(now) {
         let per_second = new.map_or(-1.0, RequestRate::per_second);
         info!("{TARGETS} limit on requests changed.", kv: { target = target.as_str(), per_second });
+    }
+    // Other changes come with the next regular heartbeat.
+    if known.is_none() || new.is_none() {
         node.heartbeat_now.notify_one();
     }
 }
