Ask for the permit of a limited target before the preparation stages

What is known not to be served has to be refused at once.

The choice of the target is in a file of its own.

--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -1,5 +1,6 @@
 //! Serves one request: admission, preparation stages, attempts at targets, and the answer to the caller.
 
+mod choice;
 mod refusals;
 mod streaming;
 
@@ -11,10 +12,9 @@
 use hyper::body::Incoming;
 use spdlog::info;
 use tokio::time::timeout;
+use wasabipier_core::clock::Moment;
 use wasabipier_core::names::{DcName, TargetName};
-use wasabipier_core::relay::choice::CallRequirements;
 use wasabipier_core::relay::prompts::prefix_keys;
-use wasabipier_core::relay::rate_limits::{PermitAnswer, PermitRequest};
 use wasabipier_core::relay::steps::{AttemptEnd, AttemptTally, NextStep};
 use wasabipier_core::relay::suspects::HarmfulContent;
 use wasabipier_core::relay::targets::{CallResult, TargetEntry};
@@ -24,7 +24,6 @@
 use crate::blame;
 use crate::body::AnswerBody;
 use crate::clock;
-use crate::limits;
 use crate::load_exchange;
 use crate::log_prefixes::REQUEST;
 use crate::metering;
@@ -37,8 +36,6 @@
 /// Number of unread prompt tokens from which on a heartbeat is sent at once. Such a prompt keeps its engine busy, and
 /// with regular heartbeats other nodes would learn of it too late.
 const LONG_PROMPT_TOKENS: u32 = 4_000;
-/// Maximum number of limited targets for which a permit is asked at once.
-const MAX_LIMITED_TARGETS: usize = 16;
 /// Delay after which a caller may retry when its targets were full or unreachable.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
 
@@ -85,14 +82,7 @@
 }
 
 /// Records the metrics of a request that ended, and logs the end. `started` is the time at which the request arrived.
-fn record_end(
-    node: &SharedNode,
-    id: &str,
-    route: &str,
-    outcome: &str,
-    reason: &str,
-    started: wasabipier_core::clock::Moment,
-) {
+fn record_end(node: &SharedNode, id: &str, route: &str, outcome: &str, reason: &str, started: Moment) {
     let now = clock::now();
     let took = now.since(started);
     metering::record_request(route, outcome, took);
@@ -160,6 +150,8 @@
     tried_targets: Vec<TargetName>,
     /// Time after which a limited target is expected to take a request, if none did.
     limit_pause: Duration,
+    /// The limited target that may get this request, and when its permit was given.
+    held_permit: Option<(TargetName, Moment)>,
     /// Results of the preparation stages and their bytes by data centre; `None` until they are prepared. Empty for a
     /// route without stages, and after the final call has used the results.
     inputs: Option<(PreparedInputs, BTreeMap<DcName, u64>)>,
@@ -181,6 +173,7 @@
             tally,
             tried_targets,
             limit_pause: RETRY_AFTER,
+            held_permit: None,
             inputs: None,
             has_begun,
             has_attempt_in_flight,
@@ -207,9 +200,7 @@
                 NextStep::Again => {}
                 NextStep::Prepare => self.inputs = None,
                 NextStep::Refuse if failed.end == AttemptEnd::Harmful => return Err(Rejection::harmful()),
-                NextStep::Refuse if failed.end == AttemptEnd::Limited => {
-                    return Err(Rejection::not_run("targets are at their limits", self.limit_pause));
-                }
+                NextStep::Refuse if failed.end == AttemptEnd::Limited => return Err(self.reject_for_limits()),
                 NextStep::Refuse => return Err(Rejection::not_run("no target took it", RETRY_AFTER)),
                 NextStep::Fail => {
                     return Err(Rejection { kind: RefusalKind::Unknown, reason: "no answer", retry_after: None });
@@ -254,12 +245,6 @@
         step
     }
 
-    fn has_untried_target(&self) -> bool {
-        let board = self.node.board.borrow();
-        let mut targets = board.targets.of(&self.admitted.service).map(|view| &view.entry);
-        targets.any(|entry| !entry.leaving && !self.tried_targets.contains(&entry.target))
-    }
-
     /// Runs the preparation stages of the route, if it has any.
     async fn prepare_inputs(&mut self) -> Result<(), Rejection> {
         let route = self.admitted.grant.route.clone();
@@ -267,6 +252,12 @@
             self.inputs = Some(Default::default());
             return Ok(());
         }
+        // The results of the stages would be of no use if no target takes the request afterwards.
+        let wanted_in = match self.choose_target_within_limits().await {
+            Ok(entry) => Some(entry.dc),
+            Err(AttemptEnd::Limited) => return Err(self.reject_for_limits()),
+            Err(_) => None,
+        };
         let final_call = self.node.board.borrow().tuning.weights.expected_first_event_time(self.head.prompt.as_ref());
         let run = StageRun {
             node: &self.node,
@@ -276,7 +267,7 @@
             deadline: self.admitted.deadline,
             objective: self.admitted.started + route.objective,
             final_call,
-            wanted_in: self.choose_target(false).map(|entry| entry.dc),
+            wanted_in,
         };
         match run.run().await {
             Ok(inputs) => {
@@ -287,49 +278,6 @@
         }
     }
 
-    fn choose_target(&self, only_unlimited: bool) -> Option<TargetEntry> {
-        let no_inputs = BTreeMap::new();
-        let requirements = CallRequirements {
-            service: &self.admitted.service,
-            avoid: &self.tried_targets,
-            prompt: self.head.prompt.as_ref(),
-            input_bytes_by_dc: self.inputs.as_ref().map_or(&no_inputs, |(_, bytes)| bytes),
-            only_unlimited,
-        };
-        self.node.board.borrow_mut().choose(&requirements, clock::now())
-    }
-
-    /// Chooses a target, and gets a permit for it if it names a limit on its requests. If the target takes no more, one
-    /// without a limit is chosen, or any limited one that still takes requests.
-    async fn choose_target_within_limits(&mut self) -> Result<TargetEntry, AttemptEnd> {
-        let Some(entry) = self.choose_target(false) else { return Err(AttemptEnd::NotRun) };
-        let rate = self.node.board.borrow().rate_limits.rate(&entry.target);
-        let Some(rate) = rate else { return Ok(entry) };
-        let service = self.admitted.service.clone();
-        let mut permit_request =
-            PermitRequest { service, rank: self.admitted.grant.rank, targets: vec![(entry.target.clone(), rate)] };
-        if let PermitAnswer::Granted(_) = limits::request_permit(&self.node, &permit_request).await {
-            return Ok(entry);
-        }
-        if let Some(unlimited) = self.choose_target(true) {
-            return Ok(unlimited);
-        }
-        let mut targets =
-            self.node.board.borrow_mut().limited_targets(&permit_request.service, MAX_LIMITED_TARGETS, clock::now());
-        targets.retain(|(target, _)| !self.tried_targets.contains(target));
-        permit_request.targets = targets;
-        match limits::request_permit(&self.node, &permit_request).await {
-            PermitAnswer::Granted(target) => {
-                let board = self.node.board.borrow();
-                board.targets.get(&target).map(|view| view.entry.clone()).ok_or(AttemptEnd::NotRun)
-            }
-            PermitAnswer::Denied(pause) => {
-                self.limit_pause = pause;
-                Err(AttemptEnd::Limited)
-            }
-        }
-    }
-
     /// Chooses a target, sends the request to it, and reads its answer, or the first part of a stream.
     async fn try_target(&mut self, last_event: Option<u64>) -> Result<RequestAnswer, FailedAttempt> {
         if self.head.prompt.is_some() {
@@ -339,7 +287,11 @@
             blame::log_refused(&self.node, &self.head.request, &content);
             return Err(AttemptEnd::Harmful.into());
         }
-        let entry = self.choose_target_within_limits().await?;
+        let entry = match self.take_permitted_target() {
+            Some(entry) => entry,
+            None => self.choose_target_within_limits().await?,
+        };
+        self.held_permit = None;
         self.tried_targets.push(entry.target.clone());
         let unread_tokens = self.record_prompt(&entry);
         let mut guard = CallGuard::new(&self.node, &entry, &self.admitted.grant.route.name, unread_tokens);
