Ask for the permit of a limited target with the final call again

Stages take longer than the permit may be held, so that it is spent and the final call is refused all the same. Stage work for requests that the engines then refuse stays open.

--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -150,8 +150,6 @@
     tried_targets: Vec<TargetName>,
     /// Time after which a limited target is expected to take a request, if none did.
     limit_pause: Duration,
-    /// The limited target that may get this request, and when its permit was given.
-    held_permit: Option<(TargetName, Moment)>,
     /// Results of the preparation stages and their bytes by data centre; `None` until they are prepared. Empty for a
     /// route without stages, and after the final call has used the results.
     inputs: Option<(PreparedInputs, BTreeMap<DcName, u64>)>,
@@ -173,7 +171,6 @@
             tally,
             tried_targets,
             limit_pause: RETRY_AFTER,
-            held_permit: None,
             inputs: None,
             has_begun,
             has_attempt_in_flight,
@@ -252,12 +249,6 @@
             self.inputs = Some(Default::default());
             return Ok(());
         }
-        // The results of the stages would be of no use if no target takes the request afterwards.
-        let wanted_in = match self.choose_target_within_limits().await {
-            Ok(entry) => Some(entry.dc),
-            Err(AttemptEnd::Limited) => return Err(self.reject_for_limits()),
-            Err(_) => None,
-        };
         let final_call = self.node.board.borrow().tuning.weights.expected_first_event_time(self.head.prompt.as_ref());
         let run = StageRun {
             node: &self.node,
@@ -267,7 +258,7 @@
             deadline: self.admitted.deadline,
             objective: self.admitted.started + route.objective,
             final_call,
-            wanted_in,
+            wanted_in: self.choose_target(false).map(|entry| entry.dc),
         };
         match run.run().await {
             Ok(inputs) => {
@@ -287,11 +278,7 @@
             blame::log_refused(&self.node, &self.head.request, &content);
             return Err(AttemptEnd::Harmful.into());
         }
-        let entry = match self.take_permitted_target() {
-            Some(entry) => entry,
-            None => self.choose_target_within_limits().await?,
-        };
-        self.held_permit = None;
+        let entry = self.choose_target_within_limits().await?;
         self.tried_targets.push(entry.target.clone());
         let unread_tokens = self.record_prompt(&entry);
         let mut guard = CallGuard::new(&self.node, &entry, &self.admitted.grant.route.name, unread_tokens);
--- a/crates/relay/src/request/choice.rs
+++ b/crates/relay/src/request/choice.rs
@@ -1,7 +1,6 @@
 //! Chooses the target of an attempt, within the limits that targets name on their requests.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
 
 use wasabipier_core::relay::choice::CallRequirements;
 use wasabipier_core::relay::rate_limits::{PermitAnswer, PermitRequest};
@@ -13,9 +12,6 @@
 use crate::clock;
 use crate::limits;
 
-/// Time for which a permit holds while the preparation stages run. Requests that arrive at a target late, together with
-/// those of later permits, stay within what the users tolerate beyond its limit.
-const PERMIT_LIFETIME: Duration = Duration::from_millis(1_500);
 /// Maximum number of limited targets for which a permit is asked at once.
 const MAX_LIMITED_TARGETS: usize = 16;
 
@@ -27,7 +23,8 @@
         targets.any(|entry| !entry.leaving && !self.tried_targets.contains(&entry.target))
     }
 
-    fn choose_target(&self, only_unlimited: bool) -> Option<TargetEntry> {
+    /// Chooses a target apart from limits on requests. With `only_unlimited`, it is one that names none.
+    pub(super) fn choose_target(&self, only_unlimited: bool) -> Option<TargetEntry> {
         let no_inputs = BTreeMap::new();
         let requirements = CallRequirements {
             service: &self.admitted.service,
@@ -44,19 +41,6 @@
         Rejection::not_run("targets are at their limits", self.limit_pause)
     }
 
-    /// Returns the target for which a permit was given before the preparation stages, if it still holds and the target
-    /// may still get calls.
-    pub(super) fn take_permitted_target(&mut self) -> Option<TargetEntry> {
-        let (target, granted_at) = self.held_permit.take()?;
-        let now = clock::now();
-        let board = self.node.board.borrow();
-        let lanes = board.version_lanes(&self.admitted.service, now);
-        let entry = board.targets.get(&target)?.entry.clone();
-        let is_usable = !entry.leaving && !board.closed_dcs.contains(&entry.dc);
-        let is_in_lane = lanes.iter().any(|lane| lane.allows(&entry.version));
-        (now.since(granted_at) <= PERMIT_LIFETIME && is_usable && is_in_lane).then_some(entry)
-    }
-
     /// Chooses a target, and gets a permit for it if it names a limit on its requests. If the target takes no more, one
     /// without a limit is chosen, or any limited one that still takes requests.
     pub(super) async fn choose_target_within_limits(&mut self) -> Result<TargetEntry, AttemptEnd> {
@@ -66,8 +50,7 @@
         let service = self.admitted.service.clone();
         let mut permit_request =
             PermitRequest { service, rank: self.admitted.grant.rank, targets: vec![(entry.target.clone(), rate)] };
-        if let PermitAnswer::Granted(target) = limits::request_permit(&self.node, &permit_request).await {
-            self.held_permit = Some((target, clock::now()));
+        if let PermitAnswer::Granted(_) = limits::request_permit(&self.node, &permit_request).await {
             return Ok(entry);
         }
         if let Some(unlimited) = self.choose_target(true) {
@@ -79,7 +62,6 @@
         permit_request.targets = targets;
         match limits::request_permit(&self.node, &permit_request).await {
             PermitAnswer::Granted(target) => {
-                self.held_permit = Some((target.clone(), clock::now()));
                 let board = self.node.board.borrow();
                 board.targets.get(&target).map(|view| view.entry.clone()).ok_or(AttemptEnd::NotRun)
             }
