--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -1,5 +1,8 @@
 //! Calls between relay nodes, encoded as a version byte followed by a `bincode` call or reply.
 
+mod limits;
+mod rows;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,23 +12,25 @@
 use wasabipier_core::clock::Moment;
 use wasabipier_core::message::NodeState;
 use wasabipier_core::names::{DcName, InstanceId, NodeName, ServiceName, TargetName};
-use wasabipier_core::relay::chunks::{BlobOutline, ChunkHash};
 use wasabipier_core::relay::fleet::FleetReport;
 use wasabipier_core::relay::members::{RelayHeartbeat, TableProof, TargetLoad};
 use wasabipier_core::relay::pieces::{PieceFailure, PieceJob, PieceOutcome, PieceResult, PieceSource, QueueWait};
 use wasabipier_core::relay::prompts::PromptCacheUpdate;
-use wasabipier_core::relay::rate_limits::{LimitReport, PermitAnswer, PermitRequest, RequestRate};
-use wasabipier_core::relay::rows::{RowBatch, SharedRow, TableId};
+use wasabipier_core::relay::rows::TableId;
 use wasabipier_core::relay::suspects::SuspectReport;
 
 use crate::frame::{FrameError, MAX_FRAME_BYTES};
 use crate::rollout::WireRolloutReport;
 use crate::suspects::WireSuspect;
 
+pub use self::limits::{WirePermitRequest, permit_from_wire, permit_to_wire};
+use self::limits::{limits_from_wire, limits_to_wire};
+pub use self::rows::{
+    WireOutline, WireRow, WireRows, compress_chunks, decode_rows, decompress_chunks, encode_rows, row_batch_from_wire,
+};
+
 /// Version of the encoding. Nodes of different versions reject each other's calls.
 const CALL_VERSION: u8 = 4;
-/// Maximum size in bytes of the encoded rows of a table, which is that of the store's answers.
-const MAX_TABLE_BYTES: usize = 16 * 1024 * 1024;
 
 /// Encoded form of [`RelayHeartbeat`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -94,75 +99,6 @@
     prompts: Vec<WirePromptKeys>,
 }
 
-/// Encoded form of [`SharedRow`]. The value is `None` if the row was removed.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct WireRow {
-    key: String,
-    version: u64,
-    value: Option<Vec<u8>>,
-}
-
-/// Changed rows of a table, or a description of them if they are large.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum WireRows {
-    /// The rows.
-    Inline(Vec<WireRow>),
-    /// The chunks of the rows as [`encode_rows`] returns them, which the caller asks for with [`WireCall::Chunks`].
-    Outline(WireOutline),
-}
-
-/// Encoded form of [`BlobOutline`].
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct WireOutline {
-    /// Hash and length in bytes of each chunk.
-    chunks: Vec<(u64, u32)>,
-    checksum: u64,
-    /// Average size of chunks in bytes by which the rows were divided.
-    average_bytes: u32,
-}
-
-/// Encoded form of [`PermitRequest`].
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct WirePermitRequest {
-    service: String,
-    rank: u8,
-    /// Names of targets and thousandths of a request per second.
-    targets: Vec<(String, u32)>,
-}
-
-impl From<&PermitRequest> for WirePermitRequest {
-    fn from(request: &PermitRequest) -> Self {
-        let targets = request.targets.iter().map(|(target, rate)| (target.to_string(), rate.0)).collect();
-        Self { service: request.service.to_string(), rank: request.rank, targets }
-    }
-}
-
-impl From<WirePermitRequest> for PermitRequest {
-    fn from(request: WirePermitRequest) -> Self {
-        let targets = request.targets.into_iter();
-        let targets = targets.map(|(target, rate)| (TargetName::new(target), RequestRate(rate))).collect();
-        Self { service: ServiceName::new(request.service), rank: request.rank, targets }
-    }
-}
-
-/// Returns the encoded form of an answer to a request for a permit.
-#[must_use]
-pub fn permit_to_wire(answer: &PermitAnswer) -> WireReply {
-    WireReply::Permit(match answer {
-        PermitAnswer::Granted(target) => Ok(target.to_string()),
-        PermitAnswer::Denied(pause) => Err(pause.as_millis() as u32),
-    })
-}
-
-/// Decodes an answer to a request for a permit.
-#[must_use]
-pub fn permit_from_wire(answer: Result<String, u32>) -> PermitAnswer {
-    match answer {
-        Ok(target) => PermitAnswer::Granted(TargetName::new(target)),
-        Err(pause_ms) => PermitAnswer::Denied(Duration::from_millis(u64::from(pause_ms))),
-    }
-}
-
 /// Piece jobs of one stage of a request that differ only in their `segment`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WireJobs {
@@ -288,42 +224,6 @@
     decode_bounded::<T, MAX_FRAME_BYTES>(bytes)
 }
 
-/// Returns the encoded form of the rows of a table.
-#[must_use]
-pub fn encode_rows<'a>(rows: impl IntoIterator<Item = &'a SharedRow>) -> Vec<u8> {
-    encode(&rows.into_iter().map(WireRow::from).collect::<Vec<_>>())
-}
-
-/// Decodes bytes that [`encode_rows`] returned.
-///
-/// # Errors
-///
-/// Returns the same errors as [`decode`], with a limit of 16 MB.
-pub fn decode_rows(bytes: &[u8]) -> Result<Vec<WireRow>, FrameError> {
-    decode_bounded::<Vec<WireRow>, MAX_TABLE_BYTES>(bytes)
-}
-
-/// Returns the compressed form of chunks.
-#[must_use]
-pub fn compress_chunks(chunks: &Vec<Vec<u8>>) -> Vec<u8> {
-    lz4_flex::compress_prepend_size(&encode(chunks))
-}
-
-/// Decompresses bytes that [`compress_chunks`] returned.
-///
-/// # Errors
-///
-/// Returns the same errors as [`decode`] for the chunks, and [`FrameError::Malformed`] for bytes that are not compressed
-/// ones.
-pub fn decompress_chunks(bytes: &[u8]) -> Result<Vec<Vec<u8>>, FrameError> {
-    let malformed = |error: lz4_flex::block::DecompressError| FrameError::Malformed(error.to_string());
-    let (size, compressed) = lz4_flex::block::uncompressed_size(bytes).map_err(malformed)?;
-    if size > MAX_FRAME_BYTES {
-        return Err(FrameError::TooLarge(size));
-    }
-    decode(&lz4_flex::block::decompress(compressed, size).map_err(malformed)?)
-}
-
 fn decode_bounded<T: DeserializeOwned, const MAX_BYTES: usize>(bytes: &[u8]) -> Result<T, FrameError> {
     if bytes.len() > MAX_BYTES {
         return Err(FrameError::TooLarge(bytes.len()));
@@ -423,24 +323,6 @@
     }
 }
 
-fn limits_to_wire(limits: &[LimitReport]) -> Vec<(String, Option<u32>, u32)> {
-    let limits = limits.iter();
-    limits
-        .map(|report| (report.target.to_string(), report.rate.map(|rate| rate.0), report.age.as_millis() as u32))
-        .collect()
-}
-
-fn limits_from_wire(limits: Vec<(String, Option<u32>, u32)>) -> Vec<LimitReport> {
-    let limits = limits.into_iter();
-    limits
-        .map(|(target, rate, age_ms)| LimitReport {
-            target: TargetName::new(target),
-            rate: rate.map(RequestRate),
-            age: Duration::from_millis(u64::from(age_ms)),
-        })
-        .collect()
-}
-
 fn loads_to_wire(loads: &[TargetLoad]) -> Vec<WireTargetLoad> {
     loads.iter().map(|load| (load.target.to_string(), load.in_flight, load.pending_prompt_tokens)).collect()
 }
@@ -496,39 +378,6 @@
     waits.iter().map(|(on_time, late)| QueueWait { on_time: millis(*on_time), late: millis(*late) }).collect()
 }
 
-impl From<&SharedRow> for WireRow {
-    fn from(row: &SharedRow) -> Self {
-        Self { key: row.key.to_string(), version: row.version, value: row.value.as_ref().map(|value| value.to_vec()) }
-    }
-}
-
-impl From<WireRow> for SharedRow {
-    fn from(row: WireRow) -> Self {
-        Self { key: row.key.into(), version: row.version, value: row.value.map(Arc::from) }
-    }
-}
-
-impl From<&BlobOutline> for WireOutline {
-    fn from(outline: &BlobOutline) -> Self {
-        let chunks = outline.chunks.iter().map(|(hash, length)| (hash.0, *length)).collect();
-        Self { chunks, checksum: outline.checksum, average_bytes: outline.average_bytes }
-    }
-}
-
-impl From<WireOutline> for BlobOutline {
-    fn from(outline: WireOutline) -> Self {
-        let chunks = outline.chunks.into_iter().map(|(hash, length)| (ChunkHash(hash), length)).collect();
-        Self { chunks, checksum: outline.checksum, average_bytes: outline.average_bytes }
-    }
-}
-
-/// Returns the batch of rows that a peer sent. `version` is the store version of the peer's copy; `whole` says whether
-/// `rows` holds all rows of the table.
-#[must_use]
-pub fn row_batch_from_wire(rows: Vec<WireRow>, version: u64, whole: bool) -> RowBatch {
-    RowBatch { rows: rows.into_iter().map(SharedRow::from).collect(), version, whole }
-}
-
 /// Returns the encoded form of `jobs`, in the same order, with times relative to `now`. All pieces of a stage have the
 /// same inputs, which are sent once.
 #[must_use]
