Log how many calls to the store failed in an outage, and how long the last one was waited for

The line `the store answers again` now has the number of failed calls, the duration of the last one, and the time from the first failure to the answer. No decision changes.

--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -152,13 +152,43 @@
     Ok(sender)
 }
 
+/// Calls without a usable answer since the last answered one, for the log.
+struct StoreOutage {
+    /// When the first of the calls began.
+    began_at: Moment,
+    failed_calls: u32,
+    /// Time from the beginning of the last of the calls until it was given up.
+    last_call_time: Duration,
+}
+
+impl StoreOutage {
+    fn new(began_at: Moment) -> Self {
+        Self { began_at, failed_calls: 0, last_call_time: Duration::ZERO }
+    }
+
+    fn record_failed_call(&mut self, called_at: Moment, now: Moment) {
+        self.failed_calls += 1;
+        self.last_call_time = now.since(called_at);
+    }
+}
+
+/// Logs that the store answers after `outage`, to a call made at `called_at`.
+fn log_store_return(table: TableId, outage: &StoreOutage, called_at: Moment) {
+    let (table, now) = (table.to_string(), clock::now());
+    let (table, failed_calls) = (table.as_str(), outage.failed_calls);
+    let last_call_ms = outage.last_call_time.as_millis() as u64;
+    let (answered_ms, outage_ms) =
+        (now.since(called_at).as_millis() as u64, now.since(outage.began_at).as_millis() as u64);
+    info!("{STORE} the store answers again.", kv: { table, failed_calls, last_call_ms, answered_ms, outage_ms });
+}
+
 /// Keeps the copy of one table up to date from the store until the node ends. Does nothing while this node relies on a
 /// hub's copy.
 pub async fn follow_table(node: SharedNode, table: TableId) {
     let mut link = StoreLink::new(&node);
     let mut needs_whole_table = true;
     let mut backoff = MIN_BACKOFF;
-    let mut is_unreachable = false;
+    let mut outage: Option<StoreOutage> = None;
     loop {
         if !node.board.borrow().reads_store(table, clock::now()) {
             sleep(ROLE_CHECK_INTERVAL).await;
@@ -174,8 +204,8 @@
         match read {
             Ok(batch) => {
                 let confirmed_at = proven_at(&batch, called_at, wait, clock::now());
-                if std::mem::take(&mut is_unreachable) {
-                    info!("{STORE} the store answers again.", kv: { table = table.to_string().as_str() });
+                if let Some(outage) = outage.take() {
+                    log_store_return(table, &outage, called_at);
                 }
                 node.board.borrow_mut().record_store_answer(clock::now());
                 apply_rows(&node, table, &batch, confirmed_at, "store");
@@ -188,9 +218,11 @@
                 needs_whole_table = true;
             }
             Err(error) => {
-                if !std::mem::replace(&mut is_unreachable, true) {
+                let outage = outage.get_or_insert_with(|| StoreOutage::new(called_at));
+                outage.record_failed_call(called_at, clock::now());
+                if outage.failed_calls == 1 {
                     let (table, error) = (table.to_string(), error.to_string());
-                    let after_ms = clock::now().since(called_at).as_millis() as u64;
+                    let after_ms = outage.last_call_time.as_millis() as u64;
                     warn!("{STORE} the store does not answer.", kv: { table = table.as_str(), error = error.as_str(), after_ms });
                 }
                 node.board.borrow_mut().record_store_unreachable();
