Ask the store again while earlier calls have no answer

A call that was lost in the outage was waited for after it, up to 4.7 s since timeouts double, and nothing else asked the store meanwhile. The time for which removed targets are kept after an outage began when the node noticed the return, so that it ran 3.5 s too late.

Pauses after failures count from the start of the failed call. No read starts while parts of an answer arrive. During an outage the store is not asked to hold calls. Only unanswered reads of the targets' entries begin an outage for removed targets.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -6,8 +6,8 @@
 //! [`choice`]), and the answer is passed on or the request is retried ([`steps`], [`budget`], [`events`]). Content that
 //! crashes targets is refused ([`suspects`]), and targets get no more requests than they say they take
 //! ([`rate_limits`]). [`members`], [`fleet`] and [`rows`] hold what nodes know of each other and of the store,
-//! [`chunks`] transfers it, and [`answer_timeout`] bounds calls to the store. [`rollout`], [`rollout_board`] and
-//! [`speed`] move a service to another version. [`board`] holds the whole state of a node.
+//! [`chunks`] transfers it, [`read_attempts`] and [`answer_timeout`] tell when to call the store. [`rollout`],
+//! [`rollout_board`] and [`speed`] move a service to another version. [`board`] holds the whole state of a node.
 
 pub mod access;
 pub mod answer_timeout;
@@ -25,6 +25,7 @@
 pub mod pieces;
 pub mod prompts;
 pub mod rate_limits;
+pub mod read_attempts;
 pub mod rollout;
 pub mod rollout_board;
 pub mod rows;
--- a/crates/core/src/relay/board.rs
+++ b/crates/core/src/relay/board.rs
@@ -292,7 +292,7 @@
         }
     }
 
-    /// Records that the store does not answer.
+    /// Records that the store does not answer this node's reads of the targets' entries.
     pub fn record_store_unreachable(&mut self) {
         self.is_store_unreachable = true;
     }
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -26,6 +26,8 @@
 mod pieces;
 #[path = "relay/rate_limits.rs"]
 mod rate_limits;
+#[path = "relay/read_attempts.rs"]
+mod read_attempts;
 #[path = "relay/rollout.rs"]
 mod rollout;
 #[path = "relay/rows.rs"]
--- a/crates/relay/src/heartbeats.rs
+++ b/crates/relay/src/heartbeats.rs
@@ -245,7 +245,7 @@
     loop {
         if !is_announced {
             let request = node.platform.announce_request(&name, node.addresses.peers);
-            let answer = link.call(request, Duration::ZERO).await;
+            let answer = link.call(request).await;
             is_announced = answer.as_ref().is_ok_and(|(status, _)| status.is_success());
             if is_announced {
                 info!("{PEERS} node announced in the store.");
@@ -254,7 +254,7 @@
                 warn!("{PEERS} node not announced in the store; trying again.", kv: { status = status.as_str() });
             }
         }
-        let announced = link.call(node.platform.announced_addresses_request(), Duration::ZERO).await;
+        let announced = link.call(node.platform.announced_addresses_request()).await;
         if let Ok((status, body)) = &announced
             && status.is_success()
         {
--- a/crates/relay/src/rollouts.rs
+++ b/crates/relay/src/rollouts.rs
@@ -67,7 +67,7 @@
 async fn record_state(node: SharedNode, write: RolloutWrite) {
     let mut link = StoreLink::new(&node);
     let request = node.platform.rollout_request(&write);
-    let answer = link.call(request, Duration::ZERO).await;
+    let answer = link.call(request).await;
     let reply = answer.and_then(|(status, body)| Ok(node.platform.read_rollout_reply(status, &body)?));
     let (service, state) = (write.service.as_str(), write.state.to_string());
     let state = state.as_str();
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -1,6 +1,8 @@
 //! Keeps the copies of the store's tables up to date from the store.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,12 +13,13 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use spdlog::{info, warn};
-use tokio::task::spawn_local;
+use tokio::task::{JoinSet, spawn_local};
 use tokio::time::{sleep, timeout};
 use wasabipier_core::clock::Moment;
 use wasabipier_core::message::NodeState;
 use wasabipier_core::relay::answer_timeout::AnswerTimeout;
 use wasabipier_core::relay::board::OrderChange;
+use wasabipier_core::relay::read_attempts::ReadAttempts;
 use wasabipier_core::relay::rows::{RowBatch, SharedRow, TableCopy, TableId, proven_at};
 
 use crate::clock;
@@ -27,19 +30,13 @@
 use crate::sockets;
 use crate::state::{RelayNode, SharedNode};
 
-/// Backoff after a failed call. It is doubled with each further failure, up to `MAX_BACKOFF`.
-const MIN_BACKOFF: Duration = Duration::from_millis(100);
-const MAX_BACKOFF: Duration = Duration::from_millis(800);
-/// Minimum interval between the starts of two calls for changes. Many targets that start at the same time are read in
-/// one call.
-const MIN_CALL_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval at which a node that does not read the store checks whether it has to.
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Divisor of `max_hub_copy_age`, the age of the hub's copy from which on its followers read the store themselves. The
 /// store may hold a hub's call for at most this fraction of that age, so that the copy is confirmed in time.
 const HUB_WAIT_DIVISOR: u32 = 2;
-/// Multiple of `MAX_BACKOFF` that limits the backoff of nodes that follow a hub. They can wait longer, since the hub
-/// notifies them when the store is reachable again.
+/// Multiple of the usual backoff for nodes that follow a hub. They can wait longer, since the hub notifies them when the
+/// store is reachable again.
 const FOLLOWER_BACKOFF_FACTOR: u32 = 3;
 /// Timeout for connecting to the store.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -75,40 +72,62 @@
     address: SocketAddr,
     sender: Option<SendRequest<Full<Bytes>>>,
     answer_timeout: AnswerTimeout,
+    /// When a part of an answer last arrived on this link or another one that shares the time.
+    last_arrival_at: Rc<Cell<Moment>>,
 }
 
 impl StoreLink {
     /// Creates a link to the store of `node` that connects on first use.
     #[must_use]
     pub fn new(node: &RelayNode) -> Self {
+        Self::with_arrival_time(node, Rc::default())
+    }
+
+    /// Does the same as [`Self::new`], with a time of the last arrival that several links share.
+    fn with_arrival_time(node: &RelayNode, last_arrival_at: Rc<Cell<Moment>>) -> Self {
         let answer_timeout = AnswerTimeout::new(node.times.store_answer_timeout);
-        Self { address: node.addresses.store, sender: None, answer_timeout }
+        Self { address: node.addresses.store, sender: None, answer_timeout, last_arrival_at }
     }
 
-    /// Sends a request that the store may hold for `wait`, and returns the status and body of the answer. An answer that
-    /// has begun in time may go on for as long as some of it arrives. After a failure the connection is discarded, since
+    /// Sends a request, and returns the status and body of the answer. An answer that has begun in time may go on for as
+    /// long as some of it arrives. After a failure the connection is discarded, since
     /// data that still arrives on it may belong to the failed call.
     ///
     /// # Errors
     ///
     /// Returns why there is no answer. The store may have carried out a write.
-    pub async fn call(&mut self, request: Request<Bytes>, wait: Duration) -> Result<(StatusCode, Bytes), StoreError> {
-        let answer = self.exchange(request, wait).await;
+    pub async fn call(&mut self, request: Request<Bytes>) -> Result<(StatusCode, Bytes), StoreError> {
+        let called_at = clock::now();
+        let answer = self.call_within(request, self.answer_timeout.current()).await;
+        match &answer {
+            Err(StoreError::Timeout) => self.answer_timeout.record_timeout(),
+            Err(_) => {}
+            Ok(_) => self.answer_timeout.record_answer(clock::now().since(called_at)),
+        }
+        answer
+    }
+
+    /// Does the same as [`Self::call`] for a request whose answer must begin within `answer_timeout`.
+    async fn call_within(
+        &mut self,
+        request: Request<Bytes>,
+        answer_timeout: Duration,
+    ) -> Result<(StatusCode, Bytes), StoreError> {
+        let answer = self.exchange(request, answer_timeout).await;
         metering::record_store_call(if answer.is_ok() { "answered" } else { "failed" });
         answer
     }
 
-    async fn exchange(&mut self, request: Request<Bytes>, wait: Duration) -> Result<(StatusCode, Bytes), StoreError> {
-        let called_at = clock::now();
+    async fn exchange(
+        &mut self,
+        request: Request<Bytes>,
+        answer_timeout: Duration,
+    ) -> Result<(StatusCode, Bytes), StoreError> {
         let begin_answer = begin_answer(self.address, self.sender.take(), request);
-        let Ok(begun) = timeout(wait + self.answer_timeout.current(), begin_answer).await else {
-            self.answer_timeout.record_timeout();
-            return Err(StoreError::Timeout);
-        };
-        let (sender, response) = begun?;
-        self.answer_timeout.record_answer(clock::now().since(called_at).saturating_sub(wait));
+        let (sender, response) = timeout(answer_timeout, begin_answer).await.map_err(|_| StoreError::Timeout)??;
         let status = response.status();
-        let body = timeout(MAX_ANSWER_TIME, collect_body(response.into_body())).await;
+        self.last_arrival_at.set(clock::now());
+        let body = timeout(MAX_ANSWER_TIME, collect_body(response.into_body(), &self.last_arrival_at)).await;
         let body = body.unwrap_or(Err(StoreError::Timeout))?;
         self.sender = Some(sender);
         Ok((status, body))
@@ -129,12 +148,13 @@
     Ok((sender, response))
 }
 
-/// Reads a body whose parts arrive within `ANSWER_PAUSE_TIMEOUT` of each other.
-async fn collect_body(body: Incoming) -> Result<Bytes, StoreError> {
+/// Reads a body whose parts arrive within `ANSWER_PAUSE_TIMEOUT` of each other, and sets the time of the last arrival.
+async fn collect_body(body: Incoming, last_arrival_at: &Cell<Moment>) -> Result<Bytes, StoreError> {
     let mut body = Limited::new(body, MAX_ANSWER_BYTES);
     let mut bytes = BytesMut::new();
     while let Some(frame) = timeout(ANSWER_PAUSE_TIMEOUT, body.frame()).await.map_err(|_| StoreError::Timeout)? {
         let frame = frame.map_err(|error| StoreError::Body(error.to_string()))?;
+        last_arrival_at.set(clock::now());
         if let Ok(data) = frame.into_data() {
             bytes.extend_from_slice(&data);
         }
@@ -157,18 +177,142 @@
     /// When the first of the calls began.
     began_at: Moment,
     failed_calls: u32,
-    /// Time from the beginning of the last of the calls until it was given up.
+    /// Time from the beginning of the last of the calls until it failed or was repeated.
     last_call_time: Duration,
 }
 
-impl StoreOutage {
-    fn new(began_at: Moment) -> Self {
-        Self { began_at, failed_calls: 0, last_call_time: Duration::ZERO }
+/// A read of a table that the store answered.
+struct TableRead {
+    batch: RowBatch,
+    called_at: Moment,
+    /// Time for which the store was asked to hold the call.
+    wait: Duration,
+    /// The connection, for the next call.
+    link: StoreLink,
+}
+
+/// A read of a table that failed.
+struct FailedRead {
+    error: StoreError,
+    called_at: Moment,
+}
+
+/// Reads one table from the store.
+struct TableReader {
+    node: SharedNode,
+    table: TableId,
+    attempts: ReadAttempts,
+    /// Reads that have neither been answered nor failed.
+    reads: JoinSet<Result<TableRead, FailedRead>>,
+    last_called_at: Moment,
+    last_arrival_at: Rc<Cell<Moment>>,
+    /// Connection of the last answer.
+    idle_link: Option<StoreLink>,
+    needs_whole_table: bool,
+    outage: Option<StoreOutage>,
+}
+
+/// Keeps the copy of one table up to date from the store until the node ends. Does nothing while this node relies on a
+/// hub's copy.
+pub async fn follow_table(node: SharedNode, table: TableId) {
+    let mut reader = TableReader::new(node.clone(), table);
+    loop {
+        if !node.board.borrow().reads_store(table, clock::now()) {
+            reader.reads = JoinSet::new();
+            sleep(ROLE_CHECK_INTERVAL).await;
+            continue;
+        }
+        reader.attempts.record_arrival(reader.last_arrival_at.get());
+        let pause = reader.attempts.next_start().since(clock::now());
+        tokio::select! {
+            Some(Ok(read)) = reader.reads.join_next() => match read {
+                Ok(read) => reader.handle_answer(read),
+                Err(failed) => reader.handle_failure(&failed),
+            },
+            () = sleep(pause) => reader.start_read(),
+        }
+    }
+}
+
+impl TableReader {
+    fn new(node: SharedNode, table: TableId) -> Self {
+        Self {
+            attempts: ReadAttempts::new(node.times.store_answer_timeout),
+            node,
+            table,
+            reads: JoinSet::new(),
+            last_called_at: Moment::default(),
+            last_arrival_at: Rc::default(),
+            idle_link: None,
+            needs_whole_table: true,
+            outage: None,
+        }
+    }
+
+    /// Starts a read, beside those that are open, unless an answer is arriving.
+    fn start_read(&mut self) {
+        let now = clock::now();
+        self.attempts.record_arrival(self.last_arrival_at.get());
+        if self.attempts.next_start() > now {
+            return;
+        }
+        if self.attempts.is_overdue(now) {
+            self.record_failed_call(self.last_called_at, &StoreError::Timeout);
+        }
+        let wait =
+            if self.needs_whole_table { Duration::ZERO } else { self.attempts.next_wait(change_wait(&self.node)) };
+        let mode = if self.needs_whole_table { ReadMode::Whole } else { ReadMode::Changes { wait } };
+        let answer_timeout = self.attempts.record_start(wait, now);
+        self.last_called_at = now;
+        let new_link = || StoreLink::with_arrival_time(&self.node, self.last_arrival_at.clone());
+        let link = self.idle_link.take().unwrap_or_else(new_link);
+        self.reads.spawn_local(read_table(self.node.clone(), link, self.table, mode, answer_timeout));
+    }
+
+    fn handle_answer(&mut self, read: TableRead) {
+        // Reads that are still open were lost, or their answers are older.
+        self.reads = JoinSet::new();
+        self.attempts.record_answer();
+        let confirmed_at = proven_at(&read.batch, read.called_at, read.wait, clock::now());
+        if let Some(outage) = self.outage.take() {
+            log_store_return(self.table, &outage, read.called_at);
+        }
+        self.node.board.borrow_mut().record_store_answer(clock::now());
+        apply_rows(&self.node, self.table, &read.batch, confirmed_at, "store");
+        (self.needs_whole_table, self.idle_link) = (false, Some(read.link));
+    }
+
+    fn handle_failure(&mut self, failed: &FailedRead) {
+        if matches!(failed.error, StoreError::Fault(StoreFault::HistoryGone)) {
+            info!("{STORE} change history is no longer available; reading the whole table.", kv: { table = self.table.to_string().as_str() });
+            self.reads = JoinSet::new();
+            self.attempts.record_answer();
+            self.needs_whole_table = true;
+            return;
+        }
+        // A read that was repeated has been recorded when its answer was overdue.
+        if failed.called_at == self.last_called_at {
+            self.record_failed_call(failed.called_at, &failed.error);
+        }
+        let has_hub = !self.node.board.borrow().is_store_reader(clock::now());
+        self.attempts.record_failure(if has_hub { FOLLOWER_BACKOFF_FACTOR } else { 1 }, fastrand::f64());
     }
 
-    fn record_failed_call(&mut self, called_at: Moment, now: Moment) {
-        self.failed_calls += 1;
-        self.last_call_time = now.since(called_at);
+    /// Records a call that began at `called_at` and failed, or whose answer is overdue.
+    fn record_failed_call(&mut self, called_at: Moment, error: &StoreError) {
+        let last_call_time = clock::now().since(called_at);
+        let first = StoreOutage { began_at: called_at, failed_calls: 0, last_call_time };
+        let outage = self.outage.get_or_insert(first);
+        outage.failed_calls += 1;
+        outage.last_call_time = last_call_time;
+        if outage.failed_calls == 1 {
+            let (table, error) = (self.table.to_string(), error.to_string());
+            let after_ms = last_call_time.as_millis() as u64;
+            warn!("{STORE} the store does not answer.", kv: { table = table.as_str(), error = error.as_str(), after_ms });
+        }
+        if self.table == TableId::Targets {
+            self.node.board.borrow_mut().record_store_unreachable();
+        }
     }
 }
 
@@ -182,65 +326,46 @@
     info!("{STORE} the store answers again.", kv: { table, failed_calls, last_call_ms, answered_ms, outage_ms });
 }
 
-/// Keeps the copy of one table up to date from the store until the node ends. Does nothing while this node relies on a
-/// hub's copy.
-pub async fn follow_table(node: SharedNode, table: TableId) {
-    let mut link = StoreLink::new(&node);
-    let mut needs_whole_table = true;
-    let mut backoff = MIN_BACKOFF;
-    let mut outage: Option<StoreOutage> = None;
-    loop {
-        if !node.board.borrow().reads_store(table, clock::now()) {
-            sleep(ROLE_CHECK_INTERVAL).await;
-            continue;
-        }
-        let called_at = clock::now();
-        let wait = if needs_whole_table { Duration::ZERO } else { change_wait(&node) };
-        let read = if needs_whole_table {
-            read_whole(&node, &mut link, table).await
-        } else {
-            read_changes(&node, &mut link, table, wait).await
-        };
-        match read {
-            Ok(batch) => {
-                let confirmed_at = proven_at(&batch, called_at, wait, clock::now());
-                if let Some(outage) = outage.take() {
-                    log_store_return(table, &outage, called_at);
-                }
-                node.board.borrow_mut().record_store_answer(clock::now());
-                apply_rows(&node, table, &batch, confirmed_at, "store");
-                (needs_whole_table, backoff) = (false, MIN_BACKOFF);
-                // Changes that occur close together are read in one call.
-                sleep(MIN_CALL_INTERVAL.saturating_sub(clock::now().since(called_at))).await;
-            }
-            Err(StoreError::Fault(StoreFault::HistoryGone)) => {
-                info!("{STORE} change history is no longer available; reading the whole table.", kv: { table = table.to_string().as_str() });
-                needs_whole_table = true;
-            }
-            Err(error) => {
-                let outage = outage.get_or_insert_with(|| StoreOutage::new(called_at));
-                outage.record_failed_call(called_at, clock::now());
-                if outage.failed_calls == 1 {
-                    let (table, error) = (table.to_string(), error.to_string());
-                    let after_ms = outage.last_call_time.as_millis() as u64;
-                    warn!("{STORE} the store does not answer.", kv: { table = table.as_str(), error = error.as_str(), after_ms });
-                }
-                node.board.borrow_mut().record_store_unreachable();
-                sleep(backoff.mul_f64(0.5 + 0.5 * fastrand::f64())).await;
-                let has_hub = !node.board.borrow().is_store_reader(clock::now());
-                backoff = (backoff * 2).min(if has_hub { MAX_BACKOFF * FOLLOWER_BACKOFF_FACTOR } else { MAX_BACKOFF });
-            }
-        }
+/// What is read of a table.
+#[derive(Clone, Copy, Debug)]
+enum ReadMode {
+    /// All rows.
+    Whole,
+    /// The changes since the version of this node's copy. The store may hold the call for `wait`.
+    Changes { wait: Duration },
+}
+
+/// Reads a table. Each answer must begin within `answer_timeout`.
+async fn read_table(
+    node: SharedNode,
+    mut link: StoreLink,
+    table: TableId,
+    mode: ReadMode,
+    answer_timeout: Duration,
+) -> Result<TableRead, FailedRead> {
+    let called_at = clock::now();
+    let (read, wait) = match mode {
+        ReadMode::Whole => (read_whole(&node, &mut link, table, answer_timeout).await, Duration::ZERO),
+        ReadMode::Changes { wait } => (read_changes(&node, &mut link, table, wait, answer_timeout).await, wait),
+    };
+    match read {
+        Ok(batch) => Ok(TableRead { batch, called_at, wait, link }),
+        Err(error) => Err(FailedRead { error, called_at }),
     }
 }
 
 /// Reads all pages of a table.
-async fn read_whole(node: &SharedNode, link: &mut StoreLink, table: TableId) -> Result<RowBatch, StoreError> {
+async fn read_whole(
+    node: &SharedNode,
+    link: &mut StoreLink,
+    table: TableId,
+    answer_timeout: Duration,
+) -> Result<RowBatch, StoreError> {
     let mut all: Option<RowBatch> = None;
     let mut after: Option<Arc<str>> = None;
     loop {
         let request = node.platform.rows_request(table, after.as_deref());
-        let (status, body) = link.call(request, Duration::ZERO).await?;
+        let (status, body) = link.call_within(request, answer_timeout).await?;
         let RowPage { batch, next } = node.platform.read_rows(status, &body, true)?;
         match &mut all {
             // Changes made between two pages are read afterwards, from the version of the first page on.
@@ -268,10 +393,11 @@
     link: &mut StoreLink,
     table: TableId,
     wait: Duration,
+    answer_timeout: Duration,
 ) -> Result<RowBatch, StoreError> {
     let after = node.board.borrow().copies.get(&table).map_or(0, TableCopy::version);
     let request = node.platform.changes_request(table, after, wait);
-    let (status, body) = link.call(request, wait).await?;
+    let (status, body) = link.call_within(request, answer_timeout).await?;
     Ok(node.platform.read_rows(status, &body, false)?.batch)
 }
 
