--- a/crates/core/src/relay/board.rs
+++ b/crates/core/src/relay/board.rs
@@ -25,8 +25,10 @@
 use crate::relay::rows::{TableCopy, TableId};
 use crate::relay::speed::SpeedTable;
 use crate::relay::steps::SilenceTimeouts;
+use crate::relay::store_restoration::StoreRestoration;
+use crate::relay::store_version::StoreVersion;
 use crate::relay::suspects::{HarmfulContent, SuspectKey, SuspectLimits, SuspectTable};
-use crate::relay::targets::{TargetEntry, TargetRegistry};
+use crate::relay::targets::{EntryEffect, TargetEntry, TargetRegistry};
 
 /// Settings of the relay's decisions: time limits, ratios and weights.
 #[derive(Clone, Debug, PartialEq)]
@@ -142,8 +144,10 @@
     /// Random generator for draws and jitter, seeded with the instance of this node.
     pub random: fastrand::Rng,
     /// When the store answered again after its last outage. Target entries may be missing for a while afterwards.
-    store_recovered_at: Option<Moment>,
+    pub(super) store_recovered_at: Option<Moment>,
     is_store_unreachable: bool,
+    /// What the store lost when it came back older.
+    pub(super) restoration: StoreRestoration,
     heartbeat_count: u64,
 }
 
@@ -175,6 +179,7 @@
             random,
             store_recovered_at: None,
             is_store_unreachable: false,
+            restoration: StoreRestoration::default(),
             heartbeat_count: 0,
         }
     }
@@ -182,8 +187,10 @@
     /// Returns the time since the document was last known to be the newest, or `None` if this node has no document.
     #[must_use]
     pub fn document_age(&self, now: Moment) -> Option<Duration> {
+        let is_settled = self.restoration.is_settled(self.index.version, now);
         let confirmed_at = self.copies.get(&TableId::Orders)?.confirmed_at()?;
-        (self.index.version > 0).then(|| now.since(confirmed_at))
+        let proven_at = if is_settled { Some(confirmed_at) } else { self.restoration.proven_before() };
+        proven_at.filter(|_| self.index.version > 0).map(|proven_at| now.since(proven_at))
     }
 
     /// Checks whether a request may be served. A node that has known for long that its document or another order is not
@@ -193,7 +200,9 @@
     ///
     /// Returns the reason for the denial.
     pub fn check_access(&self, claim: AccessClaim<'_>, now: Moment) -> Result<AccessGrant, AccessDenial> {
-        let outdated_since = self.copies.get(&TableId::Orders).and_then(TableCopy::outdated_since);
+        let lacks_rows_since = self.copies.get(&TableId::Orders).and_then(TableCopy::outdated_since);
+        let lacks_document_since = self.restoration.newer_document_since(self.index.version);
+        let outdated_since = lacks_rows_since.into_iter().chain(lacks_document_since).min();
         if outdated_since.is_some_and(|since| now.since(since) > self.tuning.freshness_limits.max_outdated_time) {
             return Err(AccessDenial::StaleDocument);
         }
@@ -276,6 +285,15 @@
 
     /// Applies a change by an operator. Returns whether the state differs afterwards.
     pub fn apply_order(&mut self, change: OrderChange, now: Moment) -> bool {
+        if let OrderChange::Document(index) = &change {
+            self.restoration.record_stored_document(index.version, true);
+        }
+        self.restoration.cancel_withheld(&change);
+        self.put_in_force(change, now)
+    }
+
+    /// Applies a change by an operator, whether it was written or is withheld no longer.
+    pub(super) fn put_in_force(&mut self, change: OrderChange, now: Moment) -> bool {
         match change {
             // The document version never decreases within one run of the process.
             OrderChange::Document(index) if index.version <= self.index.version => false,
@@ -313,19 +331,23 @@
     }
 
     /// Inserts or updates the entry of a target. Forgets the cached prompts of a new incarnation.
-    pub fn upsert_target(&mut self, entry: TargetEntry, now: Moment) {
-        self.record_version(&entry, now);
-        let target = entry.target.clone();
-        if self.targets.upsert(entry, now) {
+    pub fn upsert_target(&mut self, entry: TargetEntry, now: Moment) -> EntryEffect {
+        let (target, recorded) = (entry.target.clone(), entry.clone());
+        let effect = self.targets.upsert(entry, now);
+        if effect == EntryEffect::NewTarget {
             self.rate_limits.remove_target(&target);
             self.prompts.remove_target(&target);
         }
+        if effect != EntryEffect::Outdated {
+            self.record_version(&recorded, now);
+        }
+        effect
     }
 
-    /// Handles the removal of a target's entry from the store. The target is removed with the next `remove_expired`.
+    /// Handles the removal of a target's entry from the store at the version `removed_in`. The target is removed with the next `remove_expired`.
     /// During an outage of the store and for `reregistration_timeout` after it, the target may still register again and
     /// is kept until then.
-    pub fn handle_target_removed(&mut self, target: &TargetName, now: Moment) {
+    pub fn handle_target_removed(&mut self, target: &TargetName, removed_in: StoreVersion, now: Moment) {
         let reregistration_end =
             self.store_recovered_at.map(|recovered_at| recovered_at + self.tuning.reregistration_timeout);
         let at = match reregistration_end {
@@ -333,7 +355,7 @@
             Some(end) if end > now => end,
             _ => now,
         };
-        self.targets.schedule_removal(target, at);
+        self.targets.schedule_removal(target, removed_in, at);
     }
 
     /// Returns the addresses for callers of all nodes that accept new work, including this one.
@@ -363,6 +385,7 @@
             peer_address: self.identity.peer_address,
             state: self.state,
             proofs: proofs.collect(),
+            document_version: self.index.version,
             loads: self.targets.own_loads(),
             prompts: self.prompts.own_updates(now),
             waits: self.own_queue_waits(now),
@@ -405,6 +428,7 @@
         self.prompts.receive_updates(&node, &heartbeat.prompts, now);
         self.rate_limits.merge_reports(&heartbeat.limits, now);
         self.handle_rollout_reports(&heartbeat, now, now);
+        self.record_peer_document(&heartbeat, now);
         let is_new = self.members.handle_heartbeat(heartbeat, now);
         let loads = if self.load_reporters(now).contains(&node) { loads } else { Vec::new() };
         self.targets.set_peer_loads(&node, loads);
--- a/crates/core/src/relay/chunks.rs
+++ b/crates/core/src/relay/chunks.rs
@@ -12,6 +12,7 @@
 
 use crate::names::stable_hash;
 use crate::relay::rows::TableId;
+use crate::relay::store_version::StoreVersion;
 
 /// Least and largest average size of chunks in bytes. The least holds some routes of a document; it is more in a large
 /// blob, so that its outline stays small.
@@ -110,9 +111,9 @@
     /// The table.
     pub table: TableId,
     /// Store version of the receiver's copy.
-    pub have: u64,
+    pub have: StoreVersion,
     /// Store version of the sender's copy.
-    pub version: u64,
+    pub version: StoreVersion,
 }
 
 /// Blobs that a node has described to peers and whose chunks they may ask for, oldest first.
--- a/crates/core/src/relay/members.rs
+++ b/crates/core/src/relay/members.rs
@@ -13,6 +13,7 @@
 use crate::relay::rate_limits::LimitReport;
 use crate::relay::rollout::RolloutReport;
 use crate::relay::rows::TableId;
+use crate::relay::store_version::StoreVersion;
 use crate::relay::suspects::SuspectReport;
 
 /// Load that one node, or several together, put on one target.
@@ -32,11 +33,11 @@
     /// The table.
     pub table: TableId,
     /// Store version of the copy.
-    pub version: u64,
+    pub version: StoreVersion,
     /// Store version since which no row of the table changed, up to `version`.
-    pub last_change_version: u64,
+    pub last_change_version: StoreVersion,
     /// Store version of the newest row that the copy has had. Nodes with an older copy lack that row.
-    pub newest_row_version: u64,
+    pub newest_row_version: StoreVersion,
     /// Time in milliseconds since the copy was last known to be up to date.
     pub age_ms: u32,
 }
@@ -62,6 +63,8 @@
     pub state: NodeState,
     /// Proofs of how recent the node's copies of tables are. A table that was never read is missing.
     pub proofs: Vec<TableProof>,
+    /// Version of the document that the node has in force; 0 if it has none. The store may have lost that document.
+    pub document_version: u64,
     /// Calls that the node has in flight, by target.
     pub loads: Vec<TargetLoad>,
     /// Prompts that the node recently sent to engines.
--- a/crates/core/src/relay/rollout.rs
+++ b/crates/core/src/relay/rollout.rs
@@ -14,6 +14,7 @@
 use crate::clock::Moment;
 use crate::judge::{RouteTallies, VersionFinding};
 use crate::names::{InstanceId, NodeName, ServiceName, VersionName};
+use crate::relay::store_version::StoreVersion;
 use crate::tally::RouteTally;
 
 pub use watch::RolloutWatch;
@@ -43,7 +44,16 @@
     /// Time from the order to its deadline.
     pub duration: Duration,
     /// Store version of the order's row, which tells repeated orders apart.
-    pub order_version: u64,
+    pub order_version: StoreVersion,
+}
+
+impl RolloutOrder {
+    /// Returns whether `other` is this order, as the store has it after it came back older, or as the operator has written
+    /// it again since.
+    pub(super) fn is_same_in_later_era(&self, other: &Self) -> bool {
+        other.order_version.era > self.order_version.era
+            && (&other.candidate, other.duration) == (&self.candidate, self.duration)
+    }
 }
 
 /// Phase of a rollout. A rollout only moves to later phases.
@@ -77,8 +87,8 @@
 /// A row of the store that records the state of a service's rollout.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RolloutRecord {
-    /// Store version of the row; 0 if there is no row.
-    pub version: u64,
+    /// Store version of the row; `NONE` if there is no row.
+    pub version: StoreVersion,
     /// Candidate and state of the rollout; `None` if the row is missing or malformed.
     pub content: Option<(VersionName, RecordedState)>,
 }
@@ -92,8 +102,8 @@
     pub candidate: VersionName,
     /// State to be recorded.
     pub state: RecordedState,
-    /// Store version that the row must have; 0 if the row must not exist.
-    pub expected_version: u64,
+    /// Store version that the row must have; `NONE` if the row must not exist.
+    pub expected_version: StoreVersion,
 }
 
 /// Calls to the candidate and to the stable version, by route.
@@ -123,7 +133,7 @@
     /// Service that is moved.
     pub service: ServiceName,
     /// Store version of the order's row.
-    pub order_version: u64,
+    pub order_version: StoreVersion,
     /// Time in milliseconds since the order was first known to be in force.
     pub age_ms: u32,
     /// Phase of the rollout at the node.
@@ -206,8 +216,14 @@
     /// Begins the rollout of a new order, which replaces an earlier one of the service. Returns whether the order is
     /// new. `needs_record` says whether the order may already have a final state.
     pub fn begin(&mut self, order: RolloutOrder, needs_record: bool, now: Moment) -> bool {
-        if self.watches.get(&order.service).is_some_and(|watch| watch.order.order_version >= order.order_version) {
-            return false;
+        if let Some(watch) = self.watches.get_mut(&order.service) {
+            if watch.order.is_same_in_later_era(&order) {
+                watch.adopt_version(order.order_version);
+                return false;
+            }
+            if watch.order.order_version >= order.order_version {
+                return false;
+            }
         }
         self.watches.insert(order.service.clone(), RolloutWatch::new(order, needs_record, now));
         true
@@ -218,6 +234,11 @@
         self.watches.remove(service).is_some()
     }
 
+    /// Forgets what the store is known to record, since it came back older. States are recorded again.
+    pub fn forget_records(&mut self) {
+        self.watches.values_mut().for_each(RolloutWatch::forget_record);
+    }
+
     /// Returns the rollout of a service.
     #[must_use]
     pub fn get(&self, service: &ServiceName) -> Option<&RolloutWatch> {
@@ -320,9 +341,13 @@
     }
 
     /// Records that a write took effect and gave the row the store version `version`.
-    pub fn record_written(&mut self, write: &RolloutWrite, version: u64, now: Moment) {
+    pub fn record_written(&mut self, write: &RolloutWrite, version: StoreVersion, now: Moment) {
         let Some(watch) = self.watch_of(write) else { return };
         watch.is_write_pending = false;
+        if version.era < watch.order.order_version.era {
+            // The store has lost the row.
+            return;
+        }
         watch.record_version = version;
         watch.learn_state(write.state, now);
     }
--- a/crates/core/src/relay/rollout/watch.rs
+++ b/crates/core/src/relay/rollout/watch.rs
@@ -10,6 +10,7 @@
 use crate::clock::Moment;
 use crate::judge::{RouteTallies, VersionFinding, VersionJudge};
 use crate::names::{InstanceId, NodeName};
+use crate::relay::store_version::StoreVersion;
 use crate::tally::RouteTally;
 
 /// State that a node keeps for one order.
@@ -24,7 +25,7 @@
     /// Whether the order may have a final state that this node does not know yet.
     needs_record: bool,
     recorded: Option<RecordedState>,
-    pub(super) record_version: u64,
+    pub(super) record_version: StoreVersion,
     /// State that is to be written, and since when it is.
     wanted: Option<(RecordedState, Moment)>,
     pub(super) is_write_pending: bool,
@@ -71,7 +72,7 @@
             finding: None,
             needs_record,
             recorded: None,
-            record_version: 0,
+            record_version: StoreVersion::NONE,
             wanted: None,
             is_write_pending: false,
             call_count: 0,
@@ -112,6 +113,18 @@
         self.phase >= RolloutPhase::RolledBack
     }
 
+    /// Forgets what the store is known to record.
+    pub(super) fn forget_record(&mut self) {
+        (self.recorded, self.record_version) = (None, StoreVersion::NONE);
+    }
+
+    /// Takes over the version that the order has since the store came back older.
+    pub(super) fn adopt_version(&mut self, order_version: StoreVersion) {
+        self.order.order_version = order_version;
+        // A peer may have told of a record that the store has lost.
+        self.forget_record();
+    }
+
     fn age(&self, now: Moment) -> Duration {
         now.since(self.ordered_at)
     }
--- a/crates/core/src/relay/rows.rs
+++ b/crates/core/src/relay/rows.rs
@@ -1,10 +1,12 @@
 //! Copies of the store's tables that every node keeps, with the latest time at which each was known to be up to date.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use crate::clock::Moment;
+use crate::relay::store_version::StoreVersion;
 
 /// A table of the store that every node replicates.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, strum::Display, strum::EnumIter)]
@@ -22,7 +24,7 @@
     /// Key of the row.
     pub key: Arc<str>,
     /// Store version of the row's last change.
-    pub version: u64,
+    pub version: StoreVersion,
     /// Content of the row, or `None` if the row was removed.
     pub value: Option<Arc<[u8]>>,
 }
@@ -33,7 +35,7 @@
     /// All rows of the table, or the changed and removed rows.
     pub rows: Vec<SharedRow>,
     /// Store version that the batch brings a copy to.
-    pub version: u64,
+    pub version: StoreVersion,
     /// Whether `rows` holds all rows of the table. Otherwise it holds the changes since the version in the request.
     pub whole: bool,
 }
@@ -48,24 +50,36 @@
     if has_timed_out_unchanged { requested_at + wait } else { requested_at }
 }
 
+/// How a batch relates to a copy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BatchFit {
+    /// The copy can apply the batch.
+    Applicable,
+    /// The store has come back older, and the batch holds only changes of a state that the copy does not have. The whole
+    /// table must be read.
+    NeedsWholeTable,
+    /// The batch is from before the store came back older, and changes nothing.
+    Obsolete,
+}
+
 /// A copy of one table.
 #[derive(Clone, Debug, Default)]
 pub struct TableCopy {
     rows: BTreeMap<Arc<str>, SharedRow>,
     /// Store versions at which rows were removed, by key. Only the latest removals are kept.
-    removal_versions: BTreeMap<Arc<str>, u64>,
-    /// Store version of the copy. 0 before the first read.
-    version: u64,
+    removal_versions: BTreeMap<Arc<str>, StoreVersion>,
+    /// Store version of the copy. `NONE` before the first read.
+    version: StoreVersion,
     /// Store version since which no row has changed, up to `version`.
-    last_change_version: u64,
+    last_change_version: StoreVersion,
     /// Store version after which all removals are known.
-    removals_complete_from: u64,
+    removals_complete_from: StoreVersion,
     /// Latest time at which the copy is known to have been up to date. `None` before the first read.
     confirmed_at: Option<Moment>,
     /// Store version of the newest row that the copy has had.
-    newest_row_version: u64,
+    newest_row_version: StoreVersion,
     /// Store versions of rows that peers have and this copy lacks, with the time at which that became known.
-    missing_changes: BTreeMap<u64, Moment>,
+    missing_changes: BTreeMap<StoreVersion, Moment>,
 }
 
 impl TableCopy {
@@ -77,11 +91,16 @@
     /// Applies a batch that was the newest state of the store at `up_to_date_at`. Returns the changes of this copy in
     /// order. A row may be among them several times.
     ///
-    /// A batch from an older state never overwrites a newer row.
+    /// A batch from an older state never overwrites a newer row. A batch that is not applicable changes nothing, see
+    /// [`Self::fit`]. The first batch after the store came back older replaces the whole copy, whatever its numbers.
     pub fn apply(&mut self, batch: &RowBatch, up_to_date_at: Moment) -> Vec<SharedRow> {
         let mut changed: Vec<SharedRow> = Vec::new();
-        if self.version == 0 {
+        if self.fit(batch) != BatchFit::Applicable {
+            return changed;
+        }
+        if self.version == StoreVersion::NONE || batch.version.era > self.version.era {
             // Removals before the first batch are not known.
+            self.removal_versions.clear();
             (self.removals_complete_from, self.last_change_version) = (batch.version, batch.version);
         }
         if batch.whole && batch.version >= self.version {
@@ -115,6 +134,16 @@
         changed
     }
 
+    /// Returns whether a batch can be applied.
+    #[must_use]
+    pub fn fit(&self, batch: &RowBatch) -> BatchFit {
+        match batch.version.era.cmp(&self.version.era) {
+            Ordering::Less => BatchFit::Obsolete,
+            Ordering::Greater if !batch.whole && self.version != StoreVersion::NONE => BatchFit::NeedsWholeTable,
+            Ordering::Equal | Ordering::Greater => BatchFit::Applicable,
+        }
+    }
+
     fn apply_row(&mut self, row: &SharedRow) {
         self.last_change_version = self.last_change_version.max(row.version);
         if row.value.is_some() {
@@ -139,8 +168,8 @@
     /// Records that a peer's copy at `version`, in which no row has changed since `last_change_version`, was the newest
     /// state at `up_to_date_at`. Returns whether this copy contains the same rows, so that it was up to date then too.
     /// If not, this copy remains as it is.
-    pub fn confirm(&mut self, version: u64, last_change_version: u64, up_to_date_at: Moment) -> bool {
-        if self.version == 0 || last_change_version > self.version || version < self.version {
+    pub fn confirm(&mut self, version: StoreVersion, last_change_version: StoreVersion, up_to_date_at: Moment) -> bool {
+        if self.version == StoreVersion::NONE || last_change_version > self.version || version < self.version {
             return false;
         }
         self.version = version;
@@ -150,7 +179,7 @@
     }
 
     /// Records that a peer's copy has a row of store version `version`.
-    pub fn record_known_change(&mut self, version: u64, now: Moment) {
+    pub fn record_known_change(&mut self, version: StoreVersion, now: Moment) {
         if version > self.version && self.missing_changes.len() < Self::MAX_MISSING_CHANGES {
             self.missing_changes.entry(version).or_insert(now);
         }
@@ -180,13 +209,13 @@
         match self.rows.get(&row.key) {
             Some(own) => row.version > own.version,
             // A row from an older state may have been removed since. It must not be restored.
-            None => row.value.is_some() && (row.version > self.version || self.version == 0),
+            None => row.value.is_some() && (row.version > self.version || self.version == StoreVersion::NONE),
         }
     }
 
-    /// Returns the store version of the copy. 0 means that nothing has been read yet.
+    /// Returns the store version of the copy. `NONE` means that nothing has been read yet.
     #[must_use]
-    pub fn version(&self) -> u64 {
+    pub fn version(&self) -> StoreVersion {
         self.version
     }
 
@@ -203,20 +232,20 @@
 
     /// Returns the store version since which no row of the copy has changed.
     #[must_use]
-    pub fn last_change_version(&self) -> u64 {
+    pub fn last_change_version(&self) -> StoreVersion {
         self.last_change_version
     }
 
     /// Returns the store version of the newest row that the copy has had.
     #[must_use]
-    pub fn newest_row_version(&self) -> u64 {
+    pub fn newest_row_version(&self) -> StoreVersion {
         self.newest_row_version
     }
 
     /// Returns the changes for a peer whose copy is at version `have`, or all rows if not all removals since then are
     /// known.
     #[must_use]
-    pub fn changes_after(&self, have: u64) -> RowBatch {
+    pub fn changes_after(&self, have: StoreVersion) -> RowBatch {
         let whole = have < self.removals_complete_from;
         let rows = self.rows.values().filter(|row| whole || row.version > have).cloned();
         let removed = self.removal_versions.iter().filter(|(_, version)| !whole && **version > have);
--- /dev/null
+++ b/crates/core/src/relay/store_restoration.rs
@@ -0,0 +1,276 @@
+//! What is in force after the store came back from an older copy of itself.
+//!
+//! What the store had acknowledged and lost is still in force for callers, and operators and targets write it again. Until
+//! then a node keeps what it knows: the newest document that it has had, orders that the store no longer has, and what
+//! targets last said of themselves. A document is not proven to be the newest by a store that has lost it, so keys and the
+//! absence of routes are decided by the age of the last proof from before.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::clock::Moment;
+use crate::names::{DcName, ServiceName};
+use crate::relay::board::{OrderChange, RelayBoard};
+use crate::relay::members::RelayHeartbeat;
+use crate::relay::rollout::RolloutWatch;
+use crate::relay::rows::{RowBatch, SharedRow, TableCopy, TableId};
+use crate::relay::store_version::StoreVersion;
+
+/// What an order is about.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum OrderSubject {
+    /// The document.
+    Document,
+    /// Whether a data centre gets new work.
+    DataCentre(DcName),
+    /// The version of a service.
+    Service(ServiceName),
+}
+
+impl OrderSubject {
+    /// Returns what `change` is about.
+    pub(super) fn of(change: &OrderChange) -> Self {
+        match change {
+            OrderChange::Document(_) => Self::Document,
+            OrderChange::Close(dc) | OrderChange::Open(dc) => Self::DataCentre(dc.clone()),
+            OrderChange::Rollout(order) => Self::Service(order.service.clone()),
+            OrderChange::RolloutWithdrawn(service) => Self::Service(service.clone()),
+        }
+    }
+}
+
+/// The last return of the store from an older copy, as far as a node knows of it.
+#[derive(Clone, Copy, Debug)]
+struct StoreReturn {
+    /// When the node learned of it.
+    seen_at: Moment,
+    /// Latest time before it at which the document was proven to be the newest.
+    proven_before: Option<Moment>,
+    /// Whether a document has been written since.
+    is_document_written: bool,
+}
+
+/// A document that a peer has in force and that was newer than this node's when it became known.
+#[derive(Clone, Copy, Debug)]
+struct PeerDocument {
+    version: u64,
+    /// Version of the peer's copy of the orders. A node whose copy is as new and that lacks the document will not get it
+    /// from the store.
+    copy_version: StoreVersion,
+    known_since: Moment,
+}
+
+/// What the store has lost, as far as a node knows.
+#[derive(Clone, Debug, Default)]
+pub struct StoreRestoration {
+    last_return: Option<StoreReturn>,
+    /// Version of the document that the store has.
+    stored_document: u64,
+    /// Version of the newest document that the store is known to have lost.
+    lost_document: u64,
+    peer_document: Option<PeerDocument>,
+    /// Changes to the state that the store came back with, and when they take effect unless the order is written again.
+    withheld: BTreeMap<OrderSubject, (OrderChange, Moment)>,
+}
+
+impl StoreRestoration {
+    /// Time within which operators and targets write again what the store has lost. The platform states it for targets.
+    const REWRITE_TIME: Duration = Duration::from_millis(1_900);
+    /// Time for which orders that the store has lost remain in force if they are not written again.
+    const LOST_ORDER_RETENTION: Duration = Duration::from_secs(10);
+
+    /// Records that the store came back older. `proven_at` is the latest time at which the document was proven to be the
+    /// newest, if it was.
+    pub(super) fn record_return(&mut self, proven_at: Option<Moment>, newest_document: u64, now: Moment) {
+        let was_settled = self.is_settled(newest_document, now);
+        let proven_before = self.last_return.filter(|_| !was_settled).map_or(proven_at, |last| last.proven_before);
+        self.last_return = Some(StoreReturn { seen_at: now, proven_before, is_document_written: false });
+    }
+
+    /// Records the version of the document that the store has. `is_written` says whether it was written since the store's
+    /// last return, rather than read with the state that it came back with.
+    pub(super) fn record_stored_document(&mut self, version: u64, is_written: bool) {
+        self.stored_document = version;
+        if let Some(last) = &mut self.last_return {
+            last.is_document_written |= is_written;
+        }
+    }
+
+    /// Records the version of the document that a peer has in force, which read the orders at `copy_version`. This node
+    /// has the document `own_version` in force.
+    fn record_peer_document(&mut self, version: u64, copy_version: StoreVersion, own_version: u64, now: Moment) {
+        if version > own_version && self.peer_document.is_none_or(|known| known.version <= own_version) {
+            self.peer_document = Some(PeerDocument { version, copy_version, known_since: now });
+        }
+    }
+
+    /// Records that this node has read the orders at `copy_version`.
+    fn record_orders_read(&mut self, copy_version: StoreVersion) {
+        if let Some(peer) = self.peer_document.filter(|peer| peer.copy_version <= copy_version) {
+            self.lost_document = self.lost_document.max(peer.version);
+        }
+    }
+
+    /// Returns since when a peer is known to have a newer document in force than this node with `own_version`.
+    pub(super) fn newer_document_since(&self, own_version: u64) -> Option<Moment> {
+        self.peer_document.filter(|peer| peer.version > own_version).map(|peer| peer.known_since)
+    }
+
+    /// Returns whether the state of the store proves which document is the newest: it has no older one than
+    /// `newest_document` or a peer's, and what was lost unseen has been written again.
+    pub(super) fn is_settled(&self, newest_document: u64, now: Moment) -> bool {
+        if self.stored_document < self.lost_document {
+            return false;
+        }
+        self.last_return.is_none_or(|last| {
+            let is_rewritten = last.is_document_written || now.since(last.seen_at) >= Self::REWRITE_TIME;
+            self.stored_document >= newest_document && is_rewritten
+        })
+    }
+
+    /// Returns the latest time before the store's last return at which the document was proven to be the newest.
+    pub(super) fn proven_before(&self) -> Option<Moment> {
+        self.last_return?.proven_before
+    }
+
+    /// Keeps a change from taking effect until the retention of lost orders ends.
+    pub(super) fn withhold(&mut self, change: OrderChange, now: Moment) {
+        self.withheld.insert(OrderSubject::of(&change), (change, now + Self::LOST_ORDER_RETENTION));
+    }
+
+    /// Drops the change that is withheld for the subject of `order`, which has been written.
+    pub(super) fn cancel_withheld(&mut self, order: &OrderChange) {
+        self.withheld.remove(&OrderSubject::of(order));
+    }
+
+    /// Returns the changes that are not to be withheld any longer.
+    pub(super) fn take_due(&mut self, now: Moment) -> Vec<OrderChange> {
+        let due: Vec<OrderSubject> =
+            self.withheld.iter().filter(|(_, (_, at))| *at <= now).map(|(subject, _)| subject.clone()).collect();
+        due.iter().filter_map(|subject| self.withheld.remove(subject)).map(|(change, _)| change).collect()
+    }
+}
+
+/// The effect of a batch of rows on a table.
+#[derive(Clone, Debug, Default)]
+pub struct AppliedBatch {
+    /// Changed rows in order. A row may be among them several times.
+    pub changed: Vec<SharedRow>,
+    /// The copy before, if the batch is the first one since the store came back older.
+    pub restored_from: Option<ReplacedCopy>,
+}
+
+/// A copy that was replaced since the store came back older.
+#[derive(Clone, Debug)]
+pub struct ReplacedCopy {
+    /// Store version of the copy.
+    pub version: StoreVersion,
+    /// Keys of rows that have the same content as before under another number. They have been written again already.
+    pub rewritten: BTreeSet<Arc<str>>,
+}
+
+/// Returns the keys of rows in `batch` that have the same content as in `copy` under another number.
+fn rewritten_keys(copy: &TableCopy, batch: &RowBatch) -> BTreeSet<Arc<str>> {
+    let known: BTreeMap<&Arc<str>, &SharedRow> = copy.rows().map(|row| (&row.key, row)).collect();
+    let is_rewritten = |row: &&SharedRow| {
+        known.get(&row.key).is_some_and(|known| known.value == row.value && known.version.number != row.version.number)
+    };
+    batch.rows.iter().filter(is_rewritten).map(|row| row.key.clone()).collect()
+}
+
+impl RelayBoard {
+    /// Time after its start for which a node waits for the first heartbeat of a peer before it serves.
+    const FIRST_PEER_TIMEOUT: Duration = Duration::from_millis(500);
+
+    /// Applies rows to the copy of a table, see [`TableCopy::apply`]. The changed rows are still to be applied one by one.
+    pub fn apply_batch(
+        &mut self,
+        table: TableId,
+        batch: &RowBatch,
+        up_to_date_at: Moment,
+        now: Moment,
+    ) -> AppliedBatch {
+        let copy = self.copies.entry(table).or_default();
+        let (before, proven_at) = (copy.version(), copy.confirmed_at());
+        let is_return = before != StoreVersion::NONE && batch.whole && batch.version.era > before.era;
+        let rewritten = if is_return { rewritten_keys(copy, batch) } else { BTreeSet::new() };
+        let changed = copy.apply(batch, up_to_date_at);
+        let copy_version = copy.version();
+        if table == TableId::Orders {
+            // If the document is among the changed rows, it is recorded as stored next.
+            self.restoration.record_orders_read(copy_version);
+        }
+        if !is_return {
+            return AppliedBatch { changed, restored_from: None };
+        }
+        match table {
+            TableId::Orders => {
+                self.restoration.record_return(proven_at, self.index.version, now);
+                self.rollouts.forget_records();
+            }
+            // Targets whose entries were lost register again, as after an outage.
+            TableId::Targets => self.store_recovered_at = Some(now),
+        }
+        AppliedBatch { changed, restored_from: Some(ReplacedCopy { version: before, rewritten }) }
+    }
+
+    /// Applies the order of a row that belongs to the state with which the store came back older, where `replaced` is the
+    /// copy before. What the store has lost stays in force for a while, since it is written again. Returns whether the
+    /// state differs afterwards.
+    pub fn apply_restored_order(
+        &mut self,
+        key: &str,
+        change: OrderChange,
+        replaced: &ReplacedCopy,
+        now: Moment,
+    ) -> bool {
+        let is_loss = match &change {
+            OrderChange::Document(index) => {
+                self.restoration.record_stored_document(index.version, replaced.rewritten.contains(key));
+                return self.put_in_force(change, now);
+            }
+            OrderChange::Close(_) => false,
+            OrderChange::Open(dc) => self.closed_dcs.contains(dc),
+            OrderChange::Rollout(order) => {
+                let known = self.rollouts.get(&order.service).map(RolloutWatch::order);
+                known.is_some_and(|known| {
+                    !known.is_same_in_later_era(order) && order.order_version.number <= replaced.version.number
+                })
+            }
+            OrderChange::RolloutWithdrawn(service) => self.rollouts.get(service).is_some(),
+        };
+        if is_loss {
+            self.restoration.withhold(change, now);
+            return false;
+        }
+        self.put_in_force(change, now)
+    }
+
+    /// Applies the changes whose orders the store has lost and nobody has written again in time, and returns them.
+    pub fn apply_withheld_orders(&mut self, now: Moment) -> Vec<OrderChange> {
+        let due = self.restoration.take_due(now);
+        for change in &due {
+            self.put_in_force(change.clone(), now);
+        }
+        due
+    }
+
+    /// Records the document that a peer has in force.
+    pub(super) fn record_peer_document(&mut self, heartbeat: &RelayHeartbeat, now: Moment) {
+        let Some(proof) = heartbeat.proofs.iter().find(|proof| proof.table == TableId::Orders) else { return };
+        self.restoration.record_peer_document(heartbeat.document_version, proof.version, self.index.version, now);
+        if let Some(copy) = self.copies.get(&TableId::Orders) {
+            self.restoration.record_orders_read(copy.version());
+        }
+    }
+
+    /// Returns whether this node, which started at `started_at`, can serve: it has read all tables, and has heard from a
+    /// peer what the store may have lost, unless no peer answers.
+    #[must_use]
+    pub fn can_serve(&self, started_at: Moment, now: Moment) -> bool {
+        let has_targets = self.copies.get(&TableId::Targets).is_some_and(|copy| copy.version() != StoreVersion::NONE);
+        let has_peer = self.members.known().next().is_some() || now.since(started_at) >= Self::FIRST_PEER_TIMEOUT;
+        has_targets && has_peer && self.document_age(now).is_some()
+    }
+}
--- a/crates/core/src/relay/targets.rs
+++ b/crates/core/src/relay/targets.rs
@@ -8,6 +8,7 @@
 use crate::names::{DcName, NodeName, ServiceName, TargetName, VersionName};
 use crate::relay::fleet::sum_loads;
 use crate::relay::members::TargetLoad;
+use crate::relay::store_version::StoreVersion;
 
 /// The entry that a target registers in the store.
 #[derive(Clone, Debug, PartialEq)]
@@ -32,6 +33,45 @@
     /// Time for which the target remains cold after the entry was received. A cold target has started recently and can
     /// take little load only.
     pub cold_time: Duration,
+    /// Number that the target increases with each entry of an incarnation, if the entry has it.
+    pub sequence: Option<u64>,
+    /// Store version of the entry's row.
+    pub row_version: StoreVersion,
+}
+
+impl TargetEntry {
+    fn is_same_incarnation(&self, other: &Self) -> bool {
+        (self.incarnation, self.address) == (other.incarnation, other.address)
+    }
+}
+
+/// What an entry changed in the registry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EntryEffect {
+    /// The target is new, or has another incarnation or address than before.
+    NewTarget,
+    /// The target was known.
+    Updated,
+    /// Nothing: the target has said the same or something newer before the store came back older.
+    Outdated,
+}
+
+/// The last entry of a target that has been removed, and the store version at which its row was gone.
+#[derive(Clone, Debug)]
+struct RemovedTarget {
+    entry: TargetEntry,
+    removed_in: StoreVersion,
+}
+
+/// Returns whether `entry` is only what the store came back with, where `known` was read before and its row was gone at
+/// `removed_in`, if it was. What the target has said since in the same incarnation has a higher sequence number.
+fn is_restored_entry(entry: &TargetEntry, known: &TargetEntry, removed_in: Option<StoreVersion>) -> bool {
+    let last_version = removed_in.map_or(known.row_version, |removed_in| removed_in.max(known.row_version));
+    let is_later_statement = match (entry.sequence, known.sequence) {
+        (Some(sequence), Some(known_sequence)) => sequence > known_sequence,
+        _ => !known.leaving && removed_in.is_none(),
+    };
+    entry.is_same_incarnation(known) && entry.row_version.era > last_version.era && !is_later_statement
 }
 
 /// Outcome of a call, as evidence about its target.
@@ -80,8 +120,8 @@
     /// When this node last called the target while it was cold.
     pub last_cold_call: Option<Moment>,
     consecutive_failures: u32,
-    /// When the target is to be removed, if its entry is gone from the store.
-    remove_at: Option<Moment>,
+    /// When the target is to be removed, if its entry is gone from the store, and the store version at which it was.
+    removal: Option<(Moment, StoreVersion)>,
 }
 
 impl TargetView {
@@ -105,7 +145,7 @@
             backoff_until: Moment::default(),
             last_cold_call: None,
             consecutive_failures: 0,
-            remove_at: None,
+            removal: None,
         }
     }
 
@@ -159,29 +199,45 @@
     by_service: BTreeMap<ServiceName, BTreeSet<TargetName>>,
     /// Last reported loads, by the peer that reported them.
     peer_loads: BTreeMap<NodeName, Vec<TargetLoad>>,
+    /// Targets that were removed last. The store may come back with their entries.
+    removed: BTreeMap<TargetName, RemovedTarget>,
 }
 
 impl TargetRegistry {
-    /// Inserts or updates an entry. Returns whether the target is new or has another incarnation or address than
-    /// before. In that case the observed behaviour is reset.
-    pub fn upsert(&mut self, entry: TargetEntry, now: Moment) -> bool {
+    /// Maximum number of removed targets that are remembered.
+    const MAX_REMOVED: usize = 2_000;
+
+    /// Inserts or updates an entry. The observed behaviour of a new incarnation is reset.
+    pub fn upsert(&mut self, entry: TargetEntry, now: Moment) -> EntryEffect {
+        if self.is_outdated(&entry) {
+            return EntryEffect::Outdated;
+        }
+        self.removed.remove(&entry.target);
         let known = self.views.remove(&entry.target);
         if let Some(old) = &known {
             self.unindex(&old.entry.service.clone(), &entry.target);
         }
         self.by_service.entry(entry.service.clone()).or_default().insert(entry.target.clone());
-        let same_incarnation =
-            known.filter(|old| old.entry.incarnation == entry.incarnation && old.entry.address == entry.address);
-        let is_new = same_incarnation.is_none();
+        let same_incarnation = known.filter(|old| old.entry.is_same_incarnation(&entry));
+        let effect = if same_incarnation.is_some() { EntryEffect::Updated } else { EntryEffect::NewTarget };
         let view = match same_incarnation {
             Some(old) => {
                 let cold_until = now + entry.cold_time;
-                TargetView { entry, cold_until, remove_at: None, ..old }
+                TargetView { entry, cold_until, removal: None, ..old }
             }
             None => TargetView::new(entry, now),
         };
         self.views.insert(view.entry.target.clone(), view);
-        is_new
+        effect
+    }
+
+    /// Returns whether an entry is one of before the store came back older, and says nothing new.
+    fn is_outdated(&self, entry: &TargetEntry) -> bool {
+        if let Some(view) = self.views.get(&entry.target) {
+            return is_restored_entry(entry, &view.entry, view.removal.map(|(_, removed_in)| removed_in));
+        }
+        let removed = self.removed.get(&entry.target);
+        removed.is_some_and(|removed| is_restored_entry(entry, &removed.entry, Some(removed.removed_in)))
     }
 
     fn unindex(&mut self, service: &ServiceName, target: &TargetName) {
@@ -190,23 +246,33 @@
         }
     }
 
-    /// Schedules the removal of a target, whose entry is gone from the store, at the time `at`. An earlier schedule
-    /// remains in force. An `upsert` of the target cancels it.
-    pub fn schedule_removal(&mut self, target: &TargetName, at: Moment) {
+    /// Schedules the removal of a target, whose entry is gone from the store since the version `removed_in`, at the time
+    /// `at`. An earlier schedule remains in force. An `upsert` of the target cancels it.
+    pub fn schedule_removal(&mut self, target: &TargetName, removed_in: StoreVersion, at: Moment) {
         if let Some(view) = self.views.get_mut(target) {
-            view.remove_at.get_or_insert(at);
+            view.removal.get_or_insert((at, removed_in));
         }
     }
 
     /// Removes the targets whose scheduled removal is due. Returns their identifiers.
     pub fn remove_due(&mut self, now: Moment) -> Vec<TargetName> {
-        let is_due = |view: &TargetView| view.remove_at.is_some_and(|at| at <= now);
-        let removed: Vec<_> = self.views.values().filter(|view| is_due(view)).map(|view| view.entry.clone()).collect();
-        for entry in &removed {
-            self.views.remove(&entry.target);
-            self.unindex(&entry.service, &entry.target);
+        let due = self.views.values().filter_map(|view| {
+            let (_, removed_in) = view.removal.filter(|(at, _)| *at <= now)?;
+            Some(RemovedTarget { entry: view.entry.clone(), removed_in })
+        });
+        let due: Vec<RemovedTarget> = due.collect();
+        let names: Vec<TargetName> = due.iter().map(|removed| removed.entry.target.clone()).collect();
+        for removed in due {
+            self.views.remove(&removed.entry.target);
+            self.unindex(&removed.entry.service, &removed.entry.target);
+            self.removed.insert(removed.entry.target.clone(), removed);
+        }
+        while self.removed.len() > Self::MAX_REMOVED {
+            let oldest = self.removed.iter().min_by_key(|(_, removed)| removed.removed_in);
+            let Some(oldest) = oldest.map(|(target, _)| target.clone()) else { break };
+            self.removed.remove(&oldest);
         }
-        removed.into_iter().map(|entry| entry.target).collect()
+        names
     }
 
     /// Returns a target, or `None` if it is unknown.
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -34,5 +34,7 @@
 mod rows;
 #[path = "relay/steps.rs"]
 mod steps;
+#[path = "relay/store_restoration.rs"]
+mod store_restoration;
 #[path = "relay/suspects.rs"]
 mod suspects;
--- a/crates/core/tests/relay/access.rs
+++ b/crates/core/tests/relay/access.rs
@@ -7,7 +7,7 @@
 use wasabipier_core::relay::document::RelayRoute;
 use wasabipier_core::relay::rows::{RowBatch, SharedRow, TableId};
 
-use crate::fixtures::{at, board, document_index, millis, route};
+use crate::fixtures::{at, board, document_index, millis, route, version};
 
 /// Returns a request for `path` at the host nets.example.
 fn claim<'a>(path: &'a str, key: Option<&'a str>) -> AccessClaim<'a> {
@@ -108,16 +108,16 @@
     let public = RelayRoute { public: true, ..route("/open/", "open") };
     board.index = Arc::new(document_index(vec![public]));
     let row = |version| SharedRow { key: "config".into(), version, value: Some(Arc::from(&b"x"[..])) };
-    let batch = |version| RowBatch { rows: vec![row(version)], version, whole: false };
+    let batch = |number| RowBatch { rows: vec![row(version(number))], version: version(number), whole: false };
     board.copies.entry(TableId::Orders).or_default().apply(&batch(5), at(0));
     let is_served = |board: &RelayBoard, ms| board.check_access(claim("/open/x", None), at(ms)).is_ok();
     let copy = |board: &mut RelayBoard| board.copies.remove(&TableId::Orders).expect("it was read");
 
     let was_served_without_news = is_served(&board, 60_000);
     let mut orders = copy(&mut board);
-    orders.record_known_change(4, at(0));
-    orders.record_known_change(7, at(60_000));
-    orders.record_known_change(8, at(60_900));
+    orders.record_known_change(version(4), at(0));
+    orders.record_known_change(version(7), at(60_000));
+    orders.record_known_change(version(8), at(60_900));
     board.copies.insert(TableId::Orders, orders);
     let served = [60_900, 61_100].map(|ms| is_served(&board, ms));
     let mut orders = copy(&mut board);
--- a/crates/core/tests/relay/choice.rs
+++ b/crates/core/tests/relay/choice.rs
@@ -7,7 +7,7 @@
 use wasabipier_core::relay::choice::{CallRequirements, PromptPart, PromptSpec};
 use wasabipier_core::relay::targets::{CallResult, TargetView};
 
-use crate::fixtures::{at, board, heartbeat, millis, target_entry};
+use crate::fixtures::{at, board, heartbeat, millis, target_entry, version};
 
 /// Number of engines that the nodes know, in three data centres.
 const ENGINE_COUNT: usize = 12;
@@ -120,7 +120,7 @@
     board.apply_order(OrderChange::Close(DcName::new("khomas-a")), at(0));
     assert_eq!(choose_target(&mut board, None, &[], 10), Some(TargetName::new("i-b")));
 
-    board.handle_target_removed(&TargetName::new("i-b"), at(20));
+    board.handle_target_removed(&TargetName::new("i-b"), version(2), at(20));
     board.remove_expired(at(20));
     assert_eq!(choose_target(&mut board, None, &[], 20), None);
 
@@ -135,7 +135,7 @@
     board.record_store_unreachable();
     board.record_store_answer(at(1_000));
 
-    board.handle_target_removed(&TargetName::new("i-a"), at(1_100));
+    board.handle_target_removed(&TargetName::new("i-a"), version(2), at(1_100));
     board.remove_expired(at(2_800));
     assert_eq!(choose_target(&mut board, None, &[], 2_800), Some(TargetName::new("i-a")));
 
@@ -209,7 +209,7 @@
     board.record_store_unreachable();
 
     board.record_store_proof(at(0), at(1_000));
-    board.handle_target_removed(&TargetName::new("i-a"), at(9_000));
+    board.handle_target_removed(&TargetName::new("i-a"), version(2), at(9_000));
     board.remove_expired(at(9_000));
 
     assert_eq!(
--- a/crates/core/tests/relay/chunks.rs
+++ b/crates/core/tests/relay/chunks.rs
@@ -3,10 +3,15 @@
 use proptest::prelude::*;
 use wasabipier_core::relay::chunks::{BlobAssembly, BlobCache, BlobKey, ChunkedBlob, MAX_PART_BYTES};
 use wasabipier_core::relay::rows::TableId;
+use wasabipier_core::relay::store_version::StoreVersion;
 
-use crate::fixtures::config;
+use crate::fixtures::{config, version};
 
-const KEY: BlobKey = BlobKey { table: TableId::Orders, have: 1, version: 2 };
+const KEY: BlobKey = BlobKey {
+    table: TableId::Orders,
+    have: StoreVersion { era: 0, number: 1 },
+    version: StoreVersion { era: 0, number: 2 },
+};
 
 /// Returns a text with `count` lines, as a document has a line for each route.
 fn lines(count: usize) -> Vec<u8> {
@@ -75,7 +80,7 @@
     assembly.add_part(cache.chunks(TableId::Orders, &assembly.next_part()));
     let kept_bytes = assembly.received_bytes;
 
-    let key = BlobKey { version: 3, ..KEY };
+    let key = BlobKey { version: version(3), ..KEY };
     let second_outline = cache.get_or_insert_with(key, || ChunkedBlob::new(&second)).outline().clone();
     assembly.expect(second_outline, &empty);
     while assembly.add_part(cache.chunks(TableId::Orders, &assembly.next_part())) {}
--- a/crates/core/tests/relay/fixtures.rs
+++ b/crates/core/tests/relay/fixtures.rs
@@ -13,6 +13,7 @@
 use wasabipier_core::relay::board::{RelayBoard, RelayTuning};
 use wasabipier_core::relay::document::{DocumentIndex, KeyHolder, RelayDocument, RelayRoute, WeightedService};
 use wasabipier_core::relay::members::RelayHeartbeat;
+use wasabipier_core::relay::store_version::StoreVersion;
 use wasabipier_core::relay::targets::TargetEntry;
 
 /// Returns a proptest configuration with a fixed seed, so that every run tests the same cases.
@@ -34,6 +35,11 @@
     Duration::from_millis(ms)
 }
 
+/// Returns a store version of the first era.
+pub fn version(number: u64) -> StoreVersion {
+    StoreVersion { era: 0, number }
+}
+
 /// Returns an address with `port` on the host that all fixtures share.
 pub fn address(port: u16) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, 1], port))
@@ -51,6 +57,8 @@
         slots: 6,
         leaving: false,
         cold_time: Duration::ZERO,
+        sequence: None,
+        row_version: version(1),
     }
 }
 
@@ -82,6 +90,7 @@
         peer_address: address(7001),
         state: NodeState::Serving,
         proofs: Vec::new(),
+        document_version: 0,
         loads: Vec::new(),
         prompts: Vec::new(),
         waits: Vec::new(),
--- a/crates/core/tests/relay/fleet.rs
+++ b/crates/core/tests/relay/fleet.rs
@@ -12,7 +12,7 @@
 use wasabipier_core::relay::rows::{RowBatch, TableId};
 use wasabipier_core::relay::suspects::{CrashId, SuspectKey};
 
-use crate::fixtures::{address, at, identity, target_entry};
+use crate::fixtures::{address, at, identity, target_entry, version};
 
 /// Interval between two heartbeats of a node in milliseconds.
 const HEARTBEAT_INTERVAL_MS: u64 = 400;
@@ -245,7 +245,7 @@
     let mut fleet = FleetSimulation::new(61);
     fleet.run_rounds(8);
     let now = at(fleet.now_ms);
-    let batch = RowBatch { rows: Vec::new(), version: 5, whole: true };
+    let batch = RowBatch { rows: Vec::new(), version: version(5), whole: true };
     for board in fleet.boards.values_mut() {
         board.copies.entry(TableId::Targets).or_default().apply(&batch, now);
     }
--- a/crates/core/tests/relay/rollout.rs
+++ b/crates/core/tests/relay/rollout.rs
@@ -12,7 +12,7 @@
 use wasabipier_core::relay::rollout::{RecordedState, RolloutOrder, RolloutPhase, RolloutWatch, VersionLane};
 use wasabipier_core::relay::targets::TargetEntry;
 
-use crate::fixtures::{at, board, target_entry};
+use crate::fixtures::{at, board, target_entry, version};
 
 /// Calls per second of a small fleet, and of a large one.
 const SMALL_RATE: f64 = 23.0;
@@ -192,12 +192,12 @@
     assert!(fleet.boards.iter().all(knows));
 }
 
-fn order(candidate: &str, order_version: u64) -> RolloutOrder {
+fn order(candidate: &str, number: u64) -> RolloutOrder {
     RolloutOrder {
         service: ServiceName::new("coachmodel"),
         candidate: VersionName::new(candidate),
         duration: ORDER_DURATION,
-        order_version,
+        order_version: version(number),
     }
 }
 
@@ -231,7 +231,7 @@
     assert!(board.apply_order(OrderChange::Rollout(order("v2", 5)), at(0)));
     assert!(board.apply_order(OrderChange::Rollout(order("v3", 9)), at(100)));
     assert!(!board.apply_order(OrderChange::Rollout(order("v2", 5)), at(200)));
-    assert_eq!(phase(&board), Some((9, RolloutPhase::Trial)));
+    assert_eq!(phase(&board), Some((version(9), RolloutPhase::Trial)));
 
     assert!(board.apply_order(OrderChange::RolloutWithdrawn(service.clone()), at(300)));
     assert_eq!(phase(&board), None);
--- a/crates/core/tests/relay/rollout/simulation.rs
+++ b/crates/core/tests/relay/rollout/simulation.rs
@@ -16,7 +16,7 @@
 use wasabipier_core::relay::rollout_board::CallOrigin;
 use wasabipier_core::relay::targets::{CallResult, TargetEntry};
 
-use crate::fixtures::{address, at, identity, target_entry};
+use crate::fixtures::{address, at, identity, target_entry, version};
 
 /// Step of the simulated time in milliseconds.
 const STEP_MS: u64 = 20;
@@ -148,7 +148,9 @@
             simulation.boards.push(board);
         }
         for board in &mut simulation.boards {
-            (0..6).for_each(|number| board.upsert_target(entry(number, "v1"), at(0)));
+            for number in 0..6 {
+                board.upsert_target(entry(number, "v1"), at(0));
+            }
             board.state = NodeState::Serving;
         }
         simulation.run_until(ORDER_AT_MS);
@@ -175,7 +177,9 @@
     pub fn restart(&mut self, number: usize) {
         self.open.retain(|call| call.node != number);
         let mut board = self.new_board(number);
-        (0..6).for_each(|target| board.upsert_target(entry(target, "v1"), at(self.now_ms)));
+        for target in 0..6 {
+            board.upsert_target(entry(target, "v1"), at(self.now_ms));
+        }
         begin_rollout(&mut board, self.now_ms);
         board.state = NodeState::Serving;
         self.boards[number] = board;
@@ -296,7 +300,7 @@
             return;
         }
         if can_write {
-            let version = ORDER_VERSION.max(self.record.version) + 1;
+            let version = version(ORDER_VERSION.max(self.record.version.number) + 1);
             self.record = RolloutRecord { version, content: Some((write.candidate.clone(), write.state)) };
             self.writes.push((self.now_ms - ORDER_AT_MS, write.state));
             if write.state == RecordedState::Completed {
@@ -345,8 +349,10 @@
         service: service(),
         candidate: VersionName::new("v2"),
         duration: ORDER_DURATION,
-        order_version: ORDER_VERSION,
+        order_version: version(ORDER_VERSION),
     };
     board.apply_order(OrderChange::Rollout(order), at(now_ms));
-    (0..6).for_each(|number| board.upsert_target(entry(number, "v2"), at(now_ms)));
+    for number in 0..6 {
+        board.upsert_target(entry(number, "v2"), at(now_ms));
+    }
 }
--- a/crates/core/tests/relay/rows.rs
+++ b/crates/core/tests/relay/rows.rs
@@ -6,7 +6,7 @@
 use proptest::prelude::*;
 use wasabipier_core::relay::rows::{RowBatch, SharedRow, TableCopy, proven_at};
 
-use crate::fixtures::{at, config, millis};
+use crate::fixtures::{at, config, millis, version};
 
 /// Returns the state of a table at each store version from 0, as row versions by key. Each write is a key with whether
 /// its row is inserted rather than removed.
@@ -25,8 +25,12 @@
 }
 
 /// Returns a row whose last change, or removal if it is not present, was at `version`.
-fn row(key: u8, version: u64, is_present: bool) -> SharedRow {
-    SharedRow { key: Arc::from(key.to_string()), version, value: is_present.then(|| Arc::from(&b"x"[..])) }
+fn row(key: u8, number: u64, is_present: bool) -> SharedRow {
+    SharedRow {
+        key: Arc::from(key.to_string()),
+        version: version(number),
+        value: is_present.then(|| Arc::from(&b"x"[..])),
+    }
 }
 
 proptest! {
@@ -42,23 +46,23 @@
         let states = table_states(&writes);
         let mut copy = TableCopy::default();
         for (index, whole) in reads {
-            let version = index.index(states.len());
-            let from = copy.version() as usize;
-            let batch = if whole || version < from {
-                let rows = states[version].iter().map(|(key, version)| row(*key, *version, true)).collect();
-                RowBatch { rows, version: version as u64, whole: true }
+            let state = index.index(states.len());
+            let from = copy.version().number as usize;
+            let batch = if whole || state < from {
+                let rows = states[state].iter().map(|(key, number)| row(*key, *number, true)).collect();
+                RowBatch { rows, version: version(state as u64), whole: true }
             } else {
                 // The last change of each key since the copy's version.
-                let changed: BTreeMap<u8, (u64, bool)> = (from..version)
+                let changed: BTreeMap<u8, (u64, bool)> = (from..state)
                     .map(|write| (writes[write].0, (write as u64 + 1, writes[write].1)))
                     .collect();
                 let rows =
-                    changed.into_iter().map(|(key, (version, is_present))| row(key, version, is_present)).collect();
-                RowBatch { rows, version: version as u64, whole: false }
+                    changed.into_iter().map(|(key, (number, is_present))| row(key, number, is_present)).collect();
+                RowBatch { rows, version: version(state as u64), whole: false }
             };
             copy.apply(&batch, at(0));
-            prop_assert!(copy.version() as usize >= from);
-            prop_assert_eq!(&row_versions(&copy), &states[copy.version() as usize]);
+            prop_assert!(copy.version().number as usize >= from);
+            prop_assert_eq!(&row_versions(&copy), &states[copy.version().number as usize]);
         }
     }
 
@@ -76,9 +80,9 @@
             let hub = &mut hubs[hub];
             match step {
                 0 => {
-                    let (from, version) = (hub.version() as usize, index.index(states.len()));
-                    if version >= from {
-                        hub.apply(&store_batch(&writes, &states, from, version), at(time));
+                    let (from, state) = (hub.version().number as usize, index.index(states.len()));
+                    if state >= from {
+                        hub.apply(&store_batch(&writes, &states, from, state), at(time));
                     }
                 }
                 1 => {
@@ -91,39 +95,39 @@
                     prop_assert!(is_same || (follower.version(), follower.confirmed_at()) == before);
                 }
             }
-            prop_assert_eq!(&row_versions(&follower), &states[follower.version() as usize]);
+            prop_assert_eq!(&row_versions(&follower), &states[follower.version().number as usize]);
         }
     }
 }
 
 /// Returns the version of each row in a copy by key.
 fn row_versions(copy: &TableCopy) -> BTreeMap<u8, u64> {
-    copy.rows().map(|row| (row.key.parse().expect("keys are numbers"), row.version)).collect()
+    copy.rows().map(|row| (row.key.parse().expect("keys are numbers"), row.version.number)).collect()
 }
 
-/// Returns the answer of the store at `version` to a copy at version `from`: all rows if the copy is empty, otherwise
+/// Returns the answer of the store at version `state` to a copy at version `from`: all rows if the copy is empty, otherwise
 /// the last change of each key since `from`.
-fn store_batch(writes: &[(u8, bool)], states: &[BTreeMap<u8, u64>], from: usize, version: usize) -> RowBatch {
+fn store_batch(writes: &[(u8, bool)], states: &[BTreeMap<u8, u64>], from: usize, state: usize) -> RowBatch {
     let rows = if from == 0 {
-        states[version].iter().map(|(key, version)| row(*key, *version, true)).collect()
+        states[state].iter().map(|(key, number)| row(*key, *number, true)).collect()
     } else {
         let changed: BTreeMap<u8, (u64, bool)> =
-            (from..version).map(|write| (writes[write].0, (write as u64 + 1, writes[write].1))).collect();
-        changed.into_iter().map(|(key, (version, is_present))| row(key, version, is_present)).collect()
+            (from..state).map(|write| (writes[write].0, (write as u64 + 1, writes[write].1))).collect();
+        changed.into_iter().map(|(key, (number, is_present))| row(key, number, is_present)).collect()
     };
-    RowBatch { rows, version: version as u64, whole: from == 0 }
+    RowBatch { rows, version: version(state as u64), whole: from == 0 }
 }
 
 #[test]
 fn only_a_state_at_least_as_new_as_the_copy_confirms_it() {
     let mut copy = TableCopy::default();
-    copy.apply(&RowBatch { rows: Vec::new(), version: 5, whole: true }, at(100));
+    copy.apply(&RowBatch { rows: Vec::new(), version: version(5), whole: true }, at(100));
 
-    copy.apply(&RowBatch { rows: Vec::new(), version: 4, whole: true }, at(900));
+    copy.apply(&RowBatch { rows: Vec::new(), version: version(4), whole: true }, at(900));
     assert_eq!(copy.confirmed_at(), Some(at(100)), "an older state confirms nothing");
 
-    copy.apply(&RowBatch { rows: Vec::new(), version: 5, whole: false }, at(700));
-    copy.apply(&RowBatch { rows: Vec::new(), version: 5, whole: false }, at(300));
+    copy.apply(&RowBatch { rows: Vec::new(), version: version(5), whole: false }, at(700));
+    copy.apply(&RowBatch { rows: Vec::new(), version: version(5), whole: false }, at(300));
     assert_eq!(copy.confirmed_at(), Some(at(700)), "an earlier request does not increase the age");
 }
 
@@ -132,7 +136,7 @@
 #[test]
 fn a_long_poll_without_a_change_proves_the_time_for_which_it_was_held() {
     let wait = millis(1_500);
-    let unchanged = RowBatch { rows: Vec::new(), version: 5, whole: false };
+    let unchanged = RowBatch { rows: Vec::new(), version: version(5), whole: false };
     let changed = RowBatch { rows: vec![row(1, 5, true)], ..unchanged.clone() };
     let whole = RowBatch { whole: true, ..unchanged.clone() };
 
@@ -156,10 +160,10 @@
 #[test]
 fn a_row_that_is_inserted_and_removed_in_one_batch_is_removed() {
     let mut copy = TableCopy::default();
-    copy.apply(&RowBatch { rows: Vec::new(), version: 5, whole: true }, at(0));
+    copy.apply(&RowBatch { rows: Vec::new(), version: version(5), whole: true }, at(0));
 
     let rows = vec![row(1, 6, true), row(1, 7, false), row(2, 8, false), row(2, 9, true)];
-    let changed = copy.apply(&RowBatch { rows, version: 9, whole: false }, at(100));
+    let changed = copy.apply(&RowBatch { rows, version: version(9), whole: false }, at(100));
 
     assert_eq!(row_versions(&copy), BTreeMap::from([(2, 9)]));
     let last = changed.iter().rfind(|row| &*row.key == "1").expect("the insertion is reported");
--- /dev/null
+++ b/crates/core/tests/relay/store_restoration.rs
@@ -0,0 +1,384 @@
+//! Tests of a store that comes back from an older copy of itself and gives versions out again.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use proptest::prelude::*;
+use wasabipier_core::message::NodeState;
+use wasabipier_core::names::{DcName, ServiceName, TargetName, VersionName};
+use wasabipier_core::relay::access::{AccessClaim, AccessDenial};
+use wasabipier_core::relay::board::{OrderChange, RelayBoard};
+use wasabipier_core::relay::document::{DocumentIndex, KeyHolder, RelayDocument};
+use wasabipier_core::relay::members::TableProof;
+use wasabipier_core::relay::rollout::{RecordedState, RolloutOrder, RolloutPhase, RolloutWatch};
+use wasabipier_core::relay::rows::{BatchFit, RowBatch, SharedRow, TableCopy, TableId};
+use wasabipier_core::relay::store_version::StoreVersion;
+use wasabipier_core::relay::targets::{EntryEffect, TargetEntry};
+
+use crate::fixtures::{at, board, config, heartbeat, millis, route, target_entry};
+
+/// Returns a version of an era.
+fn version(era: u64, number: u64) -> StoreVersion {
+    StoreVersion { era, number }
+}
+
+/// A store whose every state is kept. Each state is the version of each row by key.
+#[derive(Clone, Debug, Default)]
+struct StoreModel {
+    /// All states so far, by version. A state that was lost stays in the list.
+    states: BTreeMap<StoreVersion, BTreeMap<u8, StoreVersion>>,
+    now: StoreVersion,
+}
+
+impl StoreModel {
+    fn write(&mut self, key: u8, is_insert: bool) {
+        let mut state = self.states.get(&self.now).cloned().unwrap_or_default();
+        self.now.number += 1;
+        if is_insert {
+            state.insert(key, self.now);
+        } else {
+            state.remove(&key);
+        }
+        self.states.insert(self.now, state);
+    }
+
+    /// Comes back from the state `lost` versions ago.
+    fn restore(&mut self, lost: u64) {
+        let number = self.now.number.saturating_sub(lost);
+        let copied = self
+            .states
+            .range(..=self.now)
+            .rev()
+            .find(|(version, _)| version.number <= number && version.era == self.now.era);
+        let rows = copied.map(|(_, rows)| rows.clone()).unwrap_or_default();
+        let era = self.now.era + 1;
+        self.now = version(era, copied.map_or(0, |(version, _)| version.number));
+        self.states.insert(self.now, rows.into_iter().map(|(key, row)| (key, version(era, row.number))).collect());
+    }
+
+    fn whole_batch(&self, at: StoreVersion) -> RowBatch {
+        let rows = self.states.get(&at).cloned().unwrap_or_default();
+        RowBatch { rows: rows.into_iter().map(|(key, row)| shared_row(key, row)).collect(), version: at, whole: true }
+    }
+}
+
+fn shared_row(key: u8, version: StoreVersion) -> SharedRow {
+    SharedRow { key: Arc::from(key.to_string()), version, value: Some(Arc::from(&b"x"[..])) }
+}
+
+fn row_versions(copy: &TableCopy) -> BTreeMap<u8, StoreVersion> {
+    copy.rows().map(|row| (row.key.parse().expect("keys are numbers"), row.version)).collect()
+}
+
+proptest! {
+    #![proptest_config(config(300))]
+
+    /// Guards against copies that stay at a state that the store has lost, or return to an older era: batches of any
+    /// state arrive in any order, from the store and from peers.
+    #[test]
+    fn copies_follow_the_newest_era_whatever_arrives_late(
+        steps in prop::collection::vec((0_u8..5, 0_u8..6, 1_u64..8, any::<prop::sample::Index>()), 1..60),
+    ) {
+        let mut store = StoreModel::default();
+        let mut copies = [TableCopy::default(), TableCopy::default()];
+        for (step, key, lost, index) in steps {
+            let versions: Vec<StoreVersion> = store.states.keys().copied().collect();
+            match step {
+                0 | 1 => store.write(key, step == 0),
+                2 => store.restore(lost),
+                3 if !versions.is_empty() => {
+                    // An answer that may be late.
+                    let before = copies[0].version();
+                    let batch = store.whole_batch(versions[index.index(versions.len())]);
+                    copies[0].apply(&batch, at(0));
+                    prop_assert_eq!(copies[0].version(), before.max(batch.version));
+                }
+                _ => {
+                    let have = copies[1].version();
+                    let batch = copies[0].changes_after(have);
+                    if have.era <= copies[0].version().era && batch.version != StoreVersion::NONE {
+                        copies[1].apply(&batch, at(0));
+                        prop_assert!(copies[1].version() >= copies[0].version());
+                    }
+                }
+            }
+            for copy in copies.iter().filter(|copy| copy.version() != StoreVersion::NONE) {
+                prop_assert_eq!(&row_versions(copy), &store.states[&copy.version()]);
+            }
+        }
+    }
+}
+
+/// Guards against changes of a new era that are applied to rows of an older one.
+#[test]
+fn changes_of_a_newer_era_need_the_whole_table_and_late_answers_change_nothing() {
+    let mut copy = TableCopy::default();
+    copy.apply(&RowBatch { rows: vec![shared_row(1, version(0, 9))], version: version(0, 9), whole: true }, at(0));
+    let changes =
+        |era| RowBatch { rows: vec![shared_row(2, version(era, 12))], version: version(era, 12), whole: false };
+
+    let fit = [0, 1].map(|era| copy.fit(&changes(era)));
+    let changed_too_soon = copy.apply(&changes(1), at(100)).len();
+    copy.apply(&RowBatch { rows: Vec::new(), version: version(1, 4), whole: true }, at(200));
+    copy.record_known_change(version(0, 99), at(300));
+    let late = copy.fit(&changes(0));
+    let changed_late = copy.apply(&changes(0), at(400)).len();
+
+    assert_eq!(fit, [BatchFit::Applicable, BatchFit::NeedsWholeTable]);
+    assert_eq!((changed_too_soon, changed_late, late), (0, 0, BatchFit::Obsolete));
+    assert_eq!((copy.version(), copy.confirmed_at(), copy.rows().count()), (version(1, 4), Some(at(200)), 0));
+    assert_eq!(copy.outdated_since(), None, "a change of an older era is lost, not missing");
+}
+
+/// Returns document `number`, in which only `key` is valid.
+fn document(number: u64, key: &str) -> OrderChange {
+    let holder = KeyHolder { org: "lions".into(), keys: vec![Arc::from(key)], rank: None };
+    let routes = vec![route("/check/", "bookings")];
+    let document = RelayDocument { version: number, routes, holders: vec![holder], ..RelayDocument::default() };
+    OrderChange::Document(DocumentIndex::new(document))
+}
+
+fn empty_batch(version: StoreVersion, whole: bool) -> RowBatch {
+    RowBatch { rows: Vec::new(), version, whole }
+}
+
+/// Applies a read of the orders that the store answered at `ms`, with the order in it. Its row was written at `version`.
+fn read_order(board: &mut RelayBoard, version: StoreVersion, change: OrderChange, ms: u64) {
+    let whole = board.copies.get(&TableId::Orders).is_none_or(|copy| copy.version().era < version.era);
+    let value = match &change {
+        OrderChange::Document(index) => Some(index.version),
+        _ => None,
+    };
+    let value = value.map(|document| Arc::from(document.to_string().into_bytes()));
+    let row = SharedRow { key: Arc::from("order"), version, value };
+    let rows = if row.value.is_some() { vec![row] } else { Vec::new() };
+    let applied = board.apply_batch(TableId::Orders, &RowBatch { rows, version, whole }, at(ms), at(ms));
+    match &applied.restored_from {
+        Some(replaced) => board.apply_restored_order("order", change, replaced, at(ms)),
+        None => board.apply_order(change, at(ms)),
+    };
+}
+
+/// Records that the store had no change at `ms`.
+fn confirm_orders(board: &mut RelayBoard, version: StoreVersion, ms: u64) {
+    board.apply_batch(TableId::Orders, &empty_batch(version, false), at(ms), at(ms));
+}
+
+fn access(board: &RelayBoard, key: &str, ms: u64) -> Result<(), AccessDenial> {
+    let claim = AccessClaim { host: "nets.example", path: "/check/x", key: Some(key) };
+    board.check_access(claim, at(ms)).map(|_| ())
+}
+
+/// Guards against keys that a store which has lost their revocation seems to confirm.
+#[test]
+fn a_store_that_has_lost_the_document_proves_nothing_until_it_is_written_again() {
+    let mut board = board("edge-1");
+    read_order(&mut board, version(0, 7), document(1, "key-1"), 0);
+    read_order(&mut board, version(0, 9), document(2, "key-2"), 100);
+
+    read_order(&mut board, version(1, 7), document(1, "key-1"), 3_000);
+    confirm_orders(&mut board, version(1, 7), 6_000);
+    let soon = [access(&board, "key-1", 3_000), access(&board, "key-2", 3_000)];
+    let late = [access(&board, "key-1", 6_000), access(&board, "key-2", 6_000)];
+    read_order(&mut board, version(1, 8), document(2, "key-2"), 6_100);
+
+    assert_eq!(soon, [Err(AccessDenial::UnknownKey), Ok(())], "the document before stays in force");
+    assert_eq!(late, [Err(AccessDenial::StaleDocument), Err(AccessDenial::StaleDocument)], "a newer one may be lost");
+    assert_eq!(access(&board, "key-1", 6_200), Err(AccessDenial::UnknownKey));
+    assert_eq!(access(&board, "key-2", 6_200), Ok(()));
+}
+
+/// Guards against keys whose revocation the store lost before any node had read it.
+#[test]
+fn a_document_that_nobody_has_read_before_its_loss_is_waited_for() {
+    let mut board = board("edge-1");
+    read_order(&mut board, version(0, 7), document(1, "key-1"), 0);
+
+    read_order(&mut board, version(1, 7), document(1, "key-1"), 6_000);
+    confirm_orders(&mut board, version(1, 7), 7_000);
+    let at_return = access(&board, "key-1", 7_000);
+    confirm_orders(&mut board, version(1, 7), 8_000);
+
+    assert_eq!(at_return, Err(AccessDenial::StaleDocument));
+    assert_eq!(access(&board, "key-1", 8_000), Ok(()), "what was lost has been written again by now");
+}
+
+/// Guards against needless refusals after a return: the operator has written before the node reads.
+#[test]
+fn a_document_that_has_been_written_again_is_proven_at_once() {
+    let mut board = board("edge-1");
+    read_order(&mut board, version(0, 9), document(1, "key-1"), 0);
+
+    read_order(&mut board, version(1, 7), document(1, "key-1"), 6_000);
+
+    assert_eq!(access(&board, "key-1", 6_010), Ok(()));
+}
+
+/// Guards against a node that starts with the older document, though its peers know a newer one.
+#[test]
+fn a_node_that_starts_with_a_document_older_than_its_peers_is_not_complete() {
+    let mut board = board("edge-2");
+    board.apply_batch(TableId::Targets, &empty_batch(version(1, 7), true), at(0), at(0));
+    read_order(&mut board, version(1, 7), document(1, "key-1"), 0);
+    let proof = TableProof {
+        table: TableId::Orders,
+        version: version(0, 9),
+        last_change_version: version(0, 9),
+        newest_row_version: version(0, 9),
+        age_ms: 0,
+    };
+    let peer = |sequence| {
+        let mut heartbeat = heartbeat("edge-1", sequence);
+        (heartbeat.proofs, heartbeat.document_version) = (vec![proof], 2);
+        heartbeat
+    };
+
+    let was_complete = board.can_serve(at(0), at(510));
+    board.handle_heartbeat(peer(1), at(520));
+    let is_complete = board.can_serve(at(0), at(530));
+    let access_before = access(&board, "key-1", 530);
+    read_order(&mut board, version(1, 8), document(2, "key-2"), 1_000);
+    board.handle_heartbeat(peer(2), at(1_010));
+
+    assert!(was_complete && !is_complete);
+    assert_eq!(access_before, Err(AccessDenial::NoDocument));
+    assert!(board.can_serve(at(0), at(1_020)));
+    assert_eq!(
+        [access(&board, "key-1", 1_020), access(&board, "key-2", 1_020)],
+        [Err(AccessDenial::UnknownKey), Ok(())]
+    );
+}
+
+/// Guards against work for a data centre that was closed, while its order is lost.
+#[test]
+fn a_closed_data_centre_stays_closed_until_its_order_is_written_again_or_withdrawn() {
+    let dc = DcName::new("khomas-b");
+    let closed_board = || {
+        let mut board = board("edge-1");
+        read_order(&mut board, version(0, 9), OrderChange::Close(dc.clone()), 0);
+        read_order(&mut board, version(1, 5), OrderChange::Open(dc.clone()), 1_000);
+        board
+    };
+    let is_closed = |board: &RelayBoard| board.closed_dcs.contains(&dc);
+
+    let (mut rewritten, mut withdrawn, mut forgotten) = (closed_board(), closed_board(), closed_board());
+    read_order(&mut rewritten, version(1, 6), OrderChange::Close(dc.clone()), 2_000);
+    read_order(&mut withdrawn, version(1, 6), OrderChange::Open(dc.clone()), 2_000);
+    let is_forgotten_closed = is_closed(&forgotten);
+    for board in [&mut rewritten, &mut withdrawn, &mut forgotten] {
+        board.apply_withheld_orders(at(60_000));
+    }
+
+    assert!(is_forgotten_closed);
+    assert_eq!([&rewritten, &withdrawn, &forgotten].map(is_closed), [true, false, false]);
+}
+
+/// Returns an entry with the sequence number `sequence` in a row of `era`.
+fn entry(era: u64, sequence: u64, leaving: bool) -> TargetEntry {
+    TargetEntry {
+        sequence: Some(sequence),
+        row_version: version(era, sequence),
+        leaving,
+        ..target_entry("i-1", "bookings", "khomas-a")
+    }
+}
+
+/// Guards against requests to targets that have said that they leave, after the store came back with an older entry.
+#[test]
+fn a_target_that_leaves_or_has_left_is_not_used_again_because_of_a_restored_entry() {
+    let target = TargetName::new("i-1");
+    let (mut left, mut leaving) = (board("edge-1"), board("edge-1"));
+    for board in [&mut left, &mut leaving] {
+        board.upsert_target(entry(0, 3, false), at(0));
+        board.upsert_target(entry(0, 7, true), at(100));
+    }
+    left.handle_target_removed(&target, version(0, 9), at(200));
+    left.remove_expired(at(200));
+
+    let effects = [&mut left, &mut leaving].map(|board| board.upsert_target(entry(1, 3, false), at(1_000)));
+    let is_used = [&left, &leaving].map(|board| board.has_target(&ServiceName::new("bookings")));
+    let new_incarnation = TargetEntry { incarnation: Some(2), ..entry(1, 1, false) };
+    let restarted = left.upsert_target(new_incarnation, at(2_000));
+    let written_again = leaving.upsert_target(entry(1, 8, false), at(2_000));
+
+    assert_eq!(effects, [EntryEffect::Outdated; 2]);
+    assert_eq!(is_used, [false, false]);
+    assert_eq!((restarted, written_again), (EntryEffect::NewTarget, EntryEffect::Updated));
+}
+
+/// Guards against targets that are dropped because the store has lost their entries.
+#[test]
+fn targets_whose_entries_were_lost_are_kept_until_they_register_again() {
+    let mut board = board("edge-1");
+    board.apply_batch(TableId::Targets, &empty_batch(version(0, 9), true), at(0), at(0));
+    board.upsert_target(entry(0, 9, false), at(0));
+
+    board.apply_batch(TableId::Targets, &empty_batch(version(1, 5), true), at(1_000), at(1_000));
+    board.handle_target_removed(&TargetName::new("i-1"), version(1, 5), at(1_000));
+    board.remove_expired(at(2_800));
+    let is_kept = board.has_target(&ServiceName::new("bookings"));
+    // The entry has not changed: it is the one that was lost.
+    board.upsert_target(TargetEntry { row_version: version(1, 6), ..entry(1, 9, false) }, at(2_850));
+    board.remove_expired(at(9_000));
+
+    assert!(is_kept);
+    assert!(board.has_target(&ServiceName::new("bookings")));
+}
+
+fn rollout(candidate: &str, order_version: StoreVersion) -> OrderChange {
+    OrderChange::Rollout(RolloutOrder {
+        service: ServiceName::new("bookings"),
+        candidate: VersionName::new(candidate),
+        duration: millis(20_000),
+        order_version,
+    })
+}
+
+/// Guards against verdicts that end because the store has lost them or their order, and are not recorded again.
+#[test]
+fn a_verdict_outlives_its_loss_and_is_recorded_again() {
+    let service = ServiceName::new("bookings");
+    for is_order_lost in [false, true] {
+        let mut board = board("edge-1");
+        board.state = NodeState::Serving;
+        read_order(&mut board, version(0, 7), rollout("v2", version(0, 7)), 0);
+        let write = board.take_rollout_writes(at(100)).pop().expect("the beginning is recorded");
+        board.rollouts.record_written(&write, version(0, 8), at(110));
+        let verdict = wasabipier_core::relay::rollout::RolloutWrite { state: RecordedState::RolledBack, ..write };
+        board.rollouts.record_written(&verdict, version(0, 9), at(120));
+        assert!(board.take_rollout_writes(at(130)).is_empty());
+
+        let restored =
+            if is_order_lost { OrderChange::RolloutWithdrawn(service.clone()) } else { rollout("v2", version(1, 7)) };
+        read_order(&mut board, version(1, 7), restored, 1_000);
+        if is_order_lost {
+            read_order(&mut board, version(1, 8), rollout("v2", version(1, 8)), 1_100);
+        }
+        board.rollouts.record_written(&verdict, version(0, 10), at(1_200));
+        let again = board.take_rollout_writes(at(1_300));
+
+        let phase = board.rollouts.get(&service).map(RolloutWatch::phase);
+        assert_eq!(phase, Some(RolloutPhase::RolledBack), "lost: {is_order_lost}");
+        assert_eq!(again.len(), 1);
+        assert_eq!((again[0].state, again[0].expected_version), (RecordedState::RolledBack, StoreVersion::NONE));
+    }
+}
+
+/// Guards against an order that is replaced by the earlier one that the store came back with.
+#[test]
+fn an_order_that_the_store_has_lost_is_not_replaced_by_an_earlier_one() {
+    let service = ServiceName::new("bookings");
+    let mut board = board("edge-1");
+    board.state = NodeState::Serving;
+    read_order(&mut board, version(0, 7), rollout("v2", version(0, 7)), 0);
+    read_order(&mut board, version(0, 9), rollout("v3", version(0, 9)), 100);
+
+    read_order(&mut board, version(1, 7), rollout("v2", version(1, 7)), 1_000);
+    let candidate = |board: &RelayBoard| board.rollouts.get(&service).map(|watch| watch.order().candidate.clone());
+    let while_lost = candidate(&board);
+    read_order(&mut board, version(1, 8), rollout("v4", version(1, 8)), 1_100);
+    board.apply_withheld_orders(at(60_000));
+
+    assert_eq!(while_lost, Some(VersionName::new("v3")));
+    assert_eq!(candidate(&board), Some(VersionName::new("v4")));
+}
--- a/crates/relay/src/heartbeats.rs
+++ b/crates/relay/src/heartbeats.rs
@@ -246,19 +246,19 @@
         if !is_announced {
             let request = node.platform.announce_request(&name, node.addresses.peers);
             let answer = link.call(request).await;
-            is_announced = answer.as_ref().is_ok_and(|(status, _)| status.is_success());
+            is_announced = answer.as_ref().is_ok_and(|response| response.status().is_success());
             if is_announced {
                 info!("{PEERS} node announced in the store.");
             } else {
-                let status = answer.map_or_else(|error| error.to_string(), |(status, _)| status.to_string());
+                let status = answer.map_or_else(|error| error.to_string(), |response| response.status().to_string());
                 warn!("{PEERS} node not announced in the store; trying again.", kv: { status = status.as_str() });
             }
         }
         let announced = link.call(node.platform.announced_addresses_request()).await;
-        if let Ok((status, body)) = &announced
-            && status.is_success()
+        if let Ok(response) = &announced
+            && response.status().is_success()
         {
-            for address in node.platform.read_announced_addresses(body) {
+            for address in node.platform.read_announced_addresses(response.body()) {
                 node.contacts.add(node.addresses.peers, address);
             }
             node.heartbeat_now.notify_one();
@@ -270,6 +270,10 @@
             // The hub reports other nodes in its heartbeats.
             true => DISCOVERY_INTERVAL * FOLLOWER_DISCOVERY_FACTOR,
         };
-        sleep(pause.mul_f64(0.75 + 0.5 * fastrand::f64())).await;
+        tokio::select! {
+            () = sleep(pause.mul_f64(0.75 + 0.5 * fastrand::f64())) => {}
+            // The store has lost what was written to it last.
+            () = node.store_restored.notified() => is_announced = false,
+        }
     }
 }
--- a/crates/relay/src/maintenance.rs
+++ b/crates/relay/src/maintenance.rs
@@ -8,9 +8,10 @@
 
 use crate::blame;
 use crate::clock;
-use crate::log_prefixes::TARGETS;
+use crate::log_prefixes::{STORE, TARGETS};
 use crate::metering;
 use crate::state::SharedNode;
+use crate::store;
 
 /// Interval at which expired targets and idle connections are removed.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(100);
@@ -40,6 +41,12 @@
             info!("{TARGETS} target is gone.", kv: { target = target.as_str() });
         }
         self.node.pool.close_expired();
+        store::start_serving_if_ready(&self.node);
+        let orders = self.node.board.borrow_mut().apply_withheld_orders(clock::now());
+        for order in &orders {
+            let what = store::describe_order(order);
+            info!("{STORE} order was lost and not written again.", kv: { what = what.as_str() });
+        }
         after!(SWEEP_INTERVAL, [cx], remove_expired());
     }
 
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -141,8 +141,10 @@
         process_end: watch::Sender::new(false),
         cut_streams: Cell::default(),
         heartbeat_now: Notify::new(),
+        store_restored: Notify::new(),
         load_changed: Notify::new(),
         log_limiter: LogLimiter::default(),
+        started_at: clock::now(),
         metrics: metering::install()?,
     }))
 }
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -22,7 +22,9 @@
 use wasabipier_core::relay::members::RelayHeartbeat;
 use wasabipier_core::relay::pieces::PieceJob;
 use wasabipier_wire::frame::{FrameError, MAX_FRAME_BYTES};
-use wasabipier_wire::relay::{WireCall, WireReply, decode, encode, jobs_from_wire, outcome_to_wire, permit_to_wire};
+use wasabipier_wire::relay::{
+    WireCall, WireReply, decode, encode, jobs_from_wire, outcome_to_wire, permit_to_wire, version_from_wire,
+};
 
 use crate::batching;
 use crate::blame;
@@ -31,6 +33,7 @@
 use crate::log_prefixes::PEERS;
 use crate::sockets;
 use crate::state::SharedNode;
+use crate::store;
 use crate::table_transfers;
 
 /// Timeout for connecting to a peer.
@@ -197,7 +200,7 @@
             heartbeat_reply(node, &peer, &dc)
         }
         WireCall::Work(loads) => WireReply::Work(load_exchange::answer_exchange(node, loads)),
-        WireCall::Rows { table, have } => table_transfers::rows_reply(node, table, have),
+        WireCall::Rows { table, have } => table_transfers::rows_reply(node, table, version_from_wire(have)),
         WireCall::Chunks { table, hashes } => table_transfers::chunks_reply(node, table, &hashes),
         WireCall::Permit(request) => permit_to_wire(&node.board.borrow_mut().take_permit(&request.into(), now)),
         WireCall::Pieces { service, jobs } => {
@@ -239,6 +242,7 @@
         let (peer, state, instance) = (peer.as_str(), state.to_string(), instance.to_string());
         spdlog::info!("{PEERS} peer discovered.", kv: { peer, state = state.as_str(), instance = instance.as_str() });
     }
+    store::start_serving_if_ready(node);
 }
 
 fn heartbeat_reply(node: &SharedNode, peer: &NodeName, dc: &DcName) -> WireReply {
--- a/crates/relay/src/ports.rs
+++ b/crates/relay/src/ports.rs
@@ -15,6 +15,7 @@
 use wasabipier_core::relay::rate_limits::RequestRate;
 use wasabipier_core::relay::rollout::{RolloutRecord, RolloutWrite};
 use wasabipier_core::relay::rows::{RowBatch, SharedRow, TableId};
+use wasabipier_core::relay::store_version::StoreVersion;
 use wasabipier_core::relay::targets::TargetEntry;
 
 /// Purpose of a listener.
@@ -186,7 +187,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum RolloutReply {
     /// The write took effect and gave the row this store version.
-    Written(u64),
+    Written(StoreVersion),
     /// The row has another version than the write requires; it holds this record.
     Conflict(RolloutRecord),
 }
@@ -218,7 +219,7 @@
     fn result_address(&self, handle: &str) -> Option<SocketAddr>;
 
     /// Returns a request for the changes of a table after store version `after`, which the store may hold for `wait`.
-    fn changes_request(&self, table: TableId, after: u64, wait: Duration) -> Request<Bytes>;
+    fn changes_request(&self, table: TableId, after: StoreVersion, wait: Duration) -> Request<Bytes>;
     /// Returns a request for the page of a table that follows the key `after`, or for the first page.
     fn rows_request(&self, table: TableId, after: Option<&str>) -> Request<Bytes>;
     /// Decodes rows of a table: a page of the whole table if `whole` is set, otherwise changes.
@@ -226,7 +227,7 @@
     /// # Errors
     ///
     /// Returns why the store's answer cannot be used.
-    fn read_rows(&self, status: StatusCode, body: &[u8], whole: bool) -> Result<RowPage, StoreFault>;
+    fn read_rows(&self, response: &Response<Bytes>, whole: bool) -> Result<RowPage, StoreFault>;
     /// Decodes an operator's order, such as a new configuration. Returns `None` if the row does not concern relaying
     /// nodes.
     ///
@@ -249,7 +250,7 @@
     /// # Errors
     ///
     /// Returns why the store's answer cannot be used.
-    fn read_rollout_reply(&self, status: StatusCode, body: &[u8]) -> Result<RolloutReply, StoreFault>;
+    fn read_rollout_reply(&self, response: &Response<Bytes>) -> Result<RolloutReply, StoreFault>;
     /// Returns a request that writes a node's address into the store, for other nodes to read.
     fn announce_request(&self, node: &str, address: SocketAddr) -> Request<Bytes>;
     /// Returns a request for the addresses that nodes have written into the store.
--- a/crates/relay/src/rollouts.rs
+++ b/crates/relay/src/rollouts.rs
@@ -68,17 +68,18 @@
     let mut link = StoreLink::new(&node);
     let request = node.platform.rollout_request(&write);
     let answer = link.call(request).await;
-    let reply = answer.and_then(|(status, body)| Ok(node.platform.read_rollout_reply(status, &body)?));
+    let reply = answer.and_then(|response| Ok(node.platform.read_rollout_reply(&response)?));
     let (service, state) = (write.service.as_str(), write.state.to_string());
     let state = state.as_str();
     match reply {
-        Ok(RolloutReply::Written(version)) => {
-            info!("{ROLLOUTS} state recorded.", kv: { service, state, version });
-            node.board.borrow_mut().rollouts.record_written(&write, version, clock::now());
+        Ok(RolloutReply::Written(written)) => {
+            let (version, era) = (written.number, written.era);
+            info!("{ROLLOUTS} state recorded.", kv: { service, state, version, era });
+            node.board.borrow_mut().rollouts.record_written(&write, written, clock::now());
         }
         Ok(RolloutReply::Conflict(record)) => {
             let found = record.content.as_ref().map(|(_, state)| state.to_string()).unwrap_or_default();
-            let version = record.version;
+            let version = record.version.number;
             info!("{ROLLOUTS} state not recorded; the row has changed.", kv: { service, state, found = found.as_str(), version });
             node.board.borrow_mut().rollouts.record_conflict(&write, &record, clock::now());
         }
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -54,12 +54,16 @@
     pub open_requests: Cell<usize>,
     /// Time of the SIGTERM, once the node stops.
     pub stop_started: Cell<Option<Moment>>,
+    /// When the node started.
+    pub started_at: Moment,
     /// Becomes `true` when the process is about to end, whatever is still open.
     pub process_end: watch::Sender<bool>,
     /// Number of streams that the end of the process cut.
     pub cut_streams: Cell<usize>,
     /// Notified when heartbeats should be sent at once.
     pub heartbeat_now: Notify,
+    /// Notified when the store has come back older.
+    pub store_restored: Notify,
     /// Notified when a target load has changed that a hub should report to other hubs.
     pub load_changed: Notify,
     /// Limits the number of log lines about requests, stages and target calls.
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http::{Request, Response, StatusCode};
+use http::{Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -20,7 +20,10 @@
 use wasabipier_core::relay::answer_timeout::AnswerTimeout;
 use wasabipier_core::relay::board::OrderChange;
 use wasabipier_core::relay::read_attempts::ReadAttempts;
-use wasabipier_core::relay::rows::{RowBatch, SharedRow, TableCopy, TableId, proven_at};
+use wasabipier_core::relay::rows::{BatchFit, RowBatch, SharedRow, TableCopy, TableId, proven_at};
+use wasabipier_core::relay::store_restoration::ReplacedCopy;
+use wasabipier_core::relay::store_version::StoreVersion;
+use wasabipier_core::relay::targets::EntryEffect;
 
 use crate::clock;
 use crate::heartbeats;
@@ -89,14 +92,14 @@
         Self { address: node.addresses.store, sender: None, answer_timeout, last_arrival_at }
     }
 
-    /// Sends a request, and returns the status and body of the answer. An answer that has begun in time may go on for as
+    /// Sends a request, and returns the answer with its body. An answer that has begun in time may go on for as
     /// long as some of it arrives. After a failure the connection is discarded, since
     /// data that still arrives on it may belong to the failed call.
     ///
     /// # Errors
     ///
     /// Returns why there is no answer. The store may have carried out a write.
-    pub async fn call(&mut self, request: Request<Bytes>) -> Result<(StatusCode, Bytes), StoreError> {
+    pub async fn call(&mut self, request: Request<Bytes>) -> Result<Response<Bytes>, StoreError> {
         let called_at = clock::now();
         let answer = self.call_within(request, self.answer_timeout.current()).await;
         match &answer {
@@ -112,7 +115,7 @@
         &mut self,
         request: Request<Bytes>,
         answer_timeout: Duration,
-    ) -> Result<(StatusCode, Bytes), StoreError> {
+    ) -> Result<Response<Bytes>, StoreError> {
         let answer = self.exchange(request, answer_timeout).await;
         metering::record_store_call(if answer.is_ok() { "answered" } else { "failed" });
         answer
@@ -122,15 +125,15 @@
         &mut self,
         request: Request<Bytes>,
         answer_timeout: Duration,
-    ) -> Result<(StatusCode, Bytes), StoreError> {
+    ) -> Result<Response<Bytes>, StoreError> {
         let begin_answer = begin_answer(self.address, self.sender.take(), request);
         let (sender, response) = timeout(answer_timeout, begin_answer).await.map_err(|_| StoreError::Timeout)??;
-        let status = response.status();
         self.last_arrival_at.set(clock::now());
-        let body = timeout(MAX_ANSWER_TIME, collect_body(response.into_body(), &self.last_arrival_at)).await;
+        let (head, body) = response.into_parts();
+        let body = timeout(MAX_ANSWER_TIME, collect_body(body, &self.last_arrival_at)).await;
         let body = body.unwrap_or(Err(StoreError::Timeout))?;
         self.sender = Some(sender);
-        Ok((status, body))
+        Ok(Response::from_parts(head, body))
     }
 }
 
@@ -273,13 +276,15 @@
         // Reads that are still open were lost, or their answers are older.
         self.reads = JoinSet::new();
         self.attempts.record_answer();
+        self.idle_link = Some(read.link);
+        let fit = self.node.board.borrow().copies.get(&self.table).map(|copy| copy.fit(&read.batch));
+        self.needs_whole_table = fit == Some(BatchFit::NeedsWholeTable);
         let confirmed_at = proven_at(&read.batch, read.called_at, read.wait, clock::now());
         if let Some(outage) = self.outage.take() {
             log_store_return(self.table, &outage, read.called_at);
         }
         self.node.board.borrow_mut().record_store_answer(clock::now());
         apply_rows(&self.node, self.table, &read.batch, confirmed_at, "store");
-        (self.needs_whole_table, self.idle_link) = (false, Some(read.link));
     }
 
     fn handle_failure(&mut self, failed: &FailedRead) {
@@ -365,9 +370,11 @@
     let mut after: Option<Arc<str>> = None;
     loop {
         let request = node.platform.rows_request(table, after.as_deref());
-        let (status, body) = link.call_within(request, answer_timeout).await?;
-        let RowPage { batch, next } = node.platform.read_rows(status, &body, true)?;
+        let response = link.call_within(request, answer_timeout).await?;
+        let RowPage { batch, next } = node.platform.read_rows(&response, true)?;
         match &mut all {
+            // The store came back older between two pages, so that they belong to different states.
+            Some(all) if all.version.era != batch.version.era => return Err(StoreFault::HistoryGone.into()),
             // Changes made between two pages are read afterwards, from the version of the first page on.
             Some(all) => all.rows.extend(batch.rows),
             None => all = Some(batch),
@@ -395,52 +402,77 @@
     wait: Duration,
     answer_timeout: Duration,
 ) -> Result<RowBatch, StoreError> {
-    let after = node.board.borrow().copies.get(&table).map_or(0, TableCopy::version);
+    let after = node.board.borrow().copies.get(&table).map_or(StoreVersion::NONE, TableCopy::version);
     let request = node.platform.changes_request(table, after, wait);
-    let (status, body) = link.call_within(request, answer_timeout).await?;
-    Ok(node.platform.read_rows(status, &body, false)?.batch)
+    let response = link.call_within(request, answer_timeout).await?;
+    Ok(node.platform.read_rows(&response, false)?.batch)
 }
 
 /// Applies rows to the copy of a table, and the changed rows to the board. `confirmed_at` is the latest time at which
 /// the rows are known to have been the current state of the store; `source` is logged.
 pub fn apply_rows(node: &SharedNode, table: TableId, batch: &RowBatch, confirmed_at: Moment, source: &str) {
-    let changed = node.board.borrow_mut().copies.entry(table).or_default().apply(batch, confirmed_at);
-    for row in &changed {
+    let applied = node.board.borrow_mut().apply_batch(table, batch, confirmed_at, clock::now());
+    if let Some(replaced) = &applied.restored_from {
+        log_restoration(table, replaced.version, batch.version, source);
+        metering::record_store_restoration(&table.to_string());
+        node.store_restored.notify_one();
+    }
+    for row in &applied.changed {
         match table {
-            TableId::Orders => apply_order(node, row, source),
+            TableId::Orders => apply_order(node, row, applied.restored_from.as_ref(), source),
             TableId::Targets => apply_target(node, row, source),
         }
     }
+    let changed = applied.changed;
     if !changed.is_empty() {
         node.piece_waiters.wake_queues();
         heartbeats::notify_followers(node);
     }
+    start_serving_if_ready(node);
+}
+
+/// Lets a starting node serve once it knows enough.
+pub fn start_serving_if_ready(node: &SharedNode) {
     let mut board = node.board.borrow_mut();
-    let is_complete =
-        board.index.version > 0 && board.copies.get(&TableId::Targets).is_some_and(|copy| copy.version() > 0);
-    if board.state == NodeState::Starting && is_complete {
+    if board.state == NodeState::Starting && board.can_serve(node.started_at, clock::now()) {
         board.state = NodeState::Serving;
         drop(board);
-        info!("{STORE} document and targets loaded; serving.", kv: { source });
+        info!("{STORE} document and targets loaded; serving.");
         node.heartbeat_now.notify_one();
     }
 }
 
-fn apply_order(node: &SharedNode, row: &SharedRow, source: &str) {
-    let (key, version) = (&*row.key, row.version);
+fn log_restoration(table: TableId, restored_from: StoreVersion, version: StoreVersion, source: &str) {
+    let (table, from, version) = (table.to_string(), restored_from.to_string(), version.to_string());
+    let (table, from, version) = (table.as_str(), from.as_str(), version.as_str());
+    warn!("{STORE} the store came back older.", kv: { table, from, version, source });
+}
+
+/// Describes an order for the log.
+pub fn describe_order(change: &OrderChange) -> String {
+    match change {
+        OrderChange::Document(index) => format!("document {}", index.version),
+        OrderChange::Close(dc) => format!("{dc} gets no new work"),
+        OrderChange::Open(dc) => format!("{dc} takes work again"),
+        OrderChange::Rollout(order) => {
+            format!("{} moves to {} within {:?}", order.service, order.candidate, order.duration)
+        }
+        OrderChange::RolloutWithdrawn(service) => format!("{service} is not moved any more"),
+    }
+}
+
+/// Applies an order. `replaced` is the copy before, if the row was read with the state that the store came back with.
+fn apply_order(node: &SharedNode, row: &SharedRow, replaced: Option<&ReplacedCopy>, source: &str) {
+    let (key, version) = (&*row.key, row.version.number);
     let bytes = row.value.as_ref().map_or(0, |value| value.len());
     match node.platform.read_order(row) {
         Ok(Some(change)) => {
-            let what = match &change {
-                OrderChange::Document(index) => format!("document {}", index.version),
-                OrderChange::Close(dc) => format!("{dc} gets no new work"),
-                OrderChange::Open(dc) => format!("{dc} takes work again"),
-                OrderChange::Rollout(order) => {
-                    format!("{} moves to {} within {:?}", order.service, order.candidate, order.duration)
-                }
-                OrderChange::RolloutWithdrawn(service) => format!("{service} is not moved any more"),
+            let what = describe_order(&change);
+            let mut board = node.board.borrow_mut();
+            let changed = match replaced {
+                Some(replaced) => board.apply_restored_order(key, change, replaced, clock::now()),
+                None => board.apply_order(change, clock::now()),
             };
-            let changed = node.board.borrow_mut().apply_order(change, clock::now());
             info!("{STORE} order read.", kv: { key, version, source, bytes, what = what.as_str(), changed });
         }
         Ok(None) => info!("{STORE} order does not concern this node.", kv: { key, version, source }),
@@ -452,10 +484,10 @@
 
 fn apply_target(node: &SharedNode, row: &SharedRow, source: &str) {
     let now = clock::now();
-    let (key, version) = (&*row.key, row.version);
+    let (key, version) = (&*row.key, row.version.number);
     if row.value.is_none() {
         let target = node.platform.target_name(row);
-        node.board.borrow_mut().handle_target_removed(&target, now);
+        node.board.borrow_mut().handle_target_removed(&target, row.version, now);
         info!("{STORE} target entry removed.", kv: { target = key, version, source });
         return;
     }
@@ -463,12 +495,14 @@
         Ok(entry) => {
             let (leaving, cold_ms) = (entry.leaving, entry.cold_time.as_millis() as u64);
             let service = entry.service.to_string();
-            node.board.borrow_mut().upsert_target(entry, now);
+            if node.board.borrow_mut().upsert_target(entry, now) == EntryEffect::Outdated {
+                return;
+            }
             info!("{STORE} target entry updated.", kv: { target = key, version, source, service = service.as_str(), leaving, cold_ms });
         }
         Err(fault) => {
             let target = node.platform.target_name(row);
-            node.board.borrow_mut().handle_target_removed(&target, now);
+            node.board.borrow_mut().handle_target_removed(&target, row.version, now);
             warn!("{STORE} target entry could not be decoded; the target gets no work.", kv: { target = key, version, source, fault = fault.as_str() });
         }
     }
--- a/crates/relay/src/table_transfers.rs
+++ b/crates/relay/src/table_transfers.rs
@@ -10,9 +10,10 @@
 use wasabipier_core::relay::chunks::{BlobKey, BlobOutline, ChunkHash, ChunkedBlob};
 use wasabipier_core::relay::members::TableProof;
 use wasabipier_core::relay::rows::{TableCopy, TableId};
+use wasabipier_core::relay::store_version::StoreVersion;
 use wasabipier_wire::relay::{
     WireCall, WireReply, WireRow, WireRows, compress_chunks, decode_rows, decompress_chunks, encode_rows,
-    row_batch_from_wire, table_from_number, table_number,
+    row_batch_from_wire, table_from_number, table_number, version_from_wire, version_to_wire,
 };
 
 use crate::clock;
@@ -102,10 +103,11 @@
     }
     let node = node.clone();
     spawn_local(async move {
-        let have = node.board.borrow().copies.get(&table).map_or(0, TableCopy::version);
+        let have = node.board.borrow().copies.get(&table).map_or(StoreVersion::NONE, TableCopy::version);
         if let Err(error) = read_peer_copy(&node, table, have, address).await {
             let received_bytes = node.assemblies.borrow().get(&table).map_or(0, |assembly| assembly.received_bytes);
             let (table, error, peer) = (table.to_string(), error.to_string(), address.to_string());
+            let have = have.number;
             let (table, error, peer) = (table.as_str(), error.as_str(), peer.as_str());
             info!("{STORE} peer did not return its copy.", kv: { table, peer, have, error, received_bytes });
         }
@@ -114,9 +116,14 @@
 }
 
 /// Reads the changes after version `have` of a table from a peer, and applies them.
-async fn read_peer_copy(node: &SharedNode, table: TableId, have: u64, address: SocketAddr) -> Result<(), PeerError> {
+async fn read_peer_copy(
+    node: &SharedNode,
+    table: TableId,
+    have: StoreVersion,
+    address: SocketAddr,
+) -> Result<(), PeerError> {
     let called_at = clock::now();
-    let call = WireCall::Rows { table: table_number(table), have };
+    let call = WireCall::Rows { table: table_number(table), have: version_to_wire(have) };
     let reply = node.peers.call(address, &call, COPY_TIMEOUT).await?;
     let WireReply::Rows { rows, whole, version, age_ms } = reply else { return Ok(()) };
     let rows = match rows {
@@ -125,7 +132,7 @@
     };
     // The age counts from the reply. Counting it from `called_at` gives an earlier time, never a later one.
     let confirmed_at = called_at - Duration::from_millis(u64::from(age_ms));
-    store::apply_rows(node, table, &row_batch_from_wire(rows, version, whole), confirmed_at, "peer");
+    store::apply_rows(node, table, &row_batch_from_wire(rows, version_from_wire(version), whole), confirmed_at, "peer");
     Ok(())
 }
 
@@ -181,11 +188,13 @@
 }
 
 /// Returns the rows of a table that changed after store version `have`, as far as this node's copy shows, or an outline
-/// if they are large. Returns `Done` if this node has no confirmed copy of the table.
-pub fn rows_reply(node: &SharedNode, table: u8, have: u64) -> WireReply {
+/// if they are large. Returns `Done` if this node has no confirmed copy of the table, or one from before the store came back
+/// older.
+pub fn rows_reply(node: &SharedNode, table: u8, have: StoreVersion) -> WireReply {
     let board = node.board.borrow();
     let Some(table) = table_from_number(table) else { return WireReply::Done };
-    let known = board.copies.get(&table).and_then(|copy| Some((copy, copy.confirmed_at()?)));
+    let copy = board.copies.get(&table).filter(|copy| copy.version().era >= have.era);
+    let known = copy.and_then(|copy| Some((copy, copy.confirmed_at()?)));
     let Some((copy, confirmed_at)) = known else { return WireReply::Done };
     let batch = copy.changes_after(have);
     let age_ms = clock::now().since(confirmed_at).as_millis() as u32;
@@ -198,7 +207,7 @@
         let blob = cache.get_or_insert_with(key, || ChunkedBlob::new(&encode_rows(&batch.rows)));
         WireRows::Outline(blob.outline().into())
     };
-    WireReply::Rows { rows, whole: batch.whole, version: batch.version, age_ms }
+    WireReply::Rows { rows, whole: batch.whole, version: version_to_wire(batch.version), age_ms }
 }
 
 /// Returns the chunks that a peer asks for, as many as fit into a part.
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -26,11 +26,12 @@
 pub use self::limits::{WirePermitRequest, permit_from_wire, permit_to_wire};
 use self::limits::{limits_from_wire, limits_to_wire};
 pub use self::rows::{
-    WireOutline, WireRow, WireRows, compress_chunks, decode_rows, decompress_chunks, encode_rows, row_batch_from_wire,
+    WireOutline, WireRow, WireRows, WireVersion, compress_chunks, decode_rows, decompress_chunks, encode_rows,
+    row_batch_from_wire, version_from_wire, version_to_wire,
 };
 
 /// Version of the encoding. Nodes of different versions reject each other's calls.
-const CALL_VERSION: u8 = 4;
+const CALL_VERSION: u8 = 5;
 
 /// Encoded form of [`RelayHeartbeat`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -48,7 +49,9 @@
     state: u8,
     /// Freshness of each table copy: number of the table, version, version of the last change, version of the newest row
     /// and age in milliseconds.
-    proofs: Vec<(u8, u64, u64, u64, u32)>,
+    proofs: Vec<(u8, WireVersion, WireVersion, WireVersion, u32)>,
+    /// Version of the document in force.
+    document_version: u64,
     loads: Vec<WireTargetLoad>,
     /// Prompt prefixes that targets have read.
     prompts: Vec<WirePromptKeys>,
@@ -148,7 +151,7 @@
         /// Number of the table, see [`table_number`].
         table: u8,
         /// Store version of the caller's copy.
-        have: u64,
+        have: WireVersion,
     },
     /// Asks for chunks of rows that the peer has described.
     Chunks {
@@ -189,7 +192,7 @@
         /// Whether `rows` holds all rows of the table.
         whole: bool,
         /// Store version of the peer's copy.
-        version: u64,
+        version: WireVersion,
         /// Time since the peer requested this state, in milliseconds.
         age_ms: u32,
     },
@@ -272,10 +275,12 @@
                 .proofs
                 .iter()
                 .map(|proof| {
-                    let table = table_number(proof.table);
-                    (table, proof.version, proof.last_change_version, proof.newest_row_version, proof.age_ms)
+                    let [version, changed, newest_row] =
+                        [proof.version, proof.last_change_version, proof.newest_row_version].map(version_to_wire);
+                    (table_number(proof.table), version, changed, newest_row, proof.age_ms)
                 })
                 .collect(),
+            document_version: heartbeat.document_version,
             loads: loads_to_wire(&heartbeat.loads),
             prompts: prompts_to_wire(&heartbeat.prompts),
             waits: heartbeat.waits.iter().map(|(service, waits)| (service.to_string(), waits_to_wire(waits))).collect(),
@@ -291,9 +296,9 @@
         let proofs = heartbeat.proofs.into_iter().filter_map(|(table, version, changed, newest_row, age_ms)| {
             Some(TableProof {
                 table: table_from_number(table)?,
-                version,
-                last_change_version: changed,
-                newest_row_version: newest_row,
+                version: version_from_wire(version),
+                last_change_version: version_from_wire(changed),
+                newest_row_version: version_from_wire(newest_row),
                 age_ms,
             })
         });
@@ -313,6 +318,7 @@
                 _ => NodeState::Starting,
             },
             proofs: proofs.collect(),
+            document_version: heartbeat.document_version,
             loads: loads_from_wire(heartbeat.loads),
             prompts: prompts_from_wire(heartbeat.prompts),
             waits: waits.collect(),
--- a/crates/wire/src/relay/rows.rs
+++ b/crates/wire/src/relay/rows.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 use wasabipier_core::relay::chunks::{BlobOutline, ChunkHash};
 use wasabipier_core::relay::rows::{RowBatch, SharedRow};
+use wasabipier_core::relay::store_version::StoreVersion;
 
 use super::{decode, decode_bounded, encode};
 use crate::frame::{FrameError, MAX_FRAME_BYTES};
@@ -12,11 +13,26 @@
 /// Maximum size in bytes of the encoded rows of a table, which is that of the store's answers.
 const MAX_TABLE_BYTES: usize = 16 * 1024 * 1024;
 
+/// Encoded form of [`StoreVersion`]: era and number.
+pub type WireVersion = (u64, u64);
+
+/// Returns the encoded form of a store version.
+#[must_use]
+pub fn version_to_wire(version: StoreVersion) -> WireVersion {
+    (version.era, version.number)
+}
+
+/// Decodes a store version.
+#[must_use]
+pub fn version_from_wire((era, number): WireVersion) -> StoreVersion {
+    StoreVersion { era, number }
+}
+
 /// Encoded form of [`SharedRow`]. The value is `None` if the row was removed.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WireRow {
     key: String,
-    version: u64,
+    version: WireVersion,
     value: Option<Vec<u8>>,
 }
 
@@ -41,13 +57,17 @@
 
 impl From<&SharedRow> for WireRow {
     fn from(row: &SharedRow) -> Self {
-        Self { key: row.key.to_string(), version: row.version, value: row.value.as_ref().map(|value| value.to_vec()) }
+        Self {
+            key: row.key.to_string(),
+            version: version_to_wire(row.version),
+            value: row.value.as_ref().map(|value| value.to_vec()),
+        }
     }
 }
 
 impl From<WireRow> for SharedRow {
     fn from(row: WireRow) -> Self {
-        Self { key: row.key.into(), version: row.version, value: row.value.map(Arc::from) }
+        Self { key: row.key.into(), version: version_from_wire(row.version), value: row.value.map(Arc::from) }
     }
 }
 
@@ -68,7 +88,7 @@
 /// Returns the batch of rows that a peer sent. `version` is the store version of the peer's copy; `whole` says whether
 /// `rows` holds all rows of the table.
 #[must_use]
-pub fn row_batch_from_wire(rows: Vec<WireRow>, version: u64, whole: bool) -> RowBatch {
+pub fn row_batch_from_wire(rows: Vec<WireRow>, version: StoreVersion, whole: bool) -> RowBatch {
     RowBatch { rows: rows.into_iter().map(SharedRow::from).collect(), version, whole }
 }
 
--- a/crates/wire/src/rollout.rs
+++ b/crates/wire/src/rollout.rs
@@ -8,6 +8,8 @@
 use wasabipier_core::relay::rollout::{RecordedState, RolloutPhase, RolloutReport, VersionTallies};
 use wasabipier_core::tally::RouteTally;
 
+use crate::relay::{WireVersion, version_from_wire, version_to_wire};
+
 /// Encoded form of [`RouteTally`]: the name of the route, and the counts in the order of the fields.
 type WireTally = (String, [u64; 9]);
 
@@ -15,7 +17,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WireRolloutReport {
     service: String,
-    order_version: u64,
+    order_version: WireVersion,
     age_ms: u32,
     /// Number of the [`RolloutPhase`].
     phase: u8,
@@ -54,7 +56,7 @@
     fn from(report: &RolloutReport) -> Self {
         Self {
             service: report.service.to_string(),
-            order_version: report.order_version,
+            order_version: version_to_wire(report.order_version),
             age_ms: report.age_ms,
             phase: report.phase as u8,
             recorded: report.recorded.map(|state| state as u8),
@@ -74,7 +76,7 @@
         };
         Some(RolloutReport {
             service: ServiceName::new(self.service),
-            order_version: self.order_version,
+            order_version: version_from_wire(self.order_version),
             age_ms: self.age_ms,
             phase: RolloutPhase::from_repr(self.phase)?,
             recorded,
--- a/crates/wire/tests/relay.rs
+++ b/crates/wire/tests/relay.rs
@@ -15,6 +15,7 @@
 use wasabipier_core::relay::rate_limits::{LimitReport, RequestRate};
 use wasabipier_core::relay::rollout::{RecordedState, RolloutPhase, RolloutReport, VersionTallies};
 use wasabipier_core::relay::rows::TableId;
+use wasabipier_core::relay::store_version::StoreVersion;
 use wasabipier_core::relay::suspects::{CrashId, CrashReport, SuspectKey, SuspectReport};
 use wasabipier_core::tally::RouteTally;
 use wasabipier_wire::frame::FrameError;
@@ -25,6 +26,10 @@
 
 const NOW: Moment = Moment(5_000_000);
 
+fn version(number: u64) -> StoreVersion {
+    StoreVersion { era: 2, number }
+}
+
 fn config() -> ProptestConfig {
     ProptestConfig { cases: 256, rng_seed: RngSeed::Fixed(20_261_204), failure_persistence: None, ..Default::default() }
 }
@@ -145,7 +150,7 @@
     };
     RolloutReport {
         service: ServiceName::new("coachmodel"),
-        order_version: 37,
+        order_version: version(37),
         age_ms: 900,
         phase: RolloutPhase::Shift,
         recorded: Some(RecordedState::Active),
@@ -169,11 +174,12 @@
         state: NodeState::Serving,
         proofs: vec![TableProof {
             table: TableId::Targets,
-            version: 9,
-            last_change_version: 7,
-            newest_row_version: 6,
+            version: version(9),
+            last_change_version: version(7),
+            newest_row_version: version(6),
             age_ms: 30,
         }],
+        document_version: 12,
         loads: vec![TargetLoad { target: TargetName::new("i-1"), in_flight: 2, pending_prompt_tokens: 5 }],
         prompts: vec![PromptCacheUpdate { target: TargetName::new("i-1"), keys: vec![1, 2] }],
         waits: Vec::new(),
