Send nothing to targets that say in an answer that they leave

A target that leaves says so in all its answers, which nothing read: it got requests and pieces until its entry in the store changed, and while the store was away without end (DRAIN). The head of each answer that is not from another target is read for it, whatever it answers: requests, streams, errors, pieces. The target gets nothing more from this node until it registers as another incarnation, also if its entry is read again as ready.

--- a/crates/core/src/relay/targets.rs
+++ b/crates/core/src/relay/targets.rs
@@ -120,6 +120,8 @@
     /// When this node last called the target while it was cold.
     pub last_cold_call: Option<Moment>,
     consecutive_failures: u32,
+    /// Whether an answer has shown that the target leaves. Its entry may be from before.
+    has_said_leaving: bool,
     /// When the target is to be removed, if its entry is gone from the store, and the store version at which it was.
     removal: Option<(Moment, StoreVersion)>,
 }
@@ -145,6 +147,7 @@
             backoff_until: Moment::default(),
             last_cold_call: None,
             consecutive_failures: 0,
+            has_said_leaving: false,
             removal: None,
         }
     }
@@ -223,6 +226,7 @@
         let view = match same_incarnation {
             Some(old) => {
                 let cold_until = now + entry.cold_time;
+                let entry = TargetEntry { leaving: entry.leaving || old.has_said_leaving, ..entry };
                 TargetView { entry, cold_until, removal: None, ..old }
             }
             None => TargetView::new(entry, now),
@@ -330,6 +334,14 @@
         }
     }
 
+    /// Records that a target said in an answer that it leaves. Returns whether that is news.
+    pub fn record_leaving(&mut self, target: &TargetName) -> bool {
+        let Some(view) = self.views.get_mut(target) else { return false };
+        let is_news = !view.entry.leaving;
+        (view.entry.leaving, view.has_said_leaving) = (true, true);
+        is_news
+    }
+
     /// Returns the load that this node's calls in flight put on each target. Targets without calls are left out.
     #[must_use]
     pub fn own_loads(&self) -> Vec<TargetLoad> {
--- a/crates/core/tests/relay/choice.rs
+++ b/crates/core/tests/relay/choice.rs
@@ -5,7 +5,7 @@
 use wasabipier_core::names::{DcName, ServiceName, TargetName};
 use wasabipier_core::relay::board::{OrderChange, RelayBoard};
 use wasabipier_core::relay::choice::{CallRequirements, PromptPart, PromptSpec};
-use wasabipier_core::relay::targets::{CallResult, TargetView};
+use wasabipier_core::relay::targets::{CallResult, TargetEntry, TargetView};
 
 use crate::fixtures::{at, board, heartbeat, millis, target_entry, version};
 
@@ -218,3 +218,19 @@
         "the target left, so that its entry is not expected again"
     );
 }
+
+/// Guards against requests to a target that said in an answer that it leaves, after its entry was read again.
+#[test]
+fn a_target_that_said_that_it_leaves_gets_no_calls_until_another_incarnation_registers() {
+    let mut board = board("edge-1");
+    let entry = target_entry("i-a", "coachmodel", "khomas-a");
+    board.upsert_target(entry.clone(), at(0));
+
+    let is_news = [(), ()].map(|()| board.targets.record_leaving(&TargetName::new("i-a")));
+    board.upsert_target(entry.clone(), at(100));
+    let chosen = choose_target(&mut board, None, &[], 100);
+    board.upsert_target(TargetEntry { incarnation: Some(2), ..entry }, at(200));
+
+    assert_eq!((is_news, chosen), ([true, false], None));
+    assert_eq!(choose_target(&mut board, None, &[], 200), Some(TargetName::new("i-a")));
+}
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -19,6 +19,7 @@
 use crate::limits;
 use crate::log_prefixes::TARGETS;
 use crate::metering;
+use crate::notices;
 use crate::pool::PooledConnection;
 use crate::ports::{AnswerHead, RunClaim};
 use crate::state::SharedNode;
@@ -265,6 +266,10 @@
     if head.rate_limit.is_some() || parts.status.is_success() {
         limits::record_answer(node, &entry.target, head.rate_limit, called_at);
     }
+    // Another target has the address, and its notices are not about this one.
+    if head.claim != RunClaim::Misdirected {
+        notices::record_answer(node, &entry.target, &head);
+    }
     let (target, service) = (entry.target.clone(), entry.service.clone());
     OpenAnswer { status: parts.status, headers: parts.headers, head, body, connection, target, service }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -31,6 +31,7 @@
 mod blame;
 mod body;
 mod limits;
+mod notices;
 mod pool;
 mod stream;
 
