Send nothing to targets for as long as they say that they want nothing

A target that turns a request away with 503 may say for how long it wants nothing from this node. Nothing read that time: the target got the next call after a backoff of 250 ms, and at once if there was no other (BUDGET), and callers waited for it or were told to come again after a fixed time.

The time is now kept for each target, the longest one named, and the target gets no call, piece, permit or freeing call of this node before its end, also if it is the only one. A request that all targets of its service decline is refused at once, with the time until the first of them takes calls, spread over a quarter of it.

--- a/crates/core/src/relay/board.rs
+++ b/crates/core/src/relay/board.rs
@@ -28,7 +28,7 @@
 use crate::relay::store_restoration::StoreRestoration;
 use crate::relay::store_version::StoreVersion;
 use crate::relay::suspects::{HarmfulContent, SuspectKey, SuspectLimits, SuspectTable};
-use crate::relay::targets::{EntryEffect, TargetEntry, TargetRegistry};
+use crate::relay::targets::{EntryEffect, TargetEntry, TargetRegistry, TargetView};
 
 /// Settings of the relay's decisions: time limits, ratios and weights.
 #[derive(Clone, Debug, PartialEq)]
@@ -152,6 +152,9 @@
 }
 
 impl RelayBoard {
+    /// Fraction of the time for which targets decline calls over which refused callers are spread.
+    const DECLINE_SPREAD_RATIO: f64 = 0.25;
+
     /// Creates the state of a node that has not received anything yet.
     #[must_use]
     pub fn new(identity: Identity, tuning: RelayTuning) -> Self {
@@ -263,6 +266,15 @@
         self.targets.of(service).any(|view| !view.entry.leaving && !self.closed_dcs.contains(&view.entry.dc))
     }
 
+    /// Returns for how long all targets of `service` decline calls from this node, or zero if one takes them or there are
+    /// none. Callers that were refused together are spread over the time after it.
+    #[must_use]
+    pub fn decline_time(&mut self, service: &ServiceName, now: Moment) -> Duration {
+        let is_usable = |view: &&TargetView| !view.entry.leaving && !self.closed_dcs.contains(&view.entry.dc);
+        let ends = self.targets.of(service).filter(is_usable).map(|view| now.until(view.declines_until));
+        ends.min().unwrap_or_default().mul_f64(1.0 + Self::DECLINE_SPREAD_RATIO * self.random.f64())
+    }
+
     /// Counts a retry for `service` if this node's share of the retry budget allows one. Returns whether it does.
     pub fn try_take_retry(&mut self, service: &ServiceName, now: Moment) -> bool {
         let nodes = self.members.budget_node_count();
@@ -408,7 +420,7 @@
     fn own_queue_wait(&self, service: &ServiceName, rank: u8, now: Moment) -> Option<QueueWait> {
         let spec = self.index.services.get(service)?.batch.as_ref()?;
         let eligible =
-            self.targets.of(service).filter(|view| !view.entry.leaving && !self.closed_dcs.contains(&view.entry.dc));
+            self.targets.of(service).filter(|view| view.takes_calls(now) && !self.closed_dcs.contains(&view.entry.dc));
         Some(self.pieces.get(service)?.expected_wait(spec, eligible.count(), rank, now))
     }
 
--- a/crates/core/src/relay/choice.rs
+++ b/crates/core/src/relay/choice.rs
@@ -171,11 +171,11 @@
     costs.min_by(|left, right| left.0.total_cmp(&right.0)).map(|(_, view)| view.entry.target.clone())
 }
 
-/// Returns whether a target may get the call: the target is not leaving, has an allowed version, its data centre is not
+/// Returns whether a target may get the call: the target takes calls, has an allowed version, its data centre is not
 /// closed, and the rate limit for cold targets allows a call now. A limit that the target names is left to permits.
 fn is_eligible(context: &ChoiceContext<'_>, call: &CallRequirements<'_>, view: &TargetView) -> bool {
     let is_limited = context.rate_limits.rate(&view.entry.target).is_some();
-    !view.entry.leaving
+    view.takes_calls(context.now)
         && (!call.only_unlimited || !is_limited)
         && context.lane.allows(&view.entry.version)
         && !context.closed_dcs.contains(&view.entry.dc)
--- a/crates/core/src/relay/pieces/queue.rs
+++ b/crates/core/src/relay/pieces/queue.rs
@@ -277,7 +277,7 @@
     fn has_free_slot(&self, spec: &BatchSpec, view: &TargetView, now: Moment) -> bool {
         let usage = self.usages.get(&view.entry.target);
         let is_usage_low = usage.is_none_or(|usage| usage.in_flight < spec.slots.max(1) && usage.full_until <= now);
-        is_usage_low && view.backoff_until <= now
+        is_usage_low && view.backoff_until <= now && view.declines_until <= now
     }
 
     /// Returns the free storage of all `targets` together, in bytes, less what the results of the pending pieces of
@@ -362,7 +362,8 @@
             let usage = self.usages.entry(view.entry.target.clone()).or_default();
             let busy_time =
                 if usage.in_flight >= spec.slots.max(1) { now.until(usage.busy_until) } else { Duration::ZERO };
-            let backoff = now.until(view.backoff_until).max(now.until(usage.full_until));
+            let paused_until = view.backoff_until.max(view.declines_until).max(usage.full_until);
+            let backoff = now.until(paused_until);
             let used = usage.stored_bytes(now) + usage.reserved_bytes;
             let dc_wait = waits.entry(view.entry.dc.clone()).or_insert(DcWait {
                 wait: Duration::MAX,
--- a/crates/core/src/relay/rate_limits.rs
+++ b/crates/core/src/relay/rate_limits.rs
@@ -281,7 +281,7 @@
             let entry = &view.entry;
             let is_in_lane = lanes.first().is_some_and(|lane| lane.allows(&entry.version));
             let is_free = !view.is_cold(now) && view.backoff_until <= now;
-            is_in_lane && is_free && !entry.leaving && !closed_dcs.contains(&entry.dc)
+            is_in_lane && is_free && view.takes_calls(now) && !closed_dcs.contains(&entry.dc)
         };
         let limited = targets.of(service).filter(is_usable).filter_map(|view| {
             let target = &view.entry.target;
--- a/crates/core/src/relay/targets.rs
+++ b/crates/core/src/relay/targets.rs
@@ -120,6 +120,8 @@
     /// When this node last called the target while it was cold.
     pub last_cold_call: Option<Moment>,
     consecutive_failures: u32,
+    /// Time until which the target wants no calls from this node, as it has said.
+    pub declines_until: Moment,
     /// Whether an answer has shown that the target leaves. Its entry may be from before.
     has_said_leaving: bool,
     /// When the target is to be removed, if its entry is gone from the store, and the store version at which it was.
@@ -147,6 +149,7 @@
             backoff_until: Moment::default(),
             last_cold_call: None,
             consecutive_failures: 0,
+            declines_until: Moment::default(),
             has_said_leaving: false,
             removal: None,
         }
@@ -158,6 +161,12 @@
         self.in_flight + self.others_in_flight
     }
 
+    /// Returns whether the target takes calls from this node: it is not leaving and has not said that it wants none now.
+    #[must_use]
+    pub fn takes_calls(&self, now: Moment) -> bool {
+        !self.entry.leaving && self.declines_until <= now
+    }
+
     /// Returns whether the target is cold at `now`.
     #[must_use]
     pub fn is_cold(&self, now: Moment) -> bool {
@@ -207,6 +216,8 @@
 }
 
 impl TargetRegistry {
+    /// Maximum time for which a target can decline calls with one answer.
+    const MAX_DECLINE_TIME: Duration = Duration::from_mins(5);
     /// Maximum number of removed targets that are remembered.
     const MAX_REMOVED: usize = 2_000;
 
@@ -334,6 +345,13 @@
         }
     }
 
+    /// Records that a target said at `now` that it wants no calls from this node for `pause`. An earlier, longer wish stands.
+    pub fn record_decline(&mut self, target: &TargetName, pause: Duration, now: Moment) {
+        if let Some(view) = self.views.get_mut(target) {
+            view.declines_until = view.declines_until.max(now + pause.min(Self::MAX_DECLINE_TIME));
+        }
+    }
+
     /// Records that a target said in an answer that it leaves. Returns whether that is news.
     pub fn record_leaving(&mut self, target: &TargetName) -> bool {
         let Some(view) = self.views.get_mut(target) else { return false };
--- a/crates/core/tests/relay/choice.rs
+++ b/crates/core/tests/relay/choice.rs
@@ -234,3 +234,26 @@
     assert_eq!((is_news, chosen), ([true, false], None));
     assert_eq!(choose_target(&mut board, None, &[], 200), Some(TargetName::new("i-a")));
 }
+
+/// Guards against calls to a target that has said for how long it wants none, also if there is no other.
+#[test]
+fn a_target_that_declines_calls_gets_none_until_the_longest_time_that_it_named_is_over() {
+    let mut board = board("edge-1");
+    let service = ServiceName::new("coachmodel");
+    let [first, second] = ["i-a", "i-b"].map(TargetName::new);
+    for target in ["i-a", "i-b"] {
+        board.upsert_target(target_entry(target, "coachmodel", "khomas-a"), at(0));
+    }
+
+    board.targets.record_decline(&first, millis(2_000), at(0));
+    board.targets.record_decline(&first, millis(500), at(100));
+    let while_one_declines = (choose_target(&mut board, None, &[], 1_900), board.decline_time(&service, at(1_900)));
+    board.targets.record_decline(&second, millis(3_000), at(1_900));
+    let while_both_decline = choose_target(&mut board, None, &[], 1_950);
+    let decline_time = board.decline_time(&service, at(1_950));
+
+    assert_eq!(while_one_declines, (Some(second), millis(0)));
+    assert_eq!(while_both_decline, None);
+    assert!((millis(50)..=millis(65)).contains(&decline_time), "{decline_time:?}");
+    assert_eq!(choose_target(&mut board, None, &[], 2_000), Some(first));
+}
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -114,6 +114,10 @@
     if !board.has_target(&service) || !needed.all(|service| board.has_target(service)) {
         return Err(Rejection::not_run("no target takes work", RETRY_AFTER));
     }
+    let decline_time = board.decline_time(&service, clock::now());
+    if !decline_time.is_zero() {
+        return Err(Rejection::not_run("targets want no calls", decline_time));
+    }
     let final_call = board.tuning.weights.expected_first_event_time(head.prompt.as_ref());
     let plan = RequestPlan {
         route: &grant.route,
--- a/crates/relay/src/batching.rs
+++ b/crates/relay/src/batching.rs
@@ -128,11 +128,11 @@
     let within_limits = board.targets_within_limits(service, now);
     let RelayBoard { pieces, targets, index, closed_dcs: closed, .. } = &mut *board;
     let spec = index.services.get(service)?.batch.clone()?;
-    let is_usable = |entry: &TargetEntry| !entry.leaving && !closed.contains(&entry.dc);
+    let is_usable = |view: &TargetView| view.takes_calls(now) && !closed.contains(&view.entry.dc);
     let plan = lanes.iter().find_map(|lane| {
         let is_candidate = |view: &&TargetView| {
             let entry = &view.entry;
-            is_usable(entry) && lane.allows(&entry.version) && within_limits.contains(&entry.target)
+            is_usable(view) && lane.allows(&entry.version) && within_limits.contains(&entry.target)
         };
         let candidates: Vec<&TargetView> = targets.of(service).filter(is_candidate).collect();
         pieces.queue_mut(service).plan(&spec, &candidates, now)
@@ -207,11 +207,16 @@
 pub fn free_results_locally(node: &SharedNode, service: &ServiceName, handles: &[Arc<str>]) {
     node.board.borrow_mut().pieces.queue_mut(service).forget_results(handles);
     let mut by_target: HashMap<String, (TargetEntry, Vec<Arc<str>>)> = HashMap::new();
+    let now = clock::now();
     let board = node.board.borrow();
     for handle in handles {
         let address = node.platform.result_address(handle);
         // Results of a target that no longer exists are gone with it.
         let Some(view) = board.targets.of(service).find(|view| Some(view.entry.address) == address) else { continue };
+        if view.declines_until > now {
+            // The target drops them after their time to live.
+            continue;
+        }
         let entry = by_target.entry(view.entry.target.to_string());
         entry.or_insert_with(|| (view.entry.clone(), Vec::new())).1.push(handle.clone());
     }
--- a/crates/relay/src/ports.rs
+++ b/crates/relay/src/ports.rs
@@ -156,6 +156,8 @@
     pub cold_time: Option<Duration>,
     /// Requests per second that the target takes from all nodes together, if it states a limit.
     pub rate_limit: Option<RequestRate>,
+    /// Time for which the target wants no calls from this node, if it refused the call and states one.
+    pub declined_time: Option<Duration>,
     /// Whether the target states that it leaves.
     pub is_leaving: bool,
     /// Time for which the target keeps an idle connection, if it states one.
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -198,7 +198,7 @@
                 NextStep::Prepare => self.inputs = None,
                 NextStep::Refuse if failed.end == AttemptEnd::Harmful => return Err(Rejection::harmful()),
                 NextStep::Refuse if failed.end == AttemptEnd::Limited => return Err(self.reject_for_limits()),
-                NextStep::Refuse => return Err(Rejection::not_run("no target took it", RETRY_AFTER)),
+                NextStep::Refuse => return Err(self.reject_untaken()),
                 NextStep::Fail => {
                     return Err(Rejection { kind: RefusalKind::Unknown, reason: "no answer", retry_after: None });
                 }
--- a/crates/relay/src/request/choice.rs
+++ b/crates/relay/src/request/choice.rs
@@ -7,7 +7,7 @@
 use wasabipier_core::relay::steps::AttemptEnd;
 use wasabipier_core::relay::targets::TargetEntry;
 
-use super::RelayRequest;
+use super::{RETRY_AFTER, RelayRequest};
 use crate::admission::Rejection;
 use crate::clock;
 use crate::limits;
@@ -19,8 +19,9 @@
     /// Returns whether a target of the service has not been tried for this request.
     pub(super) fn has_untried_target(&self) -> bool {
         let board = self.node.board.borrow();
-        let mut targets = board.targets.of(&self.admitted.service).map(|view| &view.entry);
-        targets.any(|entry| !entry.leaving && !self.tried_targets.contains(&entry.target))
+        let now = clock::now();
+        let mut targets = board.targets.of(&self.admitted.service).filter(|view| view.takes_calls(now));
+        targets.any(|view| !self.tried_targets.contains(&view.entry.target))
     }
 
     /// Chooses a target apart from limits on requests. With `only_unlimited`, it is one that names none.
@@ -36,6 +37,12 @@
         self.node.board.borrow_mut().choose(&requirements, clock::now())
     }
 
+    /// Rejects a request that no target took.
+    pub(super) fn reject_untaken(&self) -> Rejection {
+        let decline_time = self.node.board.borrow_mut().decline_time(&self.admitted.service, clock::now());
+        Rejection::not_run("no target took it", decline_time.max(RETRY_AFTER))
+    }
+
     /// Rejects a request that no target takes within its limit.
     pub(super) fn reject_for_limits(&self) -> Rejection {
         Rejection::not_run("targets are at their limits", self.limit_pause)
@@ -44,7 +51,14 @@
     /// Chooses a target, and gets a permit for it if it names a limit on its requests. If the target takes no more, one
     /// without a limit is chosen, or any limited one that still takes requests.
     pub(super) async fn choose_target_within_limits(&mut self) -> Result<TargetEntry, AttemptEnd> {
-        let Some(entry) = self.choose_target(false) else { return Err(AttemptEnd::NotRun) };
+        let Some(entry) = self.choose_target(false) else {
+            let decline_time = self.node.board.borrow_mut().decline_time(&self.admitted.service, clock::now());
+            if decline_time.is_zero() {
+                return Err(AttemptEnd::NotRun);
+            }
+            self.limit_pause = decline_time;
+            return Err(AttemptEnd::Limited);
+        };
         let rate = self.node.board.borrow().rate_limits.rate(&entry.target);
         let Some(rate) = rate else { return Ok(entry) };
         let service = self.admitted.service.clone();
