Break streams at text that is no event

Another operator's report: after a stream had broken off, callers found the text of an error in the middle of it, at times its whole head, or the stream ended as if it were complete. It could happen here: any block of lines up to a blank line was forwarded, so that the head and the text of an error that a server wrote into a stream without length or chunks went to the caller, also as the rest of an event; and an answer of the next server that ended with its connection before any event ended the stream as complete.

A block is an event now only if its lines are fields of events, and if it has an identifier like those before it. Other text breaks the stream, which goes on at another target or is cut. A stream that only its connection ends, and that has no event, is broken also if the caller has events already.

--- a/crates/core/src/relay/events.rs
+++ b/crates/core/src/relay/events.rs
@@ -26,6 +26,8 @@
     Duplicate,
     /// Events before this one are missing. Nothing more may be forwarded.
     Gap,
+    /// The lines are no event, such as the text of an error. Nothing more may be forwarded.
+    Malformed,
 }
 
 /// Splits a byte stream into events and checks that their identifiers are consecutive.
@@ -75,9 +77,15 @@
         StreamEvent { id: parse_event_id(&bytes), bytes }
     }
 
-    /// Returns what to do with an event. `Forward` counts it as forwarded. An event without an identifier and the first
-    /// one with an identifier are always forwarded.
+    /// Returns what to do with an event. `Forward` counts it as forwarded. The first event with an identifier is always
+    /// forwarded, and events without one as long as none had any.
     pub fn check_sequence(&mut self, event: &StreamEvent) -> EventVerdict {
+        if is_comment(&event.bytes) {
+            return EventVerdict::Forward;
+        }
+        if !has_only_fields(&event.bytes) || (event.id.is_none() && self.last_id.is_some()) {
+            return EventVerdict::Malformed;
+        }
         let (Some(id), Some(last)) = (event.id, self.last_id) else {
             self.last_id = event.id.or(self.last_id);
             return EventVerdict::Forward;
@@ -121,6 +129,29 @@
     bytes.split(|byte| *byte == b'\n').all(|line| matches!(line, [] | [b'\r'] | [b':', ..]))
 }
 
+/// Names of the fields of an event. Others are ignored by receivers, and their lines may be the head of another answer.
+const EVENT_FIELDS: [&[u8]; 4] = [b"id", b"data", b"event", b"retry"];
+
+/// Returns whether a block of lines holds nothing but comments and fields of events. The first line may be another field
+/// with a number.
+fn has_only_fields(bytes: &[u8]) -> bool {
+    let lines = bytes.split(|byte| *byte == b'\n').map(|line| line.strip_suffix(b"\r").unwrap_or(line));
+    lines.enumerate().all(|(index, line)| {
+        let (name, value) = match line.iter().position(|byte| *byte == b':') {
+            Some(end) => (&line[..end], &line[end + 1..]),
+            None => (line, &b""[..]),
+        };
+        name.is_empty() || EVENT_FIELDS.contains(&name) || (index == 0 && is_numeric_field(name, value))
+    })
+}
+
+/// Returns whether a field has a name in lowercase and a number as its value.
+fn is_numeric_field(name: &[u8], value: &[u8]) -> bool {
+    let value = value.trim_ascii();
+    let is_name = name.iter().all(|byte| byte.is_ascii_lowercase() || *byte == b'-');
+    is_name && !value.is_empty() && value.iter().all(u8::is_ascii_digit)
+}
+
 /// Returns the number in the first `id:` line, or `None` if there is no such line or it has no number.
 fn parse_event_id(bytes: &[u8]) -> Option<u64> {
     let mut lines = bytes.split(|byte| *byte == b'\n');
--- a/crates/core/tests/relay/events.rs
+++ b/crates/core/tests/relay/events.rs
@@ -55,7 +55,7 @@
             match second.check_sequence(&event) {
                 EventVerdict::Forward => forwarded.extend(event.id),
                 EventVerdict::Duplicate => {}
-                EventVerdict::Gap => break,
+                EventVerdict::Gap | EventVerdict::Malformed => break,
             }
         }
 
@@ -111,6 +111,30 @@
     assert!(splitter.is_overfull());
 }
 
+/// Guards against text that is no event, such as that of an error, in the middle of a stream.
+#[test]
+fn blocks_that_are_no_events_end_the_stream() {
+    let malformed = [
+        "HTTP/1.1 503 Unavailable\r\nretry-after: 1\r\n\r\n",
+        "no capacity is left\n\n",
+        "{\"error\": \"failed\"}\n\n",
+        "data: an event without an identifier\n\n",
+        "id: 2\ndata: laHTTP/1.1 500 Failed\r\ncontent-length: 4\r\n\r\n",
+        "id: two\ndata: lane\n\n",
+    ];
+    let sound =
+        ["id: 2\ndata: lane\n\n", "weights: 7\nid: 2\r\nevent: token\r\ndata\r\n\r\n", ":\nid: 2\nretry: 3\n\n"];
+    let verdict = |text: &str| {
+        let mut splitter = EventSplitter::after(Some(1));
+        let events = splitter.push(text.as_bytes());
+        splitter.check_sequence(&events[0])
+    };
+
+    assert_eq!(malformed.map(verdict), [EventVerdict::Malformed; 6]);
+    assert_eq!(sound.map(verdict), [EventVerdict::Forward; 3]);
+    assert_eq!(verdict(": a comment\n\n"), EventVerdict::Forward);
+}
+
 /// Guards against a stream that is taken for one endless event because its lines end in CR LF.
 #[test]
 fn lines_that_end_in_cr_lf_are_split_as_others_are() {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderMap, StatusCode};
 use http_body_util::BodyExt;
 use tokio::time::timeout;
@@ -35,6 +36,8 @@
     splitter: EventSplitter,
     pending_events: VecDeque<StreamEvent>,
     has_received_data: bool,
+    /// Whether only the end of its connection ends the stream.
+    is_ended_by_connection: bool,
     /// The first part, read ahead by [`Self::read_first_part`].
     first_part: Option<Bytes>,
 }
@@ -44,6 +47,7 @@
     #[must_use]
     pub fn new(mut answer: OpenAnswer, guard: CallGuard, last_event: Option<u64>) -> Self {
         let headers = std::mem::take(&mut answer.headers);
+        let is_framed = headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
         Self {
             status: answer.status,
             headers,
@@ -52,6 +56,7 @@
             splitter: EventSplitter::after(last_event),
             pending_events: VecDeque::new(),
             has_received_data: false,
+            is_ended_by_connection: !is_framed,
             first_part: None,
         }
     }
@@ -142,7 +147,8 @@
                 EventVerdict::Forward => bytes.extend_from_slice(&event.bytes),
                 EventVerdict::Duplicate => {}
                 EventVerdict::Gap if bytes.is_empty() => return Some(StreamPart::Broken("events are missing")),
-                EventVerdict::Gap => {
+                EventVerdict::Malformed if bytes.is_empty() => return Some(StreamPart::Broken("not an event")),
+                EventVerdict::Gap | EventVerdict::Malformed => {
                     self.pending_events.push_front(event);
                     break;
                 }
@@ -155,6 +161,10 @@
         if !self.splitter.take_rest().is_empty() {
             return StreamPart::Broken("ended within an event");
         }
+        if !self.has_received_data && self.is_ended_by_connection {
+            // A target that ends before its first event looks like one that has nothing to add.
+            return StreamPart::Broken("ended without an event");
+        }
         if let Some(answer) = self.answer.take() {
             node.pool.release(answer.connection, answer.head.idle_timeout);
         }
