Take a refusal on a kept connection only for the request that it names

Another operator's report: a faulty server wrote an earlier refusal once more on a kept connection, and callers were told 'not run, try again' for requests that the server had run or was running (REFUSED), or such a request ran at a second server (TWICE). It could happen here with a refusal that names no request: a claim not to have run counted whether or not the answer named the request. An answer on a connection that has served a request before now counts only if it names the request; otherwise the request may have run.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -294,11 +294,12 @@
     StatusCode::SERVICE_UNAVAILABLE,
 ];
 
-/// Classifies the head of an answer to the request with the id `request`.
+/// Classifies the head of an answer to the request with the id `request`. On a connection that `is_reused`, an answer that
+/// does not name the request may belong to an earlier one, and shows nothing about this one.
 #[must_use]
-pub fn classify_head(status: StatusCode, head: &AnswerHead, request: &str) -> HeadVerdict {
+pub fn classify_head(status: StatusCode, head: &AnswerHead, request: &str, is_reused: bool) -> HeadVerdict {
     let is_echoed = head.request.as_deref() == Some(request);
-    if head.request.is_some() && !is_echoed {
+    if (head.request.is_some() || is_reused) && !is_echoed {
         return HeadVerdict::Ended(AttemptEnd::Garbled);
     }
     match head.claim {
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -302,7 +302,7 @@
             }
         };
         self.record_cold_start(&entry, &answer);
-        match attempt::classify_head(answer.status, &answer.head, &self.head.request) {
+        match attempt::classify_head(answer.status, &answer.head, &self.head.request, answer.connection.is_reused) {
             HeadVerdict::Ended(end) => {
                 guard.set_result(attempt::call_result(end, Some(&answer.head)));
                 Err(end.into())
