Let other tasks run while a target sends interim responses without end

A request with a timeout of 1 s ended after up to 3.2 s: interim responses without end were parsed for as long as there were bytes, up to 4 MB at a stretch, and timers ran late. Beside ten busy processes the test failed in 3 of 8 runs (2.2, 2.8 and 3.2 s), always in EndlessInterim; so the suspected cause was tried: connections to targets let other tasks run after each 8 KB (`BudgetedStream`), and 8 of 8 runs passed beside the same load.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -33,6 +33,7 @@
 mod limits;
 mod notices;
 mod pool;
+mod read_budget;
 mod stream;
 
 mod heartbeats;
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -17,6 +17,7 @@
 
 use crate::clock;
 use crate::metering;
+use crate::read_budget::BudgetedStream;
 use crate::sockets;
 
 /// Idle time after which a connection is not reused if its target does not state an idle timeout.
@@ -93,7 +94,8 @@
         }
         let stream = sockets::connect(entry.address, connect_timeout).await?;
         metering::record_connection(entry.service.as_str());
-        let handshake = http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(TokioIo::new(stream));
+        let handshake =
+            http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(TokioIo::new(BudgetedStream::new(stream)));
         let (sender, connection) = handshake.await.map_err(std::io::Error::other)?;
         let task = spawn_local(async move {
             // Errors are reported by the request that uses the connection.
