--- a/crates/relay/src/heartbeats.rs
+++ b/crates/relay/src/heartbeats.rs
@@ -18,7 +18,7 @@
 use crate::log_prefixes::PEERS;
 use crate::peers;
 use crate::state::SharedNode;
-use crate::store::StoreLink;
+use crate::store_link::StoreLink;
 use crate::table_transfers;
 
 /// Timeout of a heartbeat call.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -41,4 +41,6 @@
 mod peers;
 mod rollouts;
 mod store;
+mod store_link;
+mod table_reader;
 mod table_transfers;
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -32,7 +32,7 @@
 use crate::settings::{RelaySettings, SettingsSource};
 use crate::sockets;
 use crate::state::{RelayNode, SharedNode};
-use crate::store;
+use crate::table_reader;
 
 /// Interval at which a stopping node checks whether all requests have ended.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
@@ -109,8 +109,8 @@
     for (kind, listener) in listeners {
         spawn_local(listeners::serve_listener(node.clone(), kind, listener));
     }
-    spawn_local(store::follow_table(node.clone(), TableId::Orders));
-    spawn_local(store::follow_table(node.clone(), TableId::Targets));
+    spawn_local(table_reader::follow_table(node.clone(), TableId::Orders));
+    spawn_local(table_reader::follow_table(node.clone(), TableId::Targets));
     spawn_local(heartbeats::announce_and_discover(node.clone()));
     spawn_local(heartbeats::run(node.clone()));
     spawn_local(load_exchange::run(node.clone()));
--- a/crates/relay/src/rollouts.rs
+++ b/crates/relay/src/rollouts.rs
@@ -16,7 +16,7 @@
 use crate::metering;
 use crate::ports::RolloutReply;
 use crate::state::SharedNode;
-use crate::store::{StoreError, StoreLink};
+use crate::store_link::{StoreError, StoreLink};
 
 /// Interval at which rollouts are evaluated.
 const EVALUATION_INTERVAL: Duration = Duration::from_millis(100);
