Keep one proof of the document's age, and one time for a second writing

The age before a return was kept beside the rule that decides it; a return now keeps what that rule says, which gives the same in series of returns. The time for a second writing is the tuning's, which stood in two places. The field for the replaced copy has its name, and methods that only their module uses are private.

--- a/crates/core/src/relay/board.rs
+++ b/crates/core/src/relay/board.rs
@@ -28,7 +28,7 @@
 use crate::relay::store_restoration::StoreRestoration;
 use crate::relay::store_version::StoreVersion;
 use crate::relay::suspects::{HarmfulContent, SuspectKey, SuspectLimits, SuspectTable};
-use crate::relay::targets::{EntryEffect, TargetEntry, TargetRegistry, TargetView};
+use crate::relay::targets::{EntryEffect, TargetEntry, TargetRegistry};
 
 /// Settings of the relay's decisions: time limits, ratios and weights.
 #[derive(Clone, Debug, PartialEq)]
@@ -48,7 +48,7 @@
     /// Limits at which content that crashes targets is refused.
     pub suspect_limits: SuspectLimits,
     /// Time for which targets are kept without an entry in the store after an outage of the store. The platform
-    /// guarantees that targets register again within this time.
+    /// guarantees that targets register again within this time, and after a loss, operators write again within it.
     pub reregistration_timeout: Duration,
     /// Age at which a node reads a table from the store itself, because no hub has confirmed the node's copy. A hub is
     /// the node that passes on the tables in its data centre.
@@ -102,6 +102,7 @@
 
 /// Number of priority ranks whose queue waits are in heartbeats. Less urgent requests use the wait of the last one.
 const REPORTED_RANK_COUNT: u8 = 4;
+
 /// The whole state of a relay node.
 #[derive(Debug)]
 pub struct RelayBoard {
@@ -152,9 +153,6 @@
 }
 
 impl RelayBoard {
-    /// Fraction of the time for which targets decline calls over which refused callers are spread.
-    const DECLINE_SPREAD_RATIO: f64 = 0.25;
-
     /// Creates the state of a node that has not received anything yet.
     #[must_use]
     pub fn new(identity: Identity, tuning: RelayTuning) -> Self {
@@ -190,10 +188,17 @@
     /// Returns the time since the document was last known to be the newest, or `None` if this node has no document.
     #[must_use]
     pub fn document_age(&self, now: Moment) -> Option<Duration> {
-        let is_settled = self.restoration.is_settled(self.index.version, now);
-        let confirmed_at = self.copies.get(&TableId::Orders)?.confirmed_at()?;
-        let proven_at = if is_settled { Some(confirmed_at) } else { self.restoration.proven_before() };
-        proven_at.filter(|_| self.index.version > 0).map(|proven_at| now.since(proven_at))
+        self.document_proven_at(now).filter(|_| self.index.version > 0).map(|proven_at| now.since(proven_at))
+    }
+
+    /// Returns the latest time at which the document was proven to be the newest. A store that may have lost a newer one
+    /// proves nothing.
+    pub(super) fn document_proven_at(&self, now: Moment) -> Option<Moment> {
+        let rewrite_time = self.tuning.reregistration_timeout;
+        if !self.restoration.is_settled(self.index.version, rewrite_time, now) {
+            return self.restoration.proven_before();
+        }
+        self.copies.get(&TableId::Orders)?.confirmed_at()
     }
 
     /// Checks whether a request may be served. A node that has known for long that its document or another order is not
@@ -266,15 +271,6 @@
         self.targets.of(service).any(|view| !view.entry.leaving && !self.closed_dcs.contains(&view.entry.dc))
     }
 
-    /// Returns for how long all targets of `service` decline calls from this node, or zero if one takes them or there are
-    /// none. Callers that were refused together are spread over the time after it.
-    #[must_use]
-    pub fn decline_time(&mut self, service: &ServiceName, now: Moment) -> Duration {
-        let is_usable = |view: &&TargetView| !view.entry.leaving && !self.closed_dcs.contains(&view.entry.dc);
-        let ends = self.targets.of(service).filter(is_usable).map(|view| now.until(view.declines_until));
-        ends.min().unwrap_or_default().mul_f64(1.0 + Self::DECLINE_SPREAD_RATIO * self.random.f64())
-    }
-
     /// Counts a retry for `service` if this node's share of the retry budget allows one. Returns whether it does.
     pub fn try_take_retry(&mut self, service: &ServiceName, now: Moment) -> bool {
         let nodes = self.members.budget_node_count();
--- a/crates/core/src/relay/choice.rs
+++ b/crates/core/src/relay/choice.rs
@@ -5,6 +5,7 @@
 
 use crate::clock::Moment;
 use crate::names::{DcName, NodeName, ServiceName, TargetName};
+use crate::relay::board::RelayBoard;
 use crate::relay::document::RelayService;
 use crate::relay::members::{PeerTable, rendezvous_weight};
 use crate::relay::prompts::{PromptCacheTable, prefix_keys};
@@ -245,3 +246,17 @@
     }
     cost
 }
+
+impl RelayBoard {
+    /// Fraction of the time for which targets decline calls over which refused callers are spread.
+    const DECLINE_SPREAD_RATIO: f64 = 0.25;
+
+    /// Returns for how long all targets of `service` decline calls from this node, or zero. Callers that were refused
+    /// together are spread over the time after it.
+    #[must_use]
+    pub fn decline_time(&mut self, service: &ServiceName, now: Moment) -> Duration {
+        let is_usable = |view: &&TargetView| !view.entry.leaving && !self.closed_dcs.contains(&view.entry.dc);
+        let pauses = self.targets.of(service).filter(is_usable).map(|view| now.until(view.declines_until));
+        pauses.min().unwrap_or_default().mul_f64(1.0 + Self::DECLINE_SPREAD_RATIO * self.random.f64())
+    }
+}
--- a/crates/core/src/relay/store_restoration.rs
+++ b/crates/core/src/relay/store_restoration.rs
@@ -19,7 +19,7 @@
 
 /// What an order is about.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) enum OrderSubject {
+enum OrderSubject {
     /// The document.
     Document,
     /// Whether a data centre gets new work.
@@ -30,7 +30,7 @@
 
 impl OrderSubject {
     /// Returns what `change` is about.
-    pub(super) fn of(change: &OrderChange) -> Self {
+    fn of(change: &OrderChange) -> Self {
         match change {
             OrderChange::Document(_) => Self::Document,
             OrderChange::Close(dc) | OrderChange::Open(dc) => Self::DataCentre(dc.clone()),
@@ -75,17 +75,13 @@
 }
 
 impl StoreRestoration {
-    /// Time within which operators and targets write again what the store has lost. The platform states it for targets.
-    const REWRITE_TIME: Duration = Duration::from_millis(1_900);
     /// Time for which orders that the store has lost remain in force if they are not written again.
     const LOST_ORDER_RETENTION: Duration = Duration::from_secs(10);
 
     /// Records that the store came back older. `proven_at` is the latest time at which the document was proven to be the
     /// newest, if it was.
-    pub(super) fn record_return(&mut self, proven_at: Option<Moment>, newest_document: u64, now: Moment) {
-        let was_settled = self.is_settled(newest_document, now);
-        let proven_before = self.last_return.filter(|_| !was_settled).map_or(proven_at, |last| last.proven_before);
-        self.last_return = Some(StoreReturn { seen_at: now, proven_before, is_document_written: false });
+    fn record_return(&mut self, proven_at: Option<Moment>, now: Moment) {
+        self.last_return = Some(StoreReturn { seen_at: now, proven_before: proven_at, is_document_written: false });
     }
 
     /// Records the version of the document that the store has. `is_written` says whether it was written since the store's
@@ -118,13 +114,13 @@
     }
 
     /// Returns whether the state of the store proves which document is the newest: it has no older one than
-    /// `newest_document` or a peer's, and what was lost unseen has been written again.
-    pub(super) fn is_settled(&self, newest_document: u64, now: Moment) -> bool {
+    /// `newest_document` or a peer's, and what was lost unseen has been written again, which takes at most `rewrite_time`.
+    pub(super) fn is_settled(&self, newest_document: u64, rewrite_time: Duration, now: Moment) -> bool {
         if self.stored_document < self.lost_document {
             return false;
         }
         self.last_return.is_none_or(|last| {
-            let is_rewritten = last.is_document_written || now.since(last.seen_at) >= Self::REWRITE_TIME;
+            let is_rewritten = last.is_document_written || now.since(last.seen_at) >= rewrite_time;
             self.stored_document >= newest_document && is_rewritten
         })
     }
@@ -135,7 +131,7 @@
     }
 
     /// Keeps a change from taking effect until the retention of lost orders ends.
-    pub(super) fn withhold(&mut self, change: OrderChange, now: Moment) {
+    fn withhold(&mut self, change: OrderChange, now: Moment) {
         self.withheld.insert(OrderSubject::of(&change), (change, now + Self::LOST_ORDER_RETENTION));
     }
 
@@ -145,7 +141,7 @@
     }
 
     /// Returns the changes that are not to be withheld any longer.
-    pub(super) fn take_due(&mut self, now: Moment) -> Vec<OrderChange> {
+    fn take_due(&mut self, now: Moment) -> Vec<OrderChange> {
         let due: Vec<OrderSubject> =
             self.withheld.iter().filter(|(_, (_, at))| *at <= now).map(|(subject, _)| subject.clone()).collect();
         due.iter().filter_map(|subject| self.withheld.remove(subject)).map(|(change, _)| change).collect()
@@ -158,7 +154,7 @@
     /// Changed rows in order. A row may be among them several times.
     pub changed: Vec<SharedRow>,
     /// The copy before, if the batch is the first one since the store came back older.
-    pub restored_from: Option<ReplacedCopy>,
+    pub replaced: Option<ReplacedCopy>,
 }
 
 /// A copy that was replaced since the store came back older.
@@ -191,8 +187,9 @@
         up_to_date_at: Moment,
         now: Moment,
     ) -> AppliedBatch {
+        let proven_at = self.document_proven_at(now);
         let copy = self.copies.entry(table).or_default();
-        let (before, proven_at) = (copy.version(), copy.confirmed_at());
+        let before = copy.version();
         let is_return = before != StoreVersion::NONE && batch.whole && batch.version.era > before.era;
         let rewritten = if is_return { rewritten_keys(copy, batch) } else { BTreeSet::new() };
         let changed = copy.apply(batch, up_to_date_at);
@@ -202,17 +199,17 @@
             self.restoration.record_orders_read(copy_version);
         }
         if !is_return {
-            return AppliedBatch { changed, restored_from: None };
+            return AppliedBatch { changed, replaced: None };
         }
         match table {
             TableId::Orders => {
-                self.restoration.record_return(proven_at, self.index.version, now);
+                self.restoration.record_return(proven_at, now);
                 self.rollouts.forget_records();
             }
             // Targets whose entries were lost register again, as after an outage.
             TableId::Targets => self.store_recovered_at = Some(now),
         }
-        AppliedBatch { changed, restored_from: Some(ReplacedCopy { version: before, rewritten }) }
+        AppliedBatch { changed, replaced: Some(ReplacedCopy { version: before, rewritten }) }
     }
 
     /// Applies the order of a row that belongs to the state with which the store came back older, where `replaced` is the
--- a/crates/core/tests/relay/store_restoration.rs
+++ b/crates/core/tests/relay/store_restoration.rs
@@ -153,7 +153,7 @@
     let row = SharedRow { key: Arc::from("order"), version, value };
     let rows = if row.value.is_some() { vec![row] } else { Vec::new() };
     let applied = board.apply_batch(TableId::Orders, &RowBatch { rows, version, whole }, at(ms), at(ms));
-    match &applied.restored_from {
+    match &applied.replaced {
         Some(replaced) => board.apply_restored_order("order", change, replaced, at(ms)),
         None => board.apply_order(change, at(ms)),
     };
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -19,14 +19,14 @@
 /// the rows are known to have been the current state of the store; `source` is logged.
 pub fn apply_rows(node: &SharedNode, table: TableId, batch: &RowBatch, confirmed_at: Moment, source: &str) {
     let applied = node.board.borrow_mut().apply_batch(table, batch, confirmed_at, clock::now());
-    if let Some(replaced) = &applied.restored_from {
+    if let Some(replaced) = &applied.replaced {
         log_restoration(table, replaced.version, batch.version, source);
         metering::record_store_restoration(&table.to_string());
         node.store_restored.notify_one();
     }
     for row in &applied.changed {
         match table {
-            TableId::Orders => apply_order(node, row, applied.restored_from.as_ref(), source),
+            TableId::Orders => apply_order(node, row, applied.replaced.as_ref(), source),
             TableId::Targets => apply_target(node, row, source),
         }
     }
