Call a restored store restored, in comments, tests, log lines and pages

`came back older` is the platform's wording; the usual one is that a store is restored from an older copy.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -6,7 +6,7 @@
 //! [`choice`]), and the answer is passed on or the request is retried ([`steps`], [`budget`], [`events`]). Content that
 //! crashes targets is refused ([`suspects`]), and targets get no more requests than they say they take
 //! ([`rate_limits`]). [`members`], [`fleet`] and [`rows`] hold what nodes know of each other and of the store, whose
-//! versions ([`store_version`]) count anew when it comes back older ([`store_restoration`]),
+//! versions ([`store_version`]) count anew when it is restored from an older copy ([`store_restoration`]),
 //! [`chunks`] transfers it, [`read_attempts`] and [`answer_timeout`] tell when to call the store. [`rollout`],
 //! [`rollout_board`] and [`speed`] move a service to another version. [`board`] holds the whole state of a node.
 
--- a/crates/core/src/relay/board.rs
+++ b/crates/core/src/relay/board.rs
@@ -147,7 +147,7 @@
     /// When the store answered again after its last outage. Target entries may be missing for a while afterwards.
     pub(super) store_recovered_at: Option<Moment>,
     is_store_unreachable: bool,
-    /// What the store lost when it came back older.
+    /// What the store lost when it was restored.
     pub(super) restoration: StoreRestoration,
     heartbeat_count: u64,
 }
--- a/crates/core/src/relay/rollout.rs
+++ b/crates/core/src/relay/rollout.rs
@@ -48,7 +48,7 @@
 }
 
 impl RolloutOrder {
-    /// Returns whether `other` is this order, as the store has it after it came back older, or as the operator has written
+    /// Returns whether `other` is this order, as the store has it after it was restored, or as the operator has written
     /// it again since.
     pub(super) fn is_same_in_later_era(&self, other: &Self) -> bool {
         other.order_version.era > self.order_version.era
@@ -234,7 +234,7 @@
         self.watches.remove(service).is_some()
     }
 
-    /// Forgets what the store is known to record, since it came back older. States are recorded again.
+    /// Forgets what the store is known to record, since it was restored. States are recorded again.
     pub fn forget_records(&mut self) {
         self.watches.values_mut().for_each(RolloutWatch::forget_record);
     }
--- a/crates/core/src/relay/rollout/watch.rs
+++ b/crates/core/src/relay/rollout/watch.rs
@@ -118,7 +118,7 @@
         (self.recorded, self.record_version) = (None, StoreVersion::NONE);
     }
 
-    /// Takes over the version that the order has since the store came back older.
+    /// Takes over the version that the order has since the store was restored.
     pub(super) fn adopt_version(&mut self, order_version: StoreVersion) {
         self.order.order_version = order_version;
         // A peer may have told of a record that the store has lost.
--- a/crates/core/src/relay/rows.rs
+++ b/crates/core/src/relay/rows.rs
@@ -55,10 +55,10 @@
 pub enum BatchFit {
     /// The copy can apply the batch.
     Applicable,
-    /// The store has come back older, and the batch holds only changes of a state that the copy does not have. The whole
+    /// The store has been restored, and the batch holds only changes of a state that the copy does not have. The whole
     /// table must be read.
     NeedsWholeTable,
-    /// The batch is from before the store came back older, and changes nothing.
+    /// The batch is from before the store was restored, and changes nothing.
     Obsolete,
 }
 
@@ -92,7 +92,7 @@
     /// order. A row may be among them several times.
     ///
     /// A batch from an older state never overwrites a newer row. A batch that is not applicable changes nothing, see
-    /// [`Self::fit`]. The first batch after the store came back older replaces the whole copy, whatever its numbers.
+    /// [`Self::fit`]. The first batch after the store was restored replaces the whole copy, whatever its numbers.
     pub fn apply(&mut self, batch: &RowBatch, up_to_date_at: Moment) -> Vec<SharedRow> {
         let mut changed: Vec<SharedRow> = Vec::new();
         if self.fit(batch) != BatchFit::Applicable {
--- a/crates/core/src/relay/store_restoration.rs
+++ b/crates/core/src/relay/store_restoration.rs
@@ -1,4 +1,4 @@
-//! What is in force after the store came back from an older copy of itself.
+//! What is in force after the store was restored from an older copy of itself.
 //!
 //! What the store had acknowledged and lost is still in force for callers, and operators and targets write it again. Until
 //! then a node keeps what it knows: the newest document that it has had, orders that the store no longer has, and what
@@ -70,7 +70,7 @@
     /// Version of the newest document that the store is known to have lost.
     lost_document: u64,
     peer_document: Option<PeerDocument>,
-    /// Changes to the state that the store came back with, and when they take effect unless the order is written again.
+    /// Changes to the restored state of the store, and when they take effect unless the order is written again.
     withheld: BTreeMap<OrderSubject, (OrderChange, Moment)>,
 }
 
@@ -78,14 +78,14 @@
     /// Time for which orders that the store has lost remain in force if they are not written again.
     const LOST_ORDER_RETENTION: Duration = Duration::from_secs(10);
 
-    /// Records that the store came back older. `proven_at` is the latest time at which the document was proven to be the
+    /// Records that the store was restored. `proven_at` is the latest time at which the document was proven to be the
     /// newest, if it was.
     fn record_return(&mut self, proven_at: Option<Moment>, now: Moment) {
         self.last_return = Some(StoreReturn { seen_at: now, proven_before: proven_at, is_document_written: false });
     }
 
     /// Records the version of the document that the store has. `is_written` says whether it was written since the store's
-    /// last return, rather than read with the state that it came back with.
+    /// last return, rather than read with the restored state.
     pub(super) fn record_stored_document(&mut self, version: u64, is_written: bool) {
         self.stored_document = version;
         if let Some(last) = &mut self.last_return {
@@ -153,11 +153,11 @@
 pub struct AppliedBatch {
     /// Changed rows in order. A row may be among them several times.
     pub changed: Vec<SharedRow>,
-    /// The copy before, if the batch is the first one since the store came back older.
+    /// The copy before, if the batch is the first one since the store was restored.
     pub replaced: Option<ReplacedCopy>,
 }
 
-/// A copy that was replaced since the store came back older.
+/// A copy that was replaced since the store was restored.
 #[derive(Clone, Debug)]
 pub struct ReplacedCopy {
     /// Store version of the copy.
@@ -212,7 +212,7 @@
         AppliedBatch { changed, replaced: Some(ReplacedCopy { version: before, rewritten }) }
     }
 
-    /// Applies the order of a row that belongs to the state with which the store came back older, where `replaced` is the
+    /// Applies the order of a row that belongs to the state with which the store was restored, where `replaced` is the
     /// copy before. What the store has lost stays in force for a while, since it is written again. Returns whether the
     /// state differs afterwards.
     pub fn apply_restored_order(
--- a/crates/core/src/relay/store_version.rs
+++ b/crates/core/src/relay/store_version.rs
@@ -4,11 +4,11 @@
 
 /// Version of the store's state, or of a row.
 ///
-/// A store that comes back from an older copy of itself counts on from there, in a new era: it gives numbers out again
+/// A store that is restored from an older copy of itself counts on from there, in a new era: it gives numbers out again
 /// that it had given before. So numbers are comparable only within an era, and a later era is always newer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct StoreVersion {
-    /// Number of times that the store has come back from an older copy.
+    /// Number of times that the store has been restored from an older copy.
     pub era: u64,
     /// Number that increases with each change in the era.
     pub number: u64,
--- a/crates/core/src/relay/targets.rs
+++ b/crates/core/src/relay/targets.rs
@@ -52,7 +52,7 @@
     NewTarget,
     /// The target was known.
     Updated,
-    /// Nothing: the target has said the same or something newer before the store came back older.
+    /// Nothing: the target has said the same or something newer before the store was restored.
     Outdated,
 }
 
@@ -63,8 +63,8 @@
     removed_in: StoreVersion,
 }
 
-/// Returns whether `entry` is only what the store came back with, where `known` was read before and its row was gone at
-/// `removed_in`, if it was. What the target has said since in the same incarnation has a higher sequence number.
+/// Returns whether `entry` is only what the store was restored with, where `known` was read before and its row was gone
+/// at `removed_in`, if it was. What the target has said since in the same incarnation has a higher sequence number.
 fn is_restored_entry(entry: &TargetEntry, known: &TargetEntry, removed_in: Option<StoreVersion>) -> bool {
     let last_version = removed_in.map_or(known.row_version, |removed_in| removed_in.max(known.row_version));
     let is_later_statement = match (entry.sequence, known.sequence) {
@@ -246,7 +246,7 @@
         effect
     }
 
-    /// Returns whether an entry is one of before the store came back older, and says nothing new.
+    /// Returns whether an entry is one of before the store was restored, and says nothing new.
     fn is_outdated(&self, entry: &TargetEntry) -> bool {
         if let Some(view) = self.views.get(&entry.target) {
             return is_restored_entry(entry, &view.entry, view.removal.map(|(_, removed_in)| removed_in));
@@ -345,7 +345,8 @@
         }
     }
 
-    /// Records that a target said at `now` that it wants no calls from this node for `pause`. An earlier, longer wish stands.
+    /// Records that a target said at `now` that it wants no calls from this node for `pause`. A time that it has named
+    /// before stands if it ends later.
     pub fn record_decline(&mut self, target: &TargetName, pause: Duration, now: Moment) {
         if let Some(view) = self.views.get_mut(target) {
             view.declines_until = view.declines_until.max(now + pause.min(Self::MAX_DECLINE_TIME));
--- a/crates/core/tests/relay/store_restoration.rs
+++ b/crates/core/tests/relay/store_restoration.rs
@@ -1,4 +1,4 @@
-//! Tests of a store that comes back from an older copy of itself and gives versions out again.
+//! Tests of a store that is restored from an older copy of itself and gives versions out again.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -283,7 +283,7 @@
     }
 }
 
-/// Guards against requests to targets that have said that they leave, after the store came back with an older entry.
+/// Guards against requests to targets that have said that they leave, after the store was restored with an older entry.
 #[test]
 fn a_target_that_leaves_or_has_left_is_not_used_again_because_of_a_restored_entry() {
     let target = TargetName::new("i-1");
@@ -364,7 +364,7 @@
     }
 }
 
-/// Guards against an order that is replaced by the earlier one that the store came back with.
+/// Guards against an order that is replaced by the earlier one that the store was restored with.
 #[test]
 fn an_order_that_the_store_has_lost_is_not_replaced_by_an_earlier_one() {
     let service = ServiceName::new("bookings");
--- a/crates/relay/src/metering.rs
+++ b/crates/relay/src/metering.rs
@@ -54,7 +54,7 @@
     counter!("wasabipier_relay_broken_calls_total", "service" => service.to_owned(), "down" => down).increment(1);
 }
 
-/// Counts that the store came back from an older copy of a table.
+/// Counts that the store was restored of a table.
 pub fn record_store_restoration(table: &str) {
     counter!("wasabipier_relay_store_restorations_total", "table" => table.to_owned()).increment(1);
 }
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -62,7 +62,7 @@
     pub cut_streams: Cell<usize>,
     /// Notified when heartbeats should be sent at once.
     pub heartbeat_now: Notify,
-    /// Notified when the store has come back older.
+    /// Notified when the store has been restored from an older copy.
     pub store_restored: Notify,
     /// Notified when a target load has changed that a hub should report to other hubs.
     pub load_changed: Notify,
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -52,7 +52,7 @@
 fn log_restoration(table: TableId, restored_from: StoreVersion, version: StoreVersion, source: &str) {
     let (table, from, version) = (table.to_string(), restored_from.to_string(), version.to_string());
     let (table, from, version) = (table.as_str(), from.as_str(), version.as_str());
-    warn!("{STORE} the store came back older.", kv: { table, from, version, source });
+    warn!("{STORE} the store was restored from an older copy.", kv: { table, from, version, source });
 }
 
 /// Describes an order for the log.
@@ -68,7 +68,7 @@
     }
 }
 
-/// Applies an order. `replaced` is the copy before, if the row was read with the state that the store came back with.
+/// Applies an order. `replaced` is the copy before, if the row was read with the restored state of the store.
 fn apply_order(node: &SharedNode, row: &SharedRow, replaced: Option<&ReplacedCopy>, source: &str) {
     let (key, version) = (&*row.key, row.version.number);
     let bytes = row.value.as_ref().map_or(0, |value| value.len());
--- a/crates/relay/src/table_reader.rs
+++ b/crates/relay/src/table_reader.rs
@@ -234,7 +234,7 @@
         let response = link.call_within(request, answer_timeout).await?;
         let RowPage { batch, next } = node.platform.read_rows(&response, true)?;
         match &mut all {
-            // The store came back older between two pages, so that they belong to different states.
+            // The store was restored between two pages, so that they belong to different states.
             Some(all) if all.version.era != batch.version.era => return Err(StoreFault::HistoryGone.into()),
             // Changes made between two pages are read afterwards, from the version of the first page on.
             Some(all) => all.rows.extend(batch.rows),
--- a/crates/relay/src/table_transfers.rs
+++ b/crates/relay/src/table_transfers.rs
@@ -188,8 +188,8 @@
 }
 
 /// Returns the rows of a table that changed after store version `have`, as far as this node's copy shows, or an outline
-/// if they are large. Returns `Done` if this node has no confirmed copy of the table, or one from before the store came back
-/// older.
+/// if they are large. Returns `Done` if this node has no confirmed copy of the table, or one from before the store was
+/// restored.
 pub fn rows_reply(node: &SharedNode, table: u8, have: StoreVersion) -> WireReply {
     let board = node.board.borrow();
     let Some(table) = table_from_number(table) else { return WireReply::Done };
