--- a/crates/relay/src/table_reader.rs
+++ b/crates/relay/src/table_reader.rs
@@ -28,6 +28,7 @@
 /// Multiple of the usual backoff for nodes that follow a hub. They can wait longer, since the hub notifies them when the
 /// store is reachable again.
 const FOLLOWER_BACKOFF_FACTOR: u32 = 3;
+
 /// Calls without a usable answer since the last answered one, for the log.
 struct StoreOutage {
     /// When the first of the calls began.
