--- a/review/stand_in/main.rs
+++ b/review/stand_in/main.rs
@@ -5,6 +5,7 @@
 mod foreign_inputs;
 mod http;
 mod json;
+mod revoked_keys;
 mod store;
 
 use std::path::Path;
@@ -33,6 +34,7 @@
         exit(2);
     });
     let result: SetupResult<Vec<String>> = match name.as_str() {
+        "revoked-keys" => revoked_keys::run(&record, has_trouble),
         "foreign-inputs" => foreign_inputs::run(&record, has_trouble),
         _ => Err(format!("there is no case {name}")),
     };
