--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -9,6 +9,10 @@
 fi
 target/review/case revoked-keys "$folder" &
 group=$!
-# The nodes are in the group of the program that started them, also if this script is ended early.
-trap 'kill -KILL -- "-$group" 2>/dev/null; exit 2' INT TERM
+# The nodes are in the group of the program that started them. None is left, however it or this script ends.
+trap 'kill -KILL -- "-$group" 2>/dev/null' EXIT
+trap 'exit 2' INT TERM
 wait "$group"
+code=$?
+[ "$code" -le 1 ] || code=2
+exit "$code"
--- a/review/stand_in/http.rs
+++ b/review/stand_in/http.rs
@@ -33,10 +33,26 @@
     pub fn query(&self, name: &str) -> String {
         let query = self.path().split_once('?').map_or("", |(_, query)| query);
         let pair = query.split('&').filter_map(|pair| pair.split_once('=')).find(|(other, _)| *other == name);
-        pair.map_or("", |(_, value)| value).replace("%00", "\0")
+        pair.map_or_else(String::new, |(_, value)| percent_decode(value))
     }
 }
 
+fn percent_decode(text: &str) -> String {
+    let mut bytes = Vec::new();
+    let mut rest = text.as_bytes();
+    while let [first, after @ ..] = rest {
+        let escaped = (*first == b'%').then(|| std::str::from_utf8(after.get(..2)?).ok()).flatten();
+        if let Some(byte) = escaped.and_then(|digits| u8::from_str_radix(digits, 16).ok()) {
+            bytes.push(byte);
+            rest = &after[2..];
+        } else {
+            bytes.push(*first);
+            rest = after;
+        }
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
 fn bad_data() -> io::Error {
     io::ErrorKind::InvalidData.into()
 }
--- a/review/stand_in/main.rs
+++ b/review/stand_in/main.rs
@@ -2,6 +2,7 @@
 //! the disruption is left out. Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
 mod deployment;
+mod foreign_entries;
 mod foreign_inputs;
 mod http;
 mod json;
@@ -35,6 +36,7 @@
     });
     let result: SetupResult<Vec<String>> = match name.as_str() {
         "revoked-keys" => revoked_keys::run(&record, has_trouble),
+        "foreign-entries" => foreign_entries::run(&record, has_trouble),
         "foreign-inputs" => foreign_inputs::run(&record, has_trouble),
         _ => Err(format!("there is no case {name}")),
     };
--- a/review/stand_in/store.rs
+++ b/review/stand_in/store.rs
@@ -12,6 +12,9 @@
 
 /// Time that the store takes for an answer.
 const ANSWER_TIME: Duration = Duration::from_millis(4);
+/// Maximum size of a page of rows.
+const MAX_PAGE_ROWS: usize = 500;
+const MAX_PAGE_BYTES: usize = 1_000_000;
 
 #[derive(Default)]
 struct State {
@@ -51,6 +54,11 @@
         self.set(table, key, Some(base64(value.as_bytes())));
     }
 
+    /// Writes a row with any bytes as its value, as another writer may.
+    pub fn put_bytes(&self, table: &str, key: &str, value: &[u8]) {
+        self.set(table, key, Some(base64(value)));
+    }
+
     /// Removes a row, as a server that leaves does.
     pub fn remove(&self, table: &str, key: &str) {
         self.set(table, key, None);
@@ -93,8 +101,14 @@
         let state = self.shared.0.lock().expect("no thread panics with the lock");
         let rows = state.rows.iter().filter(|((other, key), (value, _))| *other == table && *key >= from && value.is_some());
         let rows: Vec<String> = rows.map(|((_, key), row)| row_json(&table, key, row)).collect();
-        let more = format!(r#","hasMore":{}"#, rows.len() > limit.min(500));
-        self.close_body(&rows[..rows.len().min(limit.min(500))], state.version, &more)
+        let mut bytes = 0;
+        let fits = |row: &&String| {
+            bytes += row.len();
+            bytes <= MAX_PAGE_BYTES
+        };
+        let count = rows.iter().take(limit.min(MAX_PAGE_ROWS)).take_while(fits).count();
+        let more = format!(r#","hasMore":{}"#, rows.len() > count);
+        self.close_body(&rows[..count], state.version, &more)
     }
 
     fn feed(&self, request: &Message) -> String {
