--- a/review/stand_in/main.rs
+++ b/review/stand_in/main.rs
@@ -1,6 +1,7 @@
 //! Runs one case of the review: `case NAME FOLDER`. The record goes to FOLDER/record.txt. With `TROUBLE=0` in the environment
 //! the disruption is left out. Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
+mod bad_version;
 mod crashing_request;
 mod deployment;
 mod foreign_entries;
@@ -37,6 +38,7 @@
     });
     let result: SetupResult<Vec<String>> = match name.as_str() {
         "revoked-keys" => revoked_keys::run(&record, has_trouble),
+        "bad-version" => bad_version::run(&record, has_trouble),
         "crashing-request" => crashing_request::run(&record, has_trouble),
         "foreign-entries" => foreign_entries::run(&record, has_trouble),
         "foreign-inputs" => foreign_inputs::run(&record, has_trouble),
