--- a/review/stand_in/crashing_request.rs
+++ b/review/stand_in/crashing_request.rs
@@ -213,7 +213,9 @@
         third + CONTACT_MS
     ));
     let is_broken = late.len() > MAX_RETRIES;
-    let lines = late.iter().map(|(id, at)| format!("{id} reached a server at {at} ms, {} ms after the third crash", at - third));
+    let lines = late
+        .iter()
+        .map(|(id, at)| format!("{id} reached a server at {at} ms, {} ms after the third crash", at - third));
     let lines: Vec<String> = if is_broken { lines.collect() } else { Vec::new() };
     for line in &lines {
         record.note(&format!("broken    {line}"));
--- a/review/stand_in/deployment.rs
+++ b/review/stand_in/deployment.rs
@@ -188,7 +188,6 @@
         let request = http::request("GET /-/readyz", &[("Host", "node"), ("Connection", "close")], "");
         http::call(self.ready, &request, Duration::from_millis(500)).is_ok_and(|response| response.status() == 200)
     }
-
 }
 
 impl Drop for Deployment {
--- a/review/stand_in/foreign_entries.rs
+++ b/review/stand_in/foreign_entries.rs
@@ -109,9 +109,13 @@
     send_for(RECOVER_MS, "r", &deployment, record);
     let (sent, served) = send_for(JUDGED_MS, "a", &deployment, record);
     let ready = deployment.nodes.iter().filter(|node| node.is_ready()).count();
-    record.note(&format!("served    {served} of {sent} requests later than {RECOVER_MS} ms after that; {ready} nodes are ready"));
+    record.note(&format!(
+        "served    {served} of {sent} requests later than {RECOVER_MS} ms after that; {ready} nodes are ready"
+    ));
     drop(deployment);
     let is_broken = served * 4 < sent;
-    let line = format!("{served} of {sent} requests were served later than {RECOVER_MS} ms after the nodes were back; {ready} nodes are ready");
+    let line = format!(
+        "{served} of {sent} requests were served later than {RECOVER_MS} ms after the nodes were back; {ready} nodes are ready"
+    );
     Ok(if is_broken { vec![line] } else { Vec::new() })
 }
--- a/review/stand_in/foreign_inputs.rs
+++ b/review/stand_in/foreign_inputs.rs
@@ -142,7 +142,8 @@
         let made = items.iter().map(|item| {
             *handle_count += 1;
             let handle = format!("{}/{:08x}", self.address, *handle_count);
-            let piece = format!("{}/{}/{}", item.get("id").text(), item.get("stage").number(), item.get("segment").number());
+            let piece =
+                format!("{}/{}/{}", item.get("id").text(), item.get("stage").number(), item.get("segment").number());
             results.insert(handle.clone(), piece);
             format!(r#"{{"handle":"{handle}"}}"#)
         });
@@ -256,7 +257,8 @@
             let node = deployment.nodes[member % deployment.nodes.len()].callers;
             clients.push(thread::spawn(move || {
                 record.note(&format!("sent      {id} to {node}"));
-                let answer = send(node, &id).map_or_else(|error| error.to_string(), |answer| answer.status().to_string());
+                let answer =
+                    send(node, &id).map_or_else(|error| error.to_string(), |answer| answer.status().to_string());
                 record.note(&format!("answered  {id} {answer}"));
             }));
         }
--- a/review/stand_in/json.rs
+++ b/review/stand_in/json.rs
@@ -21,7 +21,9 @@
     /// Returns a field of a table, or `Null`.
     pub fn get(&self, name: &str) -> &Self {
         match self {
-            Self::Table(fields) => fields.iter().find(|(other, _)| other == name).map_or(&Self::Null, |(_, value)| value),
+            Self::Table(fields) => {
+                fields.iter().find(|(other, _)| other == name).map_or(&Self::Null, |(_, value)| value)
+            }
             _ => &Self::Null,
         }
     }
