--- a/review/stand_in/bad_version.rs
+++ b/review/stand_in/bad_version.rs
@@ -3,7 +3,7 @@
 
 use std::collections::HashMap;
 use std::io::Write;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -50,7 +50,7 @@
     record: &Record,
     runs: &Runs,
 ) {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let listener = http::listen().expect("a port is free");
     let address = listener.local_addr().expect("the listener is bound");
     let (record, runs, is_new) = (record.clone(), runs.clone(), version == "v2");
     let count = Arc::new(Mutex::new(0_usize));
--- a/review/stand_in/crashing_request.rs
+++ b/review/stand_in/crashing_request.rs
@@ -154,7 +154,7 @@
     let (store, sightings) = (Store::start(), Arc::new(Mutex::new(Sightings::default())));
     store.put("op", "config", CONFIG);
     for (index, id) in SERVERS.into_iter().enumerate() {
-        let listener = TcpListener::bind("127.0.0.1:0").map_err(|error| error.to_string())?;
+        let listener = http::listen().map_err(|error| error.to_string())?;
         let server = Arc::new(ModelServer {
             id,
             zone: ZONES[index % ZONES.len()],
--- a/review/stand_in/deployment.rs
+++ b/review/stand_in/deployment.rs
@@ -69,7 +69,7 @@
 pub type SetupResult<T> = Result<T, String>;
 
 fn free_addresses(count: usize) -> SetupResult<Vec<SocketAddr>> {
-    let listeners: Result<Vec<TcpListener>, _> = (0..count).map(|_| TcpListener::bind("127.0.0.1:0")).collect();
+    let listeners: Result<Vec<TcpListener>, _> = (0..count).map(|_| http::listen()).collect();
     let listeners = listeners.map_err(|error| error.to_string())?;
     listeners.iter().map(|listener| listener.local_addr().map_err(|error| error.to_string())).collect()
 }
--- a/review/stand_in/foreign_entries.rs
+++ b/review/stand_in/foreign_entries.rs
@@ -2,7 +2,7 @@
 //! the requests that are sent later than 12 s after the machines are back must be served.
 
 use std::io::Write;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::thread;
 use std::time::Duration;
 
@@ -26,7 +26,7 @@
 const CONFIG: &str = r#"{"version":7,"routes":[{"name":"r-check","host":"nets.example","prefix":"/check/","kind":"idempotent","timeoutMs":1500,"sloMs":100,"priority":2,"service":"bookings","maxAttempts":2,"public":true}],"services":[{"name":"bookings","healthPath":"/healthz","maxConns":100,"protocol":"h1","tls":false,"warmupS":0.0,"coldPerS":0.0}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":100000,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}"#;
 
 fn start_server(id: &'static str, zone: &str, store: &Store, record: &Record) {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let listener = http::listen().expect("a port is free");
     let address = listener.local_addr().expect("the listener is bound");
     let record = record.clone();
     http::serve(listener, move |mut connection| {
--- a/review/stand_in/foreign_inputs.rs
+++ b/review/stand_in/foreign_inputs.rs
@@ -71,7 +71,7 @@
 }
 
 fn listen() -> (TcpListener, SocketAddr) {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let listener = http::listen().expect("a port is free");
     let address = listener.local_addr().expect("the listener is bound");
     (listener, address)
 }
--- a/review/stand_in/http.rs
+++ b/review/stand_in/http.rs
@@ -2,6 +2,8 @@
 
 use std::io::{self, BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread;
 use std::time::Duration;
 
@@ -146,6 +148,24 @@
     }
 }
 
+/// Ports below those that systems give to outgoing connections, and the distance between the first ones of two processes.
+const FIRST_PORT: u32 = 20_000;
+const PORT_COUNT: u32 = 12_000;
+const PROCESS_PORTS: u32 = 97;
+
+/// Returns a listener on a free loopback port, which no outgoing connection takes if the listener ends.
+pub fn listen() -> io::Result<TcpListener> {
+    static TRIED_COUNT: AtomicU32 = AtomicU32::new(0);
+    for _ in 0..PORT_COUNT {
+        let number = TRIED_COUNT.fetch_add(1, Ordering::Relaxed);
+        let port = FIRST_PORT + (process::id().wrapping_mul(PROCESS_PORTS).wrapping_add(number)) % PORT_COUNT;
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port as u16)) {
+            return Ok(listener);
+        }
+    }
+    Err(io::ErrorKind::AddrInUse.into())
+}
+
 /// Serves each connection of a listener on a thread of its own until the process ends.
 pub fn serve(listener: TcpListener, serve_connection: impl Fn(Connection) -> io::Result<()> + Clone + Send + 'static) {
     thread::spawn(move || {
--- a/review/stand_in/revoked_keys.rs
+++ b/review/stand_in/revoked_keys.rs
@@ -3,7 +3,7 @@
 
 use std::collections::HashMap;
 use std::io::Write;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -34,7 +34,7 @@
 }
 
 fn start_server(id: &'static str, zone: &str, store: &Store, record: &Record, runs: &Runs) {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let listener = http::listen().expect("a port is free");
     let address = listener.local_addr().expect("the listener is bound");
     let (record, runs) = (record.clone(), runs.clone());
     http::serve(listener, move |mut connection| {
--- a/review/stand_in/store.rs
+++ b/review/stand_in/store.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::io::Write;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -34,7 +34,7 @@
 impl Store {
     /// Starts the store on a free port.
     pub fn start() -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+        let listener = http::listen().expect("a port is free");
         let address = listener.local_addr().expect("the listener is bound");
         let store = Self { address, shared: Arc::default(), started: Instant::now() };
         let serving = store.clone();
