Blame content until a run has proven it sound

Callers of sound streams saw them cut again and again: a request that crashed each server right after its first event was never refused, and crashed every server that it reached.

Cause: the first event of a stream exonerated its content, and a stream that broke after it blamed nothing. The first event shows that a target has begun to run the content, which is when it crashes, not that it has survived. The same conclusion (`has_begun`) kept a request that was continued elsewhere from being checked.

A run now proves its content sound by its whole answer, or by parts that arrive over a second. Until then a call that breaks while its target is down makes its content suspected, also for a stream that breaks while it is continued elsewhere and for a failure that is cut after its head. An answer that ends with its connection clears suspected content only if its target still accepts connections. Streams that have gone on for a second are not blamed for the crashes of their servers.

Calls between nodes are unchanged.

--- a/crates/core/src/relay/suspects.rs
+++ b/crates/core/src/relay/suspects.rs
@@ -1,10 +1,11 @@
 //! Suspects: content of requests that may crash the targets that begin to answer it. Content is a shared part of a
 //! prompt, or a request as a whole.
 //!
-//! All content of a call that broke before its answer began is suspected when its target is found down, since any of it
-//! may be the cause. Content whose answer begins elsewhere afterwards is exonerated of that crash. Content that stays
-//! suspected of several crashes is harmful and must not run (`verdicts`). A crash that harmful content explains is held
-//! against no other content.
+//! All content of a call that broke before it was proven sound is suspected when its target is found down, since any of
+//! it may be the cause. A run proves its content sound by its whole answer, or by an answer that goes on for a while: a
+//! target can crash right after the first part. Content that is proven sound elsewhere is exonerated of that crash. Content
+//! that stays suspected of several crashes is harmful and must not run (`verdicts`). A crash that harmful content explains
+//! is held against no other content.
 //!
 //! Nodes exchange their tables. Merging is a union in which an exoneration prevails, so that order, repetition and loss
 //! of messages don't matter.
@@ -66,7 +67,7 @@
     pub crash: CrashId,
     /// Time since the crash.
     pub age: Duration,
-    /// Whether an answer to the content began afterwards.
+    /// Whether the content was proven sound afterwards.
     pub is_exonerated: bool,
 }
 
@@ -79,6 +80,28 @@
     pub crashes: Vec<CrashReport>,
 }
 
+/// How far the run of a call has come, as far as its node can tell.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunStage {
+    /// No part of the answer has arrived.
+    Waiting,
+    /// The answer is incomplete. The time is that from the first to the last part that arrived.
+    Answering(Duration),
+    /// The answer is complete.
+    Complete,
+}
+
+impl RunStage {
+    /// Returns the time from the first to the last part of an answer that is incomplete.
+    #[must_use]
+    pub fn answering_time(self) -> Duration {
+        match self {
+            Self::Answering(time) => time,
+            Self::Waiting | Self::Complete => Duration::ZERO,
+        }
+    }
+}
+
 /// Limits of the suspicion.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SuspectLimits {
@@ -86,6 +109,9 @@
     pub part_incident_limit: usize,
     /// Number of crashed targets at which the content of a whole request is harmful. One may have crashed by chance.
     pub content_crash_limit: usize,
+    /// Time for which an answer goes on until it proves its content sound. Content crashes targets that begin to run it;
+    /// the end of the connection takes some round trips at most to be seen.
+    pub proof_time: Duration,
     /// Crashes within this time are one incident: a data centre or domain that fails takes all its targets at once.
     pub incident_window: Duration,
     /// Time after the last crash at which harmful content may run once, to find out whether it is blamed wrongly. Each
@@ -102,6 +128,7 @@
         Self {
             part_incident_limit: 3,
             content_crash_limit: 2,
+            proof_time: Duration::from_secs(1),
             incident_window: Duration::from_millis(250),
             trial_pause: Duration::from_secs(10),
             max_trial_pause: Duration::from_mins(5),
@@ -216,7 +243,17 @@
         Self { limits, ..Self::default() }
     }
 
-    /// Records that a target crashed before it answered a call with `keys`.
+    /// Returns whether a run proves that its content crashes no target.
+    #[must_use]
+    pub fn is_proof(&self, run: RunStage) -> bool {
+        match run {
+            RunStage::Waiting => false,
+            RunStage::Answering(time) => time >= self.limits.proof_time,
+            RunStage::Complete => true,
+        }
+    }
+
+    /// Records that a target crashed during a call with `keys` that had not proven them sound.
     pub fn record_crash(&mut self, keys: &[SuspectKey], crash: CrashId, now: Moment) -> SuspectChange {
         let report = CrashReport { crash, age: Duration::ZERO, is_exonerated: false };
         let mut is_new = false;
@@ -226,8 +263,8 @@
         self.update_harmful(is_new, now)
     }
 
-    /// Records that an answer to a request with `keys` has begun, which exonerates them of all crashes known so far.
-    pub fn record_answer(&mut self, keys: &[SuspectKey], now: Moment) -> SuspectChange {
+    /// Records that a run has proven `keys` sound, which exonerates them of all crashes known so far.
+    pub fn record_proof(&mut self, keys: &[SuspectKey], now: Moment) -> SuspectChange {
         let mut is_new = false;
         for key in keys {
             let Some(record) = self.records.get_mut(key) else { continue };
@@ -277,6 +314,13 @@
         is_new
     }
 
+    /// Returns whether any of `keys` is suspected of a crash.
+    #[must_use]
+    pub fn is_suspected(&self, keys: &[SuspectKey]) -> bool {
+        let mut records = keys.iter().filter_map(|key| self.records.get(key));
+        records.any(|record| record.crashes.values().any(|crash| !crash.is_exonerated))
+    }
+
     /// Returns the reports for a heartbeat: all harmful content, so that a node that has just started learns it, and
     /// what changed recently.
     #[must_use]
--- a/crates/core/tests/relay/suspects.rs
+++ b/crates/core/tests/relay/suspects.rs
@@ -10,7 +10,7 @@
 use wasabipier_core::relay::document::RetryPolicy;
 use wasabipier_core::relay::steps::{AttemptEnd, AttemptTally, NextStep};
 use wasabipier_core::relay::suspects::{
-    CrashId, CrashReport, SuspectKey, SuspectLimits, SuspectReport, SuspectTable, suspect_keys,
+    CrashId, CrashReport, RunStage, SuspectKey, SuspectLimits, SuspectReport, SuspectTable, suspect_keys,
 };
 
 use crate::fixtures::{at, board, config, heartbeat, millis};
@@ -56,7 +56,7 @@
     let mut node = SuspectTable::new(SuspectLimits::default());
     for number in 0..3 {
         node.record_crash(&deadly_request(number), CrashId(number), at(number * 1_000));
-        node.record_answer(&request_keys(&[COMMON_PART], 100 + number), at(number * 1_000 + 100));
+        node.record_proof(&request_keys(&[COMMON_PART], 100 + number), at(number * 1_000 + 100));
     }
     node
 }
@@ -68,9 +68,9 @@
 
     for number in 0..3_u64 {
         nodes[number as usize].record_crash(&deadly_request(number), CrashId(number), at(number * 700));
-        nodes[5].record_answer(&request_keys(&[COMMON_PART], 100 + number), at(number * 700 + 50));
+        nodes[5].record_proof(&request_keys(&[COMMON_PART], 100 + number), at(number * 700 + 50));
         exchange_reports(&mut nodes, number * 700 + 100);
-        nodes[6].record_answer(&request_keys(&[COMMON_PART], 200 + number), at(number * 700 + 150));
+        nodes[6].record_proof(&request_keys(&[COMMON_PART], 200 + number), at(number * 700 + 150));
         exchange_reports(&mut nodes, number * 700 + 400);
     }
 
@@ -91,7 +91,7 @@
     let sound = request_keys(&[COMMON_PART], 100);
     let refused = (refuses(&node, &deadly_request(50)), refuses(&node, &sound));
 
-    node.record_answer(&sound, at(2_000));
+    node.record_proof(&sound, at(2_000));
 
     assert_eq!(refused, (true, false));
     assert!(refuses(&node, &deadly_request(51)));
@@ -124,7 +124,7 @@
         }
     }
     let refused_before_answers = refuses(&node, &popular);
-    node.record_answer(&request_keys(&[COMMON_PART], 101), at(3_100));
+    node.record_proof(&request_keys(&[COMMON_PART], 101), at(3_100));
 
     assert!(!refused_before_answers, "the deadly part explains these crashes");
     assert!(!refuses(&node, &popular));
@@ -179,7 +179,7 @@
     let trial_count = verdicts.iter().filter(|verdict| matches!(verdict, ContentVerdict::Trial(_))).count();
     let again = boards.iter_mut().map(|board| board.admit_content(&later, at(12_700)));
     let again_count = again.filter(|verdict| matches!(verdict, ContentVerdict::Trial(_))).count();
-    boards[0].suspects.record_answer(&later, at(12_800));
+    boards[0].suspects.record_proof(&later, at(12_800));
     let reports = boards[0].suspects.reports(at(12_900));
     boards[1].suspects.merge_reports(&reports, at(12_900));
     boards[2].suspects.merge_reports(&reports, at(12_900));
@@ -234,6 +234,32 @@
     assert!(!refuses(&node, &deadly_request(50)));
 }
 
+// Guards against a deadly request that is cleared by the first part of its answer, after which its target crashes.
+#[test]
+fn an_answer_proves_its_content_sound_by_its_end_or_by_going_on_for_a_while() {
+    let node = SuspectTable::new(SuspectLimits { proof_time: millis(1_000), ..SuspectLimits::default() });
+
+    let unproven = [RunStage::Waiting, RunStage::Answering(millis(0)), RunStage::Answering(millis(999))];
+    let proven = [RunStage::Answering(millis(1_000)), RunStage::Complete];
+
+    assert_eq!(unproven.map(|run| node.is_proof(run)), [false; 3]);
+    assert_eq!(proven.map(|run| node.is_proof(run)), [true; 2]);
+}
+
+// Guards against connections that are opened to look for a crash although nothing is suspected.
+#[test]
+fn content_is_suspected_from_its_first_crash_until_a_run_proves_it_sound() {
+    let mut node = SuspectTable::new(SuspectLimits::default());
+    let keys = deadly_request(1);
+
+    let before = node.is_suspected(&keys);
+    node.record_crash(&keys, CrashId(1), at(0));
+    let after_crash = node.is_suspected(&keys);
+    node.record_proof(&keys, at(100));
+
+    assert_eq!((before, after_crash, node.is_suspected(&keys)), (false, true, false));
+}
+
 // Guards against a retry that crashes one more target with a part that is one crash short of being harmful.
 #[test]
 fn a_part_one_crash_short_of_the_limit_is_nearly_harmful_until_an_answer_exonerates_it() {
@@ -243,7 +269,7 @@
     node.record_crash(&deadly_request(2), CrashId(2), at(500));
     let after_two_crashes = node.is_nearly_harmful(&deadly_request(3));
 
-    node.record_answer(&request_keys(&[COMMON_PART], 9), at(600));
+    node.record_proof(&request_keys(&[COMMON_PART], 9), at(600));
 
     assert_eq!((after_one_crash, after_two_crashes), (false, true));
     assert!(!node.is_nearly_harmful(&request_keys(&[COMMON_PART], 10)));
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -12,6 +13,7 @@
 use wasabipier_core::names::{ServiceName, TargetName};
 use wasabipier_core::relay::rollout_board::CallOrigin;
 use wasabipier_core::relay::steps::AttemptEnd;
+use wasabipier_core::relay::suspects::RunStage;
 use wasabipier_core::relay::targets::{CallResult, TargetEntry};
 
 use crate::answer_memory::AnswerBuffer;
@@ -36,8 +38,9 @@
     origin: CallOrigin,
     /// Number of prompt tokens that the target has to process first, including those of other calls.
     tokens_ahead: u32,
-    /// When the first part of the answer arrived.
+    /// When the first and the last part of the answer arrived.
     first_part_at: Option<Moment>,
+    last_part_at: Moment,
     /// Number of events that arrived after the first part, and when the last of them did.
     later_events: (u32, Moment),
     /// Number of prompt tokens that the target has to process before its answer; 0 after the first part has arrived.
@@ -71,6 +74,7 @@
             origin,
             tokens_ahead,
             first_part_at: None,
+            last_part_at: started,
             later_events: (0, started),
             unread_tokens,
             started,
@@ -90,6 +94,7 @@
     pub fn record_first_part(&mut self) {
         let unread_tokens = std::mem::take(&mut self.unread_tokens);
         let now = clock::now();
+        self.last_part_at = now;
         let mut board = self.node.board.borrow_mut();
         board.targets.record_prompt_processed(&self.target, unread_tokens);
         if self.first_part_at.is_none() {
@@ -100,7 +105,14 @@
 
     /// Records that events of a stream have arrived after the first part.
     pub fn record_later_events(&mut self, count: usize) {
-        self.later_events = (self.later_events.0 + count as u32, clock::now());
+        self.last_part_at = clock::now();
+        self.later_events = (self.later_events.0 + count as u32, self.last_part_at);
+    }
+
+    /// Returns how far the call has come, if its answer is incomplete.
+    #[must_use]
+    pub fn run_stage(&self) -> RunStage {
+        self.first_part_at.map_or(RunStage::Waiting, |first_at| RunStage::Answering(self.last_part_at.since(first_at)))
     }
 
     /// Records how fast the call was, as far as its end shows, and its outcome.
@@ -129,12 +141,6 @@
         record_fault(&self.node, &self.target, self.origin.service.as_str(), reason);
     }
 
-    /// Returns the target of the call.
-    #[must_use]
-    pub fn target(&self) -> &TargetName {
-        &self.target
-    }
-
     /// Returns the time since the start of the call.
     #[must_use]
     pub fn elapsed(&self) -> Duration {
@@ -177,6 +183,16 @@
     }
 }
 
+/// Returns whether the head of an answer tells where its body ends. Of transfer codings, only `chunked` does, as the last.
+#[must_use]
+pub fn is_framed(headers: &HeaderMap) -> bool {
+    let Some(codings) = headers.get_all(TRANSFER_ENCODING).iter().next_back() else {
+        return headers.contains_key(CONTENT_LENGTH);
+    };
+    let last = codings.as_bytes().rsplit(|byte| *byte == b',').next().unwrap_or_default();
+    last.trim_ascii().eq_ignore_ascii_case(b"chunked")
+}
+
 /// Why the bytes that a target sent are not used as an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
--- a/crates/relay/src/blame.rs
+++ b/crates/relay/src/blame.rs
@@ -1,4 +1,5 @@
-//! Finds out whether a target crashed while it held a call, blames the content of the call, and tells peers.
+//! Finds out whether a target crashed while it held a call, blames the content of the call, and tells peers. Content that
+//! a run has proven sound is exonerated.
 
 use std::time::Duration;
 
@@ -6,7 +7,7 @@
 use spdlog::{info, warn};
 use wasabipier_core::names::NodeName;
 use wasabipier_core::relay::refusals::RefusalEvidence;
-use wasabipier_core::relay::suspects::{CrashId, HarmfulContent, SuspectChange, SuspectKey, SuspectReport};
+use wasabipier_core::relay::suspects::{CrashId, HarmfulContent, RunStage, SuspectChange, SuspectKey, SuspectReport};
 use wasabipier_core::relay::targets::TargetEntry;
 
 use crate::clock;
@@ -23,8 +24,12 @@
 /// Maximum number of other targets that are connected to, to find out whether this node is partitioned.
 const MAX_CONTROLS: usize = 2;
 
-/// Suspects the content `keys` of the request `id`, whose call broke before its answer began, if the target is down.
-pub async fn handle_broken_call(node: &SharedNode, id: &str, keys: &[SuspectKey], entry: &TargetEntry) {
+/// Suspects the content `keys` of the request `id`, whose call broke at the stage `run`, if that proves nothing and the
+/// target is down.
+pub async fn handle_broken_call(node: &SharedNode, id: &str, keys: &[SuspectKey], entry: &TargetEntry, run: RunStage) {
+    if node.board.borrow().suspects.is_proof(run) {
+        return;
+    }
     let refusal = probe_target(node, entry).await;
     let is_down = refusal.is_some_and(RefusalEvidence::shows_crash);
     metering::record_broken_call(entry.service.as_str(), is_down);
@@ -34,8 +39,9 @@
             (entry.target.as_str(), entry.incarnation.unwrap_or_default(), join_keys(keys));
         let (content, is_refused, evidence) = (content.as_str(), refusal.is_some(), refusal.unwrap_or_default());
         let (others, peer) = (describe(evidence.reaches_others), describe(evidence.is_reached_by_peer));
-        info!("{REQUEST} call broke before its first event.",
-            kv: { id, target, incarnation, is_down, is_refused, reaches_others = others, peer_reaches = peer, content });
+        let answering_ms = run.answering_time().as_millis() as u64;
+        info!("{REQUEST} call broke early.",
+            kv: { id, target, incarnation, answering_ms, is_down, is_refused, reaches_others = others, peer_reaches = peer, content });
     }
     // The crash of a target that is leaving is no surprise: it may have been stopped with calls open.
     if !is_down || entry.leaving {
@@ -83,17 +89,36 @@
     }
 }
 
-/// Exonerates the content `keys` of a request whose answer began at `target`.
-pub fn handle_answer(node: &SharedNode, keys: &[SuspectKey], target: &str) {
+/// Exonerates the content `keys` of a request that has run at `target` up to the stage `run`, if that proves it sound.
+/// Returns whether it does.
+pub fn handle_run(node: &SharedNode, keys: &[SuspectKey], target: &str, run: RunStage) -> bool {
+    if !node.board.borrow().suspects.is_proof(run) {
+        return false;
+    }
     let (change, is_urgent) = {
         let mut board = node.board.borrow_mut();
         let is_urgent = board.suspects.is_nearly_harmful(keys);
-        (board.suspects.record_answer(keys, clock::now()), is_urgent)
+        (board.suspects.record_proof(keys, clock::now()), is_urgent)
     };
     handle_change(node, &change, target);
     if change.is_new && is_urgent {
         node.heartbeat_now.notify_one();
     }
+    true
+}
+
+/// Exonerates the content `keys` of the request `id`, whose answer ended with its connection, unless the target is down:
+/// a target that crashes ends its connections, too.
+pub async fn handle_unframed_end(node: &SharedNode, id: &str, keys: &[SuspectKey], entry: &TargetEntry) {
+    if !node.board.borrow().suspects.is_suspected(keys) {
+        return;
+    }
+    match sockets::connect(entry.address, PROBE_TIMEOUT).await {
+        Ok(_) => {
+            handle_run(node, keys, entry.target.as_str(), RunStage::Complete);
+        }
+        Err(_) => handle_broken_call(node, id, keys, entry, RunStage::Waiting).await,
+    }
 }
 
 /// Merges the suspects that `peer` reports. A hub passes news on at once, other nodes with their next heartbeat.
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -119,8 +119,8 @@
     /// Results of the preparation stages and their bytes by data centre; `None` until they are prepared. Empty for a
     /// route without stages, and after the final call has used the results.
     inputs: Option<(PreparedInputs, BTreeMap<DcName, u64>)>,
-    /// Whether an answer has begun, which shows that the content crashes no target.
-    has_begun: bool,
+    /// Whether a run has proven that the content crashes no target.
+    is_proven: bool,
     /// Whether an attempt has started whose end is not counted in `tally` yet. This includes the reading of its answer.
     has_attempt_in_flight: bool,
     /// Progress of the newest attempt.
@@ -130,7 +130,7 @@
 impl RelayRequest {
     fn new(node: SharedNode, head: RequestHead, parts: http::request::Parts, admitted: AdmittedRequest) -> Self {
         let (tally, tried_targets) = (AttemptTally::default(), Vec::new());
-        let (has_begun, has_attempt_in_flight) = (false, false);
+        let (is_proven, has_attempt_in_flight) = (false, false);
         Self {
             node,
             head,
@@ -140,7 +140,7 @@
             tried_targets,
             limit_pause: RETRY_AFTER,
             inputs: None,
-            has_begun,
+            is_proven,
             has_attempt_in_flight,
             progress: Rc::default(),
         }
@@ -196,7 +196,7 @@
         let max_attempts = self.admitted.grant.route.max_attempts;
         // A retry of content that probably crashes targets would rather crash another one than be answered.
         let is_suspected = end == AttemptEnd::Lost
-            && !self.has_begun
+            && !self.is_proven
             && self.node.board.borrow().suspects.is_nearly_harmful(&self.admitted.keys);
         let wants_retry = !is_suspected && self.tally.wants_retry(retry_policy, end, max_attempts);
         let affordable = match end {
@@ -247,7 +247,7 @@
         let trial = self.admitted.trial.as_ref().filter(|_| self.tried_targets.is_empty());
         let is_trial = |content: &HarmfulContent| trial.is_some_and(|trial| trial.keys == content.keys);
         let mut harmful = board.suspects.find_harmful(&self.admitted.keys);
-        harmful.find(|content| !self.has_begun && !is_trial(content)).cloned()
+        harmful.find(|content| !self.is_proven && !is_trial(content)).cloned()
     }
 
     /// Records that the prompt goes to the target, and logs the choice. Returns the number of prompt tokens that the
--- a/crates/relay/src/request/open_attempts.rs
+++ b/crates/relay/src/request/open_attempts.rs
@@ -150,7 +150,7 @@
             keys: self.admitted.keys.clone(),
             started: self.admitted.started,
             is_stream: self.admitted.grant.route.retry_policy.is_stream(),
-            has_begun: self.has_begun,
+            is_proven: self.is_proven,
             last_event,
             entry: entry.clone(),
             guard,
@@ -165,7 +165,7 @@
         let (retry_policy, max_attempts) = (route.retry_policy, route.max_attempts);
         let now = clock::now();
         self.node.pool.close_idle(target);
-        let is_suspected = !self.has_begun && self.node.board.borrow().suspects.is_nearly_harmful(&self.admitted.keys);
+        let is_suspected = !self.is_proven && self.node.board.borrow().suspects.is_nearly_harmful(&self.admitted.keys);
         let is_possible =
             !is_suspected && self.tally.wants_second_attempt(retry_policy, max_attempts) && self.has_untried_target();
         let mut board = self.node.board.borrow_mut();
--- a/crates/relay/src/request/streaming.rs
+++ b/crates/relay/src/request/streaming.rs
@@ -5,11 +5,13 @@
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 use wasabipier_core::relay::steps::{AttemptEnd, NextStep};
+use wasabipier_core::relay::suspects::RunStage;
 use wasabipier_core::relay::targets::CallResult;
 
 use super::RelayRequest;
 use super::refusals::PROCESS_END;
 use super::target_attempt::RequestAnswer;
+use crate::blame;
 use crate::body::{AnswerBody, BodyPart};
 use crate::clock;
 use crate::metering;
@@ -74,7 +76,6 @@
 
     /// Forwards events until the stream ends, and returns the reason for the end as it is logged.
     async fn forward_events(&mut self, mut stream: OpenStream, sender: &mpsc::Sender<BodyPart>) -> &'static str {
-        self.has_begun = true;
         // The inputs are no longer needed: the target has fetched them before it sent its first event.
         self.inputs = Some(Default::default());
         let (retry_policy, objective) = (self.admitted.grant.route.retry_policy, self.admitted.grant.route.objective);
@@ -89,6 +90,7 @@
             };
             let reason = match part {
                 StreamPart::Events(bytes) => {
+                    self.record_run(&stream, stream.run_stage());
                     if sender.send(BodyPart::Data(bytes)).await.is_err() {
                         return "caller left";
                     }
@@ -96,6 +98,7 @@
                 }
                 StreamPart::End => {
                     let is_sent = sender.send(BodyPart::End).await.is_ok();
+                    self.record_end_of_run(&stream);
                     return if is_sent { "answered" } else { "caller left" };
                 }
                 StreamPart::Silent => match self.wait_for_silent_stream(stream).await {
@@ -108,8 +111,11 @@
                 StreamPart::Broken(reason) => reason,
             };
             stream.set_result(CallResult::Broken);
-            let last_event = stream.last_event();
+            let (last_event, entry, run) = (stream.last_event(), stream.entry.clone(), stream.run_stage());
             drop(stream);
+            if !self.is_proven {
+                blame::handle_broken_call(&self.node, &self.head.request, &self.admitted.keys, &entry, run).await;
+            }
             match self.resume_stream(last_event).await {
                 Some(next) => stream = *next,
                 None => return reason,
@@ -121,7 +127,7 @@
     /// its next part first goes on, and the other is closed. Returns the stream that goes on, with its next part if that
     /// was read, or `None` if there is none.
     async fn wait_for_silent_stream(&mut self, mut stream: OpenStream) -> Option<(OpenStream, Option<StreamPart>)> {
-        if self.decide_on_silence(stream.target()) != NextStep::Again {
+        if self.decide_on_silence(&stream.entry.target) != NextStep::Again {
             let part = stream.next_part(&self.node, None).await;
             return Some((stream, Some(part)));
         }
@@ -129,6 +135,7 @@
         let max_overlap =
             self.node.board.borrow().tuning.silence_timeouts.max_overlap(retry_policy).unwrap_or_default();
         let (node, progress, last_event) = (self.node.clone(), self.progress.clone(), stream.last_event());
+        let (id, keys, is_proven) = (self.head.request.clone(), self.admitted.keys.clone(), self.is_proven);
         progress.record_end();
         // From here on, it tells whether the resumption has an attempt.
         self.has_attempt_in_flight = false;
@@ -147,7 +154,11 @@
             }
             StreamRace::Continued(_) => {
                 stream.set_result(CallResult::Broken);
+                let (entry, run) = (stream.entry.clone(), stream.run_stage());
                 drop(stream);
+                if !is_proven {
+                    spawn_local(async move { blame::handle_broken_call(&node, &id, &keys, &entry, run).await });
+                }
                 (&mut resumed).await
             }
             StreamRace::OverlapEnded => {
@@ -171,6 +182,27 @@
         next.map(|next| (*next, None))
     }
 
+    /// Exonerates the content if the run of `stream`, which has come to the stage `run`, proves it sound.
+    fn record_run(&mut self, stream: &OpenStream, run: RunStage) {
+        if !self.is_proven {
+            self.is_proven = blame::handle_run(&self.node, &self.admitted.keys, stream.entry.target.as_str(), run);
+        }
+    }
+
+    /// Exonerates the content of a stream that has ended, unless it is the target that ended.
+    fn record_end_of_run(&mut self, stream: &OpenStream) {
+        match stream.run_stage() {
+            // The target had nothing to add to what an earlier run had sent.
+            RunStage::Waiting => {}
+            _ if !stream.is_ended_by_connection() => self.record_run(stream, RunStage::Complete),
+            _ => {
+                let (node, id) = (self.node.clone(), self.head.request.clone());
+                let (keys, entry) = (self.admitted.keys.clone(), stream.entry.clone());
+                spawn_local(async move { blame::handle_unframed_end(&node, &id, &keys, &entry).await });
+            }
+        }
+    }
+
     /// Counts the attempt of a resumption that is not needed any more, since the silent stream goes on.
     fn cancel_resumption(&mut self) {
         self.tally.open_count = 0;
--- a/crates/relay/src/request/target_attempt.rs
+++ b/crates/relay/src/request/target_attempt.rs
@@ -6,9 +6,10 @@
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode};
 use spdlog::info;
+use tokio::task::spawn_local;
 use wasabipier_core::clock::Moment;
 use wasabipier_core::relay::steps::AttemptEnd;
-use wasabipier_core::relay::suspects::SuspectKey;
+use wasabipier_core::relay::suspects::{RunStage, SuspectKey};
 use wasabipier_core::relay::targets::{CallResult, TargetEntry};
 
 use crate::attempt::{self, CallGuard, HeadVerdict, OpenAnswer};
@@ -70,8 +71,8 @@
     /// When the request arrived.
     pub(super) started: Moment,
     pub(super) is_stream: bool,
-    /// Whether an answer to the request had begun before.
-    pub(super) has_begun: bool,
+    /// Whether an earlier run of the request has proven its content sound.
+    pub(super) is_proven: bool,
     /// Id of the last event that the caller has.
     pub(super) last_event: Option<u64>,
     pub(super) entry: TargetEntry,
@@ -107,8 +108,14 @@
     /// Reads the body of an error response. A server error counts as a failed attempt; any other response goes to the
     /// caller at once.
     async fn read_failure(mut self, mut answer: OpenAnswer) -> AttemptResult {
-        let body = attempt::read_body(&self.node, &mut answer).await;
-        let body = body.inspect_err(|_| self.guard.set_result(CallResult::Broken))?;
+        let body = match attempt::read_body(&self.node, &mut answer).await {
+            Ok(body) => body,
+            Err(end) => {
+                self.guard.set_result(CallResult::Broken);
+                self.handle_failure(end).await;
+                return Err(end.into());
+            }
+        };
         self.guard.set_result(CallResult::Faulty);
         let is_server_fault = answer.status.is_server_error();
         let whole = WholeAnswer { status: answer.status, headers: answer.headers, body };
@@ -133,49 +140,42 @@
         };
         self.guard.set_result(CallResult::Good(took));
         self.node.pool.release(answer.connection, answer.head.idle_timeout);
-        blame::handle_answer(&self.node, &self.keys, self.entry.target.as_str());
+        if attempt::is_framed(&answer.headers) {
+            blame::handle_run(&self.node, &self.keys, self.entry.target.as_str(), RunStage::Complete);
+        } else {
+            let Self { node, id, keys, entry, .. } = self;
+            spawn_local(async move { blame::handle_unframed_end(&node, &id, &keys, &entry).await });
+        }
         Ok(RequestAnswer::Whole(WholeAnswer { status: answer.status, headers: answer.headers, body }))
     }
 
     /// Opens a stream and waits for its first part. A failure before that counts as a failed attempt, which another
     /// target may repeat.
     async fn open_stream(self, answer: OpenAnswer) -> AttemptResult {
-        let Self { node, id, keys, started, has_begun, last_event, entry, guard, .. } = self;
-        let mut stream = OpenStream::new(answer, guard, last_event);
+        let Self { node, id, keys, started, is_proven, last_event, entry, guard, .. } = self;
+        let mut stream = OpenStream::new(answer, entry, guard, last_event);
         let part = stream.read_first_part(&node).await;
         // A target that crashes before its first event ends its connection, which looks like the end of a stream.
         let is_broken = matches!(part, StreamPart::Broken(_)) || (part == StreamPart::End && last_event.is_none());
         if is_broken {
             stream.set_result(CallResult::Broken);
-            handle_failure(&node, &id, &keys, &entry, has_begun, AttemptEnd::Lost).await;
+            if !is_proven {
+                blame::handle_broken_call(&node, &id, &keys, &stream.entry, RunStage::Waiting).await;
+            }
             return Err(AttemptEnd::Lost.into());
         }
-        if part != StreamPart::End {
-            blame::handle_answer(&node, &keys, entry.target.as_str());
-        }
         let now = clock::now();
         if node.log_limiter.allows(now) {
             let (id, after_ms) = (&*id, now.since(started).as_millis() as u64);
-            info!("{REQUEST} first event.", kv: { id, target = entry.target.as_str(), after_ms });
+            info!("{REQUEST} first event.", kv: { id, target = stream.entry.target.as_str(), after_ms });
         }
         Ok(RequestAnswer::Stream(Box::new(stream)))
     }
 
+    /// Blames the content if the end indicates that the target may be down.
     async fn handle_failure(&self, end: AttemptEnd) {
-        handle_failure(&self.node, &self.id, &self.keys, &self.entry, self.has_begun, end).await;
-    }
-}
-
-/// Updates the board after an attempt whose end indicates that its target may be down.
-async fn handle_failure(
-    node: &SharedNode,
-    id: &str,
-    keys: &[SuspectKey],
-    entry: &TargetEntry,
-    has_begun: bool,
-    end: AttemptEnd,
-) {
-    if end == AttemptEnd::Lost && !has_begun {
-        blame::handle_broken_call(node, id, keys, entry).await;
+        if end == AttemptEnd::Lost && !self.is_proven {
+            blame::handle_broken_call(&self.node, &self.id, &self.keys, &self.entry, self.guard.run_stage()).await;
+        }
     }
 }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -4,15 +4,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderMap, StatusCode};
 use http_body_util::BodyExt;
 use tokio::time::timeout;
-use wasabipier_core::names::TargetName;
 use wasabipier_core::relay::events::{EventSplitter, EventVerdict, StreamEvent};
-use wasabipier_core::relay::targets::CallResult;
+use wasabipier_core::relay::suspects::RunStage;
+use wasabipier_core::relay::targets::{CallResult, TargetEntry};
 
-use crate::attempt::{CallGuard, OpenAnswer};
+use crate::attempt::{CallGuard, OpenAnswer, is_framed};
 use crate::state::SharedNode;
 
 /// The next part of a stream.
@@ -34,6 +33,8 @@
     pub status: StatusCode,
     /// HTTP headers of the answer.
     pub headers: HeaderMap,
+    /// Target that sends the stream.
+    pub entry: TargetEntry,
     answer: Option<OpenAnswer>,
     guard: CallGuard,
     splitter: EventSplitter,
@@ -48,12 +49,13 @@
 impl OpenStream {
     /// Creates a stream from an answer. Events up to `last_event`, which the caller already has, are skipped.
     #[must_use]
-    pub fn new(mut answer: OpenAnswer, guard: CallGuard, last_event: Option<u64>) -> Self {
+    pub fn new(mut answer: OpenAnswer, entry: TargetEntry, guard: CallGuard, last_event: Option<u64>) -> Self {
         let headers = std::mem::take(&mut answer.headers);
         Self {
             status: answer.status,
             is_ended_by_connection: !is_framed(&headers),
             headers,
+            entry,
             answer: Some(answer),
             guard,
             splitter: EventSplitter::after(last_event),
@@ -69,10 +71,16 @@
         self.splitter.last_id()
     }
 
-    /// Returns the target that sends the stream.
+    /// Returns how far the stream has come, if it has not ended.
     #[must_use]
-    pub fn target(&self) -> &TargetName {
-        self.guard.target()
+    pub fn run_stage(&self) -> RunStage {
+        self.guard.run_stage()
+    }
+
+    /// Returns whether only the end of its connection ends the stream.
+    #[must_use]
+    pub fn is_ended_by_connection(&self) -> bool {
+        self.is_ended_by_connection
     }
 
     /// Sets the result of the call to the target. The last result set before the drop is recorded.
@@ -179,12 +187,3 @@
         StreamPart::End
     }
 }
-
-/// Returns whether the head of an answer tells where its body ends. Of transfer codings, only `chunked` does, as the last.
-fn is_framed(headers: &HeaderMap) -> bool {
-    let Some(codings) = headers.get_all(TRANSFER_ENCODING).iter().next_back() else {
-        return headers.contains_key(CONTENT_LENGTH);
-    };
-    let last = codings.as_bytes().rsplit(|byte| *byte == b',').next().unwrap_or_default();
-    last.trim_ascii().eq_ignore_ascii_case(b"chunked")
-}
