Let nobody in when a document holds no key any more

As soon as the last key of a document was taken away, every node served every request: with keys that were taken away and with keys that never were, also paid ones that must not be repeated, without the name of an organisation.

Cause: whether requests need a key was derived from the table of keys being empty, so that "no key is valid" read as "no key is asked for".

The document now says whether it lists organisations at all. A list without organisations or keys grants public routes only; without a list, no request needs a key, as the users' page has it.

--- a/crates/core/src/relay/document.rs
+++ b/crates/core/src/relay/document.rs
@@ -187,8 +187,9 @@
     pub services: BTreeMap<ServiceName, RelayService>,
     /// Limits on callers' requests and connections.
     pub caller_limits: CallerLimits,
-    /// Organisations with their API keys. If there are none, no request needs a key.
-    pub holders: Vec<KeyHolder>,
+    /// Organisations with their API keys. `None` if the document does not restrict access: then no request needs a key. An
+    /// empty list, or organisations without keys, grant access to public routes only.
+    pub holders: Option<Vec<KeyHolder>>,
 }
 
 /// Why a document is invalid.
@@ -225,6 +226,9 @@
     done.into_iter().all(|done| done)
 }
 
+/// Organisation and its priority rank by API key.
+type KeyTable = HashMap<Arc<str>, (OrgName, Option<u8>)>;
+
 /// The content of a document, with lookup tables for routes and API keys.
 #[derive(Clone, Debug, Default)]
 pub struct DocumentIndex {
@@ -236,8 +240,8 @@
     pub caller_limits: CallerLimits,
     /// Routes by host, longest prefix first.
     routes: HashMap<Arc<str>, Vec<Arc<RelayRoute>>>,
-    /// Organisation and priority rank by API key.
-    holders: HashMap<Arc<str>, (OrgName, Option<u8>)>,
+    /// Holders of API keys; `None` if no request needs a key.
+    holders: Option<KeyTable>,
 }
 
 impl DocumentIndex {
@@ -251,16 +255,16 @@
         for host_routes in routes.values_mut() {
             host_routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
-        let keys = document.holders.into_iter().flat_map(|holder| {
+        let keys_of = |holder: KeyHolder| {
             let (org, rank) = (holder.org, holder.rank);
             holder.keys.into_iter().map(move |key| (key, (org.clone(), rank)))
-        });
+        };
         Self {
             version: document.version,
             services: document.services,
             caller_limits: document.caller_limits,
             routes,
-            holders: keys.collect(),
+            holders: document.holders.map(|holders| holders.into_iter().flat_map(keys_of).collect()),
         }
     }
 
@@ -282,12 +286,12 @@
     /// Returns `None` if no organisation holds the key.
     #[must_use]
     pub fn holder(&self, key: &str) -> Option<&(OrgName, Option<u8>)> {
-        self.holders.get(key)
+        self.holders.as_ref()?.get(key)
     }
 
-    /// Returns whether requests need a key, which is the case if the document lists any organisation.
+    /// Returns whether requests need a key, also if there is no key that any of them could have.
     #[must_use]
     pub fn requires_keys(&self) -> bool {
-        !self.holders.is_empty()
+        self.holders.is_some()
     }
 }
--- a/crates/core/tests/relay/access.rs
+++ b/crates/core/tests/relay/access.rs
@@ -2,9 +2,10 @@
 
 use std::sync::Arc;
 
+use wasabipier_core::names::OrgName;
 use wasabipier_core::relay::access::{AccessClaim, AccessDenial, FreshnessLimits, check_access};
 use wasabipier_core::relay::board::RelayBoard;
-use wasabipier_core::relay::document::RelayRoute;
+use wasabipier_core::relay::document::{DocumentIndex, KeyHolder, RelayDocument, RelayRoute};
 use wasabipier_core::relay::rows::{RowBatch, SharedRow, TableId};
 
 use crate::fixtures::{at, board, document_index, millis, route, version};
@@ -48,6 +49,31 @@
     assert!(check("/open/x", Some("key-2")).is_ok_and(|grant| grant.org.is_none()));
 }
 
+/// Guards against routes that are open to everyone since the document holds no key any more: an empty list was taken for
+/// one that was never written.
+#[test]
+fn a_document_that_lists_no_key_lets_nobody_in_and_one_without_a_list_everybody() {
+    let keyless = KeyHolder { org: OrgName::new("lions"), keys: Vec::new(), rank: None };
+    let check = |holders, key| {
+        let public = RelayRoute { public: true, ..route("/open/", "open") };
+        let routes = vec![route("/", "rest"), public];
+        let index = DocumentIndex::new(RelayDocument { version: 1, routes, holders, ..RelayDocument::default() });
+        let check = |path| check_access(&index, Some(millis(10)), &FreshnessLimits::default(), claim(path, key)).err();
+        (check("/x"), check("/open/x"))
+    };
+
+    for key in [None, Some("key-1")] {
+        for holders in [Vec::new(), vec![keyless.clone()]] {
+            assert_eq!(
+                check(Some(holders.clone()), key),
+                (Some(AccessDenial::UnknownKey), None),
+                "{holders:?}, {key:?}"
+            );
+        }
+        assert_eq!(check(None, key), (None, None), "{key:?}");
+    }
+}
+
 #[test]
 fn a_node_that_cannot_prove_that_its_document_is_the_newest_refuses_keys() {
     let public = RelayRoute { public: true, ..route("/open/", "open") };
@@ -94,7 +120,7 @@
     fn to_text(&self) -> Option<String>;
 }
 
-impl OrgText for Option<wasabipier_core::names::OrgName> {
+impl OrgText for Option<OrgName> {
     fn to_text(&self) -> Option<String> {
         self.as_ref().map(ToString::to_string)
     }
--- a/crates/core/tests/relay/fixtures.rs
+++ b/crates/core/tests/relay/fixtures.rs
@@ -131,5 +131,5 @@
 /// Returns a document with `routes` and one organisation, lions, whose API key is key-1.
 pub fn document_index(routes: Vec<RelayRoute>) -> DocumentIndex {
     let holder = KeyHolder { org: "lions".into(), keys: vec![Arc::from("key-1")], rank: None };
-    DocumentIndex::new(RelayDocument { version: 1, routes, holders: vec![holder], ..RelayDocument::default() })
+    DocumentIndex::new(RelayDocument { version: 1, routes, holders: Some(vec![holder]), ..RelayDocument::default() })
 }
--- a/crates/core/tests/relay/store_restoration.rs
+++ b/crates/core/tests/relay/store_restoration.rs
@@ -134,7 +134,7 @@
 fn document(number: u64, key: &str) -> OrderChange {
     let holder = KeyHolder { org: "lions".into(), keys: vec![Arc::from(key)], rank: None };
     let routes = vec![route("/check/", "bookings")];
-    let document = RelayDocument { version: number, routes, holders: vec![holder], ..RelayDocument::default() };
+    let document = RelayDocument { version: number, routes, holders: Some(vec![holder]), ..RelayDocument::default() };
     OrderChange::Document(DocumentIndex::new(document))
 }
 
