Bound what all connections of a node hold together

One faulty server, or a few dozen callers with the largest bodies, could make a node run out of memory, and the requests of all its callers ended with it. 80 bodies of 4 MB took 344 MB, 800 streams of a server without end 162 MB; a VM of the grown sites has 160 MB.

Cause: whole answers had a total, everything else only a bound on each buffer: incomplete events, parts that slow callers have not taken, and the bodies of requests. An answer of a stage's target was bounded as text, while its decoded outcomes take many times as much.

Answers and what streams hold now share one total, and a stream is not read on while its caller has 64 KB to take. Bodies of requests have a total of their own; one that does not fit is refused as not run. Small buffers are not counted, so that large ones do not keep them out. Answers of stages' targets have 4 KB for each piece.

--- a/crates/core/src/relay/events.rs
+++ b/crates/core/src/relay/events.rs
@@ -8,6 +8,9 @@
 /// Maximum size in bytes of an event, and of comments without an event between them. Events hold a few tokens of text.
 const MAX_EVENT_BYTES: usize = 256 * 1024;
 
+/// Memory in bytes that is kept for the next event after a large one.
+const MAX_IDLE_BYTES: usize = 8 * 1024;
+
 /// A whole event of a stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StreamEvent {
@@ -62,9 +65,18 @@
             from = end;
         }
         self.pending.drain(..start);
+        if self.pending.capacity() > MAX_IDLE_BYTES && self.pending.len() < MAX_IDLE_BYTES {
+            self.pending.shrink_to(MAX_IDLE_BYTES);
+        }
         events
     }
 
+    /// Returns the memory in bytes that the event takes which is incomplete.
+    #[must_use]
+    pub fn held_bytes(&self) -> usize {
+        self.pending.capacity()
+    }
+
     /// Returns whether the bytes since the last event exceed the maximum size, so that they are no event. A part of an
     /// event must not be forwarded: another target would continue the stream after the event before.
     #[must_use]
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use spdlog::info;
@@ -17,6 +17,7 @@
 use wasabipier_core::relay::suspects::{HarmfulContent, SuspectKey, suspect_keys};
 
 use crate::blame;
+use crate::buffer_memory::{BodyBuffer, BufferOverflow};
 use crate::clock;
 use crate::log_prefixes::REQUEST;
 use crate::metering;
@@ -192,20 +193,20 @@
         return Err(Rejection::new(RefusalKind::TooLarge, "body too large"));
     }
     let body_timeout = head.time_left.unwrap_or(limits.idle_timeout);
-    let read = timeout(body_timeout, collect_body(body, limits.max_body_bytes));
+    let buffer = BodyBuffer::new(&node.request_memory, limits.max_body_bytes);
+    let read = timeout(body_timeout, collect_body(body, buffer));
     read.await.unwrap_or(Err(Rejection::new(RefusalKind::TooSlow, "body too slow")))
 }
 
-async fn collect_body(mut body: Incoming, max_bytes: usize) -> Result<Bytes, Rejection> {
-    let mut bytes = BytesMut::new();
+async fn collect_body(mut body: Incoming, mut buffer: BodyBuffer) -> Result<Bytes, Rejection> {
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| Rejection::new(RefusalKind::Malformed, "body broke off"))?;
         if let Ok(data) = frame.into_data() {
-            bytes.extend_from_slice(&data);
-        }
-        if bytes.len() > max_bytes {
-            return Err(Rejection::new(RefusalKind::TooLarge, "body too large"));
+            buffer.push(&data).map_err(|overflow| match overflow {
+                BufferOverflow::Body => Rejection::new(RefusalKind::TooLarge, "body too large"),
+                BufferOverflow::Total => Rejection::not_run("bodies of requests fill the memory", RETRY_AFTER),
+            })?;
         }
     }
-    Ok(bytes.freeze())
+    Ok(buffer.into_bytes())
 }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -16,7 +16,7 @@
 use wasabipier_core::relay::suspects::RunStage;
 use wasabipier_core::relay::targets::{CallResult, TargetEntry};
 
-use crate::answer_memory::AnswerBuffer;
+use crate::buffer_memory::{BodyBuffer, BufferOverflow};
 use crate::call_progress::CallProgress;
 use crate::clock;
 use crate::limits::{self, RoomGuard};
@@ -27,6 +27,8 @@
 use crate::ports::{AnswerHead, RunClaim};
 use crate::state::SharedNode;
 
+/// Maximum size in bytes of an answer's body.
+const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 /// Minimum number of events after the first part from which the mean pause between events is derived.
 const MIN_PAUSE_EVENTS: u32 = 4;
 
@@ -211,6 +213,15 @@
     BodiesTooLarge,
 }
 
+impl From<BufferOverflow> for AnswerFault {
+    fn from(overflow: BufferOverflow) -> Self {
+        match overflow {
+            BufferOverflow::Body => Self::BodyTooLarge,
+            BufferOverflow::Total => Self::BodiesTooLarge,
+        }
+    }
+}
+
 impl AnswerFault {
     fn of_head(error: &hyper::Error) -> Self {
         match error {
@@ -386,15 +397,28 @@
 ///
 /// `Lost` if the body is incomplete, `Garbled` if it is too large. The connection must then be dropped.
 pub async fn read_body(node: &SharedNode, answer: &mut OpenAnswer) -> Result<Bytes, AttemptEnd> {
-    let read = collect_body(node, &mut answer.body).await;
+    read_body_within(node, answer, MAX_ANSWER_BYTES).await
+}
+
+/// Does the same as [`read_body`] for an answer of up to `max_bytes` bytes.
+///
+/// # Errors
+///
+/// The same.
+pub async fn read_body_within(
+    node: &SharedNode,
+    answer: &mut OpenAnswer,
+    max_bytes: usize,
+) -> Result<Bytes, AttemptEnd> {
+    let read = collect_body(node, &mut answer.body, max_bytes).await;
     read.map_err(|fault| {
         record_fault(node, &answer.target, answer.service.as_str(), fault.into());
         fault.end()
     })
 }
 
-async fn collect_body(node: &SharedNode, body: &mut Incoming) -> Result<Bytes, AnswerFault> {
-    let mut buffer = AnswerBuffer::new(&node.answer_memory);
+async fn collect_body(node: &SharedNode, body: &mut Incoming, max_bytes: usize) -> Result<Bytes, AnswerFault> {
+    let mut buffer = BodyBuffer::new(&node.answer_memory, max_bytes);
     while let Some(frame) = body.frame().await {
         if let Ok(data) = frame.map_err(|_| AnswerFault::BodyCut)?.into_data() {
             buffer.push(&data)?;
--- a/crates/relay/src/batching.rs
+++ b/crates/relay/src/batching.rs
@@ -28,6 +28,9 @@
 use crate::state::SharedNode;
 
 /// Interval at which calls are planned while pieces are queued: after some time in the queue, a piece may go to targets
+/// Maximum size in bytes of what a target says of one piece, and of the rest of its answer. Decoded, an outcome can take
+/// many times the memory of its text.
+const MAX_OUTCOME_BYTES: usize = 4 * 1024;
 /// that were not allowed for it before.
 const PLAN_INTERVAL: Duration = Duration::from_millis(10);
 /// Multiple of the expected time of a call after which its target counts as silent.
@@ -267,7 +270,9 @@
     if !answer.status.is_success() {
         return Err(CallResult::Faulty);
     }
-    let body = attempt::read_body(node, &mut answer).await.map_err(|end| attempt::call_result(end, None))?;
+    let max_bytes = MAX_OUTCOME_BYTES * (jobs.len() + 1);
+    let body = attempt::read_body_within(node, &mut answer, max_bytes).await;
+    let body = body.map_err(|end| attempt::call_result(end, None))?;
     let outcomes = node.platform.read_pieces(&body, jobs.len()).ok_or(CallResult::Garbled)?;
     node.pool.release(answer.connection, answer.head.idle_timeout);
     let dc = &entry.dc;
@@ -303,7 +308,7 @@
     let request = node.platform.free_request(&entry, &handles);
     let freed = async {
         let mut answer = attempt::send_request(&node, &entry, request, &CallProgress::default()).await?;
-        attempt::read_body(&node, &mut answer).await?;
+        attempt::read_body_within(&node, &mut answer, MAX_OUTCOME_BYTES).await?;
         node.pool.release(answer.connection, answer.head.idle_timeout);
         Ok::<(), AttemptEnd>(())
     };
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod node;
 pub mod prelude;
 
+pub mod buffer_memory;
 pub mod ports;
 pub mod settings;
 
@@ -28,7 +29,6 @@
 mod batching;
 mod prepare;
 
-mod answer_memory;
 mod attempt;
 mod blame;
 mod body;
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -16,8 +16,8 @@
 use wasabipier_core::relay::board::RelayBoard;
 use wasabipier_core::relay::rows::TableId;
 
-use crate::answer_memory::AnswerMemory;
 use crate::batching::{self, PieceWaiters};
+use crate::buffer_memory::BufferMemory;
 use crate::clock;
 use crate::heartbeats::{self, PeerContacts};
 use crate::limits::{self, LeaseEndQueue};
@@ -38,6 +38,11 @@
 use crate::table_reader;
 use crate::unwritten::UnwrittenAnswers;
 
+/// Maximum total in bytes of answers and parts of streams that are held. With the copies that growing makes, they fit a VM
+/// of 160 MB beside the bodies of requests.
+const MAX_ANSWER_MEMORY_BYTES: usize = 24 * 1024 * 1024;
+/// Maximum total in bytes of the bodies of requests that are held.
+const MAX_REQUEST_MEMORY_BYTES: usize = 32 * 1024 * 1024;
 /// Interval at which a stopping node checks whether all requests have ended.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval at which the settings are read again, since they may change without a SIGHUP.
@@ -153,7 +158,8 @@
         board: RefCell::new(RelayBoard::new(settings.identity, settings.tuning)),
         platform,
         pool: TargetPool::default(),
-        answer_memory: AnswerMemory::default(),
+        answer_memory: BufferMemory::new(MAX_ANSWER_MEMORY_BYTES),
+        request_memory: BufferMemory::new(MAX_REQUEST_MEMORY_BYTES),
         peers: PeerLinks::default(),
         contacts: PeerContacts::default(),
         piece_waiters: PieceWaiters::default(),
--- a/crates/relay/src/request/target_attempt.rs
+++ b/crates/relay/src/request/target_attempt.rs
@@ -15,6 +15,7 @@
 use crate::attempt::{self, CallGuard, HeadVerdict, OpenAnswer};
 use crate::blame;
 use crate::body::AnswerBody;
+use crate::buffer_memory::StreamMemory;
 use crate::call_progress::CallProgress;
 use crate::clock;
 use crate::log_prefixes::REQUEST;
@@ -153,7 +154,8 @@
     /// target may repeat.
     async fn open_stream(self, answer: OpenAnswer) -> AttemptResult {
         let Self { node, id, keys, started, is_proven, last_event, entry, guard, .. } = self;
-        let mut stream = OpenStream::new(answer, entry, guard, last_event);
+        let memory = StreamMemory::new(&node.answer_memory);
+        let mut stream = OpenStream::new(answer, entry, guard, last_event, memory);
         let part = stream.read_first_part(&node).await;
         // A target that crashes before its first event ends its connection, which looks like the end of a stream.
         let is_broken = matches!(part, StreamPart::Broken(_)) || (part == StreamPart::End && last_event.is_none());
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -15,8 +15,8 @@
 use wasabipier_core::relay::chunks::{BlobAssembly, BlobCache};
 use wasabipier_core::relay::rows::TableId;
 
-use crate::answer_memory::AnswerMemory;
 use crate::batching::PieceWaiters;
+use crate::buffer_memory::BufferMemory;
 use crate::clock;
 use crate::heartbeats::PeerContacts;
 use crate::limits::LeaseEndQueue;
@@ -37,7 +37,9 @@
     /// Idle connections to targets.
     pub pool: TargetPool,
     /// Memory of the answers that are read completely.
-    pub answer_memory: AnswerMemory,
+    pub answer_memory: BufferMemory,
+    /// Memory of the bodies that callers have sent.
+    pub request_memory: BufferMemory,
     /// Connections to peers.
     pub peers: PeerLinks,
     /// Addresses of peers that heartbeats are sent to, with the state of the calls.
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -12,6 +12,7 @@
 use wasabipier_core::relay::targets::{CallResult, TargetEntry};
 
 use crate::attempt::{CallGuard, OpenAnswer, is_framed};
+use crate::buffer_memory::{HeldBytes, StreamMemory};
 use crate::state::SharedNode;
 
 /// The next part of a stream.
@@ -42,14 +43,24 @@
     has_received_data: bool,
     /// Whether only the end of its connection ends the stream.
     is_ended_by_connection: bool,
+    memory: StreamMemory,
+    /// What the event takes that is incomplete.
+    pending_bytes: HeldBytes,
     /// The first part, read ahead by [`Self::read_first_part`].
     first_part: Option<Bytes>,
 }
 
 impl OpenStream {
-    /// Creates a stream from an answer. Events up to `last_event`, which the caller already has, are skipped.
+    /// Creates a stream from an answer. Events up to `last_event`, which the caller already has, are skipped. What the
+    /// stream holds counts in `memory`.
     #[must_use]
-    pub fn new(mut answer: OpenAnswer, entry: TargetEntry, guard: CallGuard, last_event: Option<u64>) -> Self {
+    pub fn new(
+        mut answer: OpenAnswer,
+        entry: TargetEntry,
+        guard: CallGuard,
+        last_event: Option<u64>,
+        memory: StreamMemory,
+    ) -> Self {
         let headers = std::mem::take(&mut answer.headers);
         Self {
             status: answer.status,
@@ -61,6 +72,8 @@
             splitter: EventSplitter::after(last_event),
             pending_events: VecDeque::new(),
             has_received_data: false,
+            pending_bytes: memory.hold(0),
+            memory,
             first_part: None,
         }
     }
@@ -121,6 +134,10 @@
             if self.splitter.is_overfull() {
                 return StreamPart::Broken("event too large");
             }
+            if self.memory.is_exceeded() {
+                return StreamPart::Broken("streams fill the memory");
+            }
+            self.memory.wait_for_room().await;
             let Some(answer) = &mut self.answer else { return StreamPart::End };
             let frame = answer.body.frame();
             let frame = match part_timeout {
@@ -141,16 +158,15 @@
     }
 
     fn push_data(&mut self, data: &[u8]) {
-        if !self.has_received_data {
-            self.has_received_data = true;
+        let events = self.splitter.push(data);
+        self.pending_bytes.resize(self.splitter.held_bytes());
+        if std::mem::replace(&mut self.has_received_data, true) {
+            self.guard.record_later_events(events.len());
+        } else {
             self.guard.record_first_part();
             let elapsed = self.guard.elapsed();
             self.guard.set_result(CallResult::Good(elapsed));
-            self.pending_events.extend(self.splitter.push(data));
-            return;
         }
-        let events = self.splitter.push(data);
-        self.guard.record_later_events(events.len());
         self.pending_events.extend(events);
     }
 
@@ -170,7 +186,7 @@
                 }
             }
         }
-        (!bytes.is_empty()).then(|| StreamPart::Events(Bytes::from(bytes)))
+        (!bytes.is_empty()).then(|| StreamPart::Events(self.memory.hold_part(bytes)))
     }
 
     fn finish(&mut self, node: &SharedNode) -> StreamPart {
