Bound the answers that the product's own edge reads

A target that sent a line, or a whole answer, without end made the node keep it all: eight requests took 279 MB.

Cause: a line of a stream and the text of its tokens had no bound but time, and a whole answer was decoded as JSON of any shape up to 10 MB for each of up to a thousand attempts.

The result of a stage is passed on as its text and not decoded.

--- a/crates/fakes/src/faults.rs
+++ b/crates/fakes/src/faults.rs
@@ -33,6 +33,10 @@
     /// The client receives the tokens before this index. Then the engine's connections break as for `crash_on`. The
     /// next stream clears this fault, also if the stream ends earlier.
     pub break_after_tokens: u32,
+    /// Whether a client of a target receives a body that does not end, and is no answer, until it closes the connection.
+    ///
+    /// The call isn't run. The body is that of a stream whose first event does not end.
+    pub endless: bool,
     /// Text for which a client of a target receives status 500 if the call contains the text; empty for none.
     ///
     /// The call isn't run. A text that stands in the calls of one route makes just this route fail.
--- a/crates/fakes/src/target.rs
+++ b/crates/fakes/src/target.rs
@@ -2,6 +2,7 @@
 //! some time after its first call, and serves fewer calls at once at full speed while it is cold.
 
 use std::collections::BTreeMap;
+use std::io::Write;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
@@ -135,6 +136,10 @@
             reply(request, 500, &serde_json::json!({ "error": "internal error" }));
             return None;
         }
+        if faults.endless {
+            send_endless_body(request);
+            return None;
+        }
         self.serving_since.lock().unwrap_or_else(PoisonError::into_inner).get_or_insert_with(Instant::now);
         let in_flight = self.in_flight.fetch_add(1, Ordering::SeqCst) + 1;
         self.max_in_flight.fetch_max(in_flight, Ordering::SeqCst);
@@ -197,3 +202,18 @@
         })
     }
 }
+
+/// Bytes after which a body without end ends after all, so that a test that fails does not run on.
+const MAX_ENDLESS_BYTES: usize = 64 * 1024 * 1024;
+
+/// Answers a call with the beginning of an event, without end until the client closes the connection.
+fn send_endless_body(request: Request) {
+    let mut writer = request.into_writer();
+    let block = vec![b'-'; 64 * 1024];
+    let head = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nconnection: close\r\n\r\ndata: ";
+    let mut written = writer.write_all(head);
+    for _ in 0..MAX_ENDLESS_BYTES / block.len() {
+        // A write fails once the client has closed the connection.
+        written = written.and_then(|()| writer.write_all(&block));
+    }
+}
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,5 +1,6 @@
 //! `wasabipier`: a node of the serving system, which runs on an entry VM.
 
+mod bounded_answers;
 mod callers;
 mod cli;
 mod connections;
--- a/crates/node/src/targets.rs
+++ b/crates/node/src/targets.rs
@@ -1,7 +1,7 @@
 //! The targets' edge: sends each attempt with `ureq` on a thread of its own, up to [`TargetEdge::MAX_RUNNING`] at once.
 
 use std::collections::HashMap;
-use std::io::{BufRead, BufReader};
+use std::io::BufReader;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
@@ -14,10 +14,11 @@
 use wasabipier_core::prelude::*;
 use wasabipier_wire::caller::{DEADLINE_HEADER, ORGANISATION_HEADER, REQUEST_ID_HEADER};
 use wasabipier_wire::target::{
-    ATTEMPT_HEADER, CompletionCall, CompletionChunk, SHADOW_HEADER, STAGE_HEADER, STREAM_END, StageCall, StageReply,
+    ATTEMPT_HEADER, CompletionCall, CompletionChunk, ReceivedReply, SHADOW_HEADER, STAGE_HEADER, STREAM_END, StageCall,
     service_path,
 };
 
+use crate::bounded_answers::{AnswerBounds, read_line};
 use crate::connections::ConnectionPool;
 use crate::log_prefix::TARGETS;
 use crate::node_input::{InputSender, NodeInput};
@@ -49,6 +50,7 @@
     /// Longest time without a byte from a target, for calls that may be repeated.
     read_timeout: Duration,
     connections: Arc<ConnectionPool>,
+    bounds: AnswerBounds,
     inputs: InputSender,
     running: RunningAttempts,
 }
@@ -63,6 +65,7 @@
         Self {
             read_timeout: settings.target_read_timeout,
             connections: Arc::new(ConnectionPool::new(settings.connect_timeout)),
+            bounds: AnswerBounds::default(),
             inputs,
             running: RunningAttempts::default(),
         }
@@ -83,6 +86,7 @@
             agent,
             is_cancelled: handle.is_cancelled.clone(),
             read_timeout: self.read_timeout,
+            bounds: self.bounds.clone(),
             created_at: Instant::now(),
             inputs: self.inputs.clone(),
         };
@@ -137,6 +141,7 @@
     agent: Agent,
     is_cancelled: Arc<AtomicBool>,
     read_timeout: Duration,
+    bounds: AnswerBounds,
     /// Time from which the request's `time_left` counts.
     created_at: Instant,
     inputs: InputSender,
@@ -187,7 +192,7 @@
             400..=499 => return Err(AttemptFailure { kind: FailureKind::Rejected, sent: true }),
             _ => return Err(AttemptFailure { kind: FailureKind::Faulted, sent: true }),
         }
-        if self.request.kind == ServiceKind::Generate { self.read_stream(response) } else { read_reply(response) }
+        if self.request.kind == ServiceKind::Generate { self.read_stream(response) } else { self.read_reply(response) }
     }
 
     fn send_request(&self, time_left: Duration) -> Result<Response<Body>, ureq::Error> {
@@ -223,11 +228,11 @@
     /// Reads the events of a stream and reports each token, up to the end mark.
     fn read_stream(&self, mut response: Response<Body>) -> Result<AttemptEvent, AttemptFailure> {
         let malformed = AttemptFailure { kind: FailureKind::Malformed, sent: true };
-        let mut text = String::new();
+        let mut text = self.bounds.new_text();
         let mut last_chunk = CompletionChunk::default();
-        let reader = BufReader::new(response.body_mut().as_reader());
-        for line in reader.lines() {
-            let line = line.map_err(|error| classify_io_error(&error))?;
+        let mut reader = BufReader::new(response.body_mut().as_reader());
+        let mut line = String::new();
+        while read_line(&mut reader, &mut line).map_err(|error| classify_io_error(&error))? {
             if self.is_cancelled.load(Ordering::SeqCst) {
                 return Err(AttemptFailure { kind: FailureKind::Broken, sent: true });
             }
@@ -235,12 +240,13 @@
             if data == STREAM_END {
                 let usage = last_chunk.usage.unwrap_or_default().into();
                 let report = last_chunk.load.unwrap_or_default().into();
+                let text = String::from_utf8_lossy(&text.into_bytes()).into_owned();
                 return Ok(AttemptEvent::Finished { body: Arc::from(text), usage, report });
             }
             let chunk: CompletionChunk = serde_json::from_str(data).map_err(|_| malformed)?;
             let choice = chunk.choices.first().ok_or(malformed)?;
             if choice.finish_reason.is_none() {
-                text.push_str(&choice.text);
+                text.push(choice.text.as_bytes()).map_err(|_| malformed)?;
                 self.send_event(AttemptEvent::Token {
                     index: choice.token_index,
                     text: Arc::from(choice.text.as_str()),
@@ -251,6 +257,19 @@
         // The stream ended without its end mark, so the target has crashed or closed the connection.
         Err(AttemptFailure { kind: FailureKind::Broken, sent: true })
     }
+
+    /// Reads the reply of a target that streams nothing.
+    fn read_reply(&self, mut response: Response<Body>) -> Result<AttemptEvent, AttemptFailure> {
+        let body =
+            self.bounds.read_whole(response.body_mut().as_reader()).map_err(|error| classify_io_error(&error))?;
+        let reply: ReceivedReply<'_> =
+            serde_json::from_slice(&body).map_err(|_| AttemptFailure { kind: FailureKind::Malformed, sent: true })?;
+        Ok(AttemptEvent::Finished {
+            body: Arc::from(reply.result.get()),
+            usage: reply.usage.into(),
+            report: reply.load.into(),
+        })
+    }
 }
 
 /// Builds the call of a completion, whose prompt is the previous stage's answer followed by the caller's body.
@@ -271,18 +290,6 @@
     serde_json::from_str(text).unwrap_or_else(|_| serde_json::Value::String(text.to_owned()))
 }
 
-fn read_reply(mut response: Response<Body>) -> Result<AttemptEvent, AttemptFailure> {
-    let reply: StageReply = response.body_mut().read_json().map_err(|error| match error {
-        ureq::Error::Json(_) => AttemptFailure { kind: FailureKind::Malformed, sent: true },
-        other => classify_error(&other),
-    })?;
-    Ok(AttemptEvent::Finished {
-        body: Arc::from(reply.result.to_string()),
-        usage: reply.usage.into(),
-        report: reply.load.into(),
-    })
-}
-
 /// Maps an error of a call to the failure of the attempt. Only errors that come before the request is sent count as not
 /// sent.
 fn classify_error(error: &ureq::Error) -> AttemptFailure {
@@ -305,6 +312,7 @@
         std::io::ErrorKind::TimedOut | std::io::ErrorKind::WouldBlock => {
             AttemptFailure { kind: FailureKind::Silent, sent: true }
         }
+        std::io::ErrorKind::InvalidData => AttemptFailure { kind: FailureKind::Malformed, sent: true },
         _ => AttemptFailure { kind: FailureKind::Broken, sent: true },
     }
 }
--- /dev/null
+++ b/crates/node/tests/endless_answers.rs
@@ -0,0 +1,53 @@
+//! Answers of targets that do not end.
+
+use std::fs;
+use std::thread;
+
+use wasabipier_fakes::faults::FaultSettings;
+use wasabipier_fakes::target::TargetSettings;
+use wasabipier_fakes::test_env::{TestEnv, TestPlan};
+
+/// Number of requests that run at the same time.
+const REQUEST_COUNT: usize = 8;
+/// Memory in bytes that a node may take.
+const MAX_NODE_MEMORY: u64 = 256 * 1024 * 1024;
+
+/// Returns the largest resident set of a node's process so far in bytes.
+fn peak_memory(env: &TestEnv, node: usize) -> u64 {
+    let pid = env.pid(node).expect("the node runs");
+    let status = fs::read_to_string(format!("/proc/{pid}/status")).expect("the process runs");
+    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")?.trim().strip_suffix(" kB"));
+    peak.and_then(|kilobytes| kilobytes.parse::<u64>().ok()).expect("the kernel reports the peak") * 1024
+}
+
+/// Guards against a node that keeps all that a target sends until it runs out of memory, and with it the requests of
+/// others: a line of a stream, or a whole answer.
+#[test]
+fn answers_without_end_take_bounded_memory() {
+    let mut plan = TestPlan { node_count: 1, ..TestPlan::typical(env!("CARGO_BIN_EXE_wasabipier")) };
+    for service in &mut plan.services {
+        service.settings = TargetSettings { cold_capacity: 16, warm_capacity: 16, ..TargetSettings::default() };
+    }
+    let env = TestEnv::start(plan);
+    for (service, goal) in [("coachmodel", "pipelines/season-plan"), ("clubs", "services/clubs")] {
+        assert_eq!(env.ask(0, goal, &format!("{service}-before"), "{}").outcome(), "done", "{service}");
+        env.set_service_faults(service, &FaultSettings { endless: true, ..FaultSettings::default() });
+
+        let env = &env;
+        thread::scope(|scope| {
+            for number in 0..REQUEST_COUNT {
+                scope.spawn(move || env.ask(0, goal, &format!("{service}-{number}"), "{}"));
+            }
+        });
+        let peak = peak_memory(env, 0);
+        env.set_service_faults(service, &FaultSettings::default());
+
+        println!("{service}: peak of {} MB", peak / 1024 / 1024);
+        assert!(peak < MAX_NODE_MEMORY, "{service}: peak of {} MB", peak / 1024 / 1024);
+        env.wait_until("the node serves again", |env| {
+            let id = format!("{service}-{:?}", std::time::Instant::now());
+            let id: String = id.chars().filter(char::is_ascii_alphanumeric).collect();
+            env.ask(0, goal, &id, "{}").outcome() == "done"
+        });
+    }
+}
--- a/crates/wire/src/target.rs
+++ b/crates/wire/src/target.rs
@@ -88,6 +88,18 @@
     pub load: WireLoad,
 }
 
+/// A [`StageReply`] as it was received. Its result stays as it is: decoded, it can take many times the memory of its text.
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub struct ReceivedReply<'a> {
+    /// Result of the stage.
+    #[serde(borrow)]
+    pub result: &'a serde_json::value::RawValue,
+    /// Usage of the call.
+    pub usage: WireUsage,
+    /// Load of the target.
+    pub load: WireLoad,
+}
+
 /// Path of an engine that takes orders to load a model, as a `POST`.
 pub const LOAD_ORDERS_PATH: &str = "/v1/orders";
 /// Path of an engine that returns the model and adapters that it has loaded.
