--- a/crates/relay/src/table_reader.rs
+++ b/crates/relay/src/table_reader.rs
@@ -242,6 +242,8 @@
             None => all = Some(batch),
         }
         match next {
+            // A page that begins again would be read without end.
+            Some(key) if after.as_ref().is_some_and(|after| key <= *after) => return Err(StoreFault::Malformed.into()),
             Some(key) => after = Some(key),
             None => return Ok(all.unwrap_or_default()),
         }
