Count answers with 4xx in the comparison of versions

A version that answered half of its requests with 404 got all requests and was completed, whereupon the sound version was stopped: every second paid booking failed from then on.

Cause: such an answer was recorded as no evidence, since the request may be at fault. It is none about a target. But callers get it from both versions then, and the comparison allows for that.

`CallResult::Declined` counts as a fault of the version, new and old, and changes nothing for the target.

--- a/crates/core/src/relay/rollout_board.rs
+++ b/crates/core/src/relay/rollout_board.rs
@@ -166,7 +166,7 @@
     pub fn record_outcome(&mut self, call: &CallOrigin, result: CallResult) {
         let is_fault = match result {
             CallResult::Good(_) => false,
-            CallResult::Faulty | CallResult::Garbled | CallResult::Broken => true,
+            CallResult::Faulty | CallResult::Declined | CallResult::Garbled | CallResult::Broken => true,
             CallResult::Full | CallResult::Unreachable | CallResult::Replaced | CallResult::Unknown => return,
         };
         let Some(tally) = self.rollouts.tally_mut(&call.service, &call.version, &call.route) else { return };
--- a/crates/core/src/relay/targets.rs
+++ b/crates/core/src/relay/targets.rs
@@ -81,6 +81,9 @@
     Good(Duration),
     /// The target answered with a failure.
     Faulty,
+    /// The target answered that the call is at fault. It says nothing about the target alone, but about its version if
+    /// other versions accept such calls.
+    Declined,
     /// The target sent bytes that are no answer to the call.
     Garbled,
     /// The target reported that it is full.
@@ -182,7 +185,7 @@
                 self.back_off(now);
             }
             CallResult::Unreachable | CallResult::Full | CallResult::Replaced => self.back_off(now),
-            CallResult::Unknown => {}
+            CallResult::Declined | CallResult::Unknown => {}
         }
     }
 
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -170,6 +170,7 @@
         let outcome = match self.result {
             CallResult::Good(_) => "good",
             CallResult::Faulty => "faulty",
+            CallResult::Declined => "declined",
             CallResult::Garbled => "garbled",
             CallResult::Full => "full",
             CallResult::Broken => "broken",
@@ -178,7 +179,8 @@
             CallResult::Unknown => "unknown",
         };
         metering::record_target_call(self.origin.service.as_str(), outcome, now.since(self.started));
-        if !matches!(self.result, CallResult::Good(_) | CallResult::Unknown) && self.node.log_limiter.allows(now) {
+        let is_failure = !matches!(self.result, CallResult::Good(_) | CallResult::Declined | CallResult::Unknown);
+        if is_failure && self.node.log_limiter.allows(now) {
             let (target, took) = (&self.target, now.since(self.started).as_millis());
             info!("{TARGETS} target call failed.", kv: { target = target.as_str(), outcome, took_ms = took as u64 });
         }
--- a/crates/relay/src/request/target_attempt.rs
+++ b/crates/relay/src/request/target_attempt.rs
@@ -124,7 +124,7 @@
         if is_server_fault {
             return Err(FailedAttempt { end: AttemptEnd::Failed, answer: Some(whole) });
         }
-        self.guard.set_result(CallResult::Unknown);
+        self.guard.set_result(CallResult::Declined);
         Ok(RequestAnswer::Whole(whole))
     }
 
