Compare the id of answers to calls for pieces

Requests ran with the results of other requests: a server of a stage that answered a call twice had its second answer taken for that to the next call on the connection, and one such answer mixed up dozens of requests.

Cause: calls for pieces had no id, and their answers were told apart by their order alone.

Each call for pieces, and each that frees results, has an id of its own now. An answer that names another one is not used and its connection is closed. An answer without an id is taken as before.

--- a/crates/relay/src/batching.rs
+++ b/crates/relay/src/batching.rs
@@ -19,7 +19,7 @@
 use wasabipier_core::relay::steps::AttemptEnd;
 use wasabipier_core::relay::targets::{CallResult, TargetEntry, TargetView};
 
-use crate::attempt::{self, CallGuard};
+use crate::attempt::{self, CallGuard, OpenAnswer};
 use crate::call_progress::CallProgress;
 use crate::clock;
 use crate::limits::RoomGuard;
@@ -256,12 +256,27 @@
     sleep(UNUSED_CALL_TIMEOUT).await;
 }
 
+/// Returns an id that tells a call to a target of a stage from all others.
+fn new_call_id() -> String {
+    format!("{:016x}", fastrand::u64(..))
+}
+
+/// Returns whether an answer belongs to another call than `call`: a target can answer a call twice, and the second answer
+/// arrives where that to the next call on the connection is due.
+fn names_other_call(answer: &OpenAnswer, call: &str) -> bool {
+    answer.head.request.as_deref().is_some_and(|named| named != call)
+}
+
 async fn call_target(node: &SharedNode, plan: &CallPlan, entry: &TargetEntry) -> Result<Vec<PieceOutcome>, CallResult> {
     let now = clock::now();
     let jobs: Vec<_> = plan.pieces.iter().map(|(_, job)| (job, now.until(job.deadline))).collect();
-    let request = node.platform.pieces_request(entry, &jobs);
+    let call = new_call_id();
+    let request = node.platform.pieces_request(entry, &call, &jobs);
     let answer = attempt::send_request(node, entry, request, &CallProgress::default()).await;
     let mut answer = answer.map_err(|outcome| attempt::call_result(outcome, None))?;
+    if names_other_call(&answer, &call) {
+        return Err(CallResult::Garbled);
+    }
     match answer.head.claim {
         RunClaim::Misdirected => return Err(CallResult::Replaced),
         RunClaim::NotRun | RunClaim::InputsGone => return Err(CallResult::Full),
@@ -305,9 +320,13 @@
 
 async fn send_free_request(node: SharedNode, entry: TargetEntry, handles: Vec<Arc<str>>) {
     node.board.borrow_mut().charge_permit(&entry.service, &entry.target, clock::now());
-    let request = node.platform.free_request(&entry, &handles);
+    let call = new_call_id();
+    let request = node.platform.free_request(&entry, &call, &handles);
     let freed = async {
         let mut answer = attempt::send_request(&node, &entry, request, &CallProgress::default()).await?;
+        if names_other_call(&answer, &call) {
+            return Err(AttemptEnd::Garbled);
+        }
         attempt::read_body_within(&node, &mut answer, MAX_OUTCOME_BYTES).await?;
         node.pool.release(answer.connection, answer.head.idle_timeout);
         Ok::<(), AttemptEnd>(())
--- a/crates/relay/src/ports.rs
+++ b/crates/relay/src/ports.rs
@@ -214,14 +214,14 @@
     fn target_request(&self, request: &TargetRequest<'_>) -> Request<Bytes>;
     /// Decodes the head of a target's answer.
     fn read_answer(&self, status: StatusCode, headers: &http::HeaderMap) -> AnswerHead;
-    /// Returns a request that has a target make the pieces of `jobs`. Each job is paired with the time left until its
-    /// deadline.
-    fn pieces_request(&self, target: &TargetEntry, jobs: &[(&PieceJob, Duration)]) -> Request<Bytes>;
+    /// Returns a request with the id `call` that has a target make the pieces of `jobs`. Each job is paired with the time
+    /// left until its deadline.
+    fn pieces_request(&self, target: &TargetEntry, call: &str, jobs: &[(&PieceJob, Duration)]) -> Request<Bytes>;
     /// Decodes the outcomes of `count` pieces, with a result handle for each piece that was made. Returns `None` if the
     /// body is malformed.
     fn read_pieces(&self, body: &[u8], count: usize) -> Option<Vec<Result<Arc<str>, PieceFailure>>>;
-    /// Returns a request that frees the results with these handles at the target that holds them.
-    fn free_request(&self, target: &TargetEntry, handles: &[Arc<str>]) -> Request<Bytes>;
+    /// Returns a request with the id `call` that frees the results with these handles at the target that holds them.
+    fn free_request(&self, target: &TargetEntry, call: &str, handles: &[Arc<str>]) -> Request<Bytes>;
     /// Returns the address of the target that holds a result, or `None` if the handle is malformed.
     fn result_address(&self, handle: &str) -> Option<SocketAddr>;
 
