Classify errors of replies as the library means them

A reply whose body stayed out counted as broken instead of silent since replies are read in parts: the library wraps its timeouts in errors of the reader. Seen while the change was read again; no caller met it.

The body of an answer is read in one place of an attempt for successes and failures.

--- a/crates/node/src/targets.rs
+++ b/crates/node/src/targets.rs
@@ -260,8 +260,9 @@
 
     /// Reads the reply of a target that streams nothing.
     fn read_reply(&self, mut response: Response<Body>) -> Result<AttemptEvent, AttemptFailure> {
-        let body =
-            self.bounds.read_whole(response.body_mut().as_reader()).map_err(|error| classify_io_error(&error))?;
+        let body = self.bounds.read_whole(response.body_mut().as_reader());
+        // The library wraps its own errors, such as timeouts, in errors of the reader.
+        let body = body.map_err(|error| classify_error(&error.into()))?;
         let reply: ReceivedReply<'_> =
             serde_json::from_slice(&body).map_err(|_| AttemptFailure { kind: FailureKind::Malformed, sent: true })?;
         Ok(AttemptEvent::Finished {
--- a/crates/relay/src/request/target_attempt.rs
+++ b/crates/relay/src/request/target_attempt.rs
@@ -109,14 +109,7 @@
     /// Reads the body of an error response. A server error counts as a failed attempt; any other response goes to the
     /// caller at once.
     async fn read_failure(mut self, mut answer: OpenAnswer) -> AttemptResult {
-        let body = match attempt::read_body(&self.node, &mut answer).await {
-            Ok(body) => body,
-            Err(end) => {
-                self.guard.set_result(CallResult::Broken);
-                self.handle_failure(end).await;
-                return Err(end.into());
-            }
-        };
+        let body = self.read_body(&mut answer).await?;
         self.guard.set_result(CallResult::Faulty);
         let is_server_fault = answer.status.is_server_error();
         let whole = WholeAnswer { status: answer.status, headers: answer.headers, body };
@@ -131,14 +124,7 @@
     async fn read_success(mut self, mut answer: OpenAnswer) -> AttemptResult {
         let took = self.guard.elapsed();
         self.guard.record_first_part();
-        let body = match attempt::read_body(&self.node, &mut answer).await {
-            Ok(body) => body,
-            Err(end) => {
-                self.guard.set_result(CallResult::Broken);
-                self.handle_failure(end).await;
-                return Err(end.into());
-            }
-        };
+        let body = self.read_body(&mut answer).await?;
         self.guard.set_result(CallResult::Good(took));
         self.node.pool.release(answer.connection, answer.head.idle_timeout);
         if attempt::is_framed(&answer.headers) {
@@ -174,6 +160,16 @@
         Ok(RequestAnswer::Stream(Box::new(stream)))
     }
 
+    /// Reads the body of an answer, and blames the content if it is cut.
+    async fn read_body(&mut self, answer: &mut OpenAnswer) -> Result<Bytes, AttemptEnd> {
+        let body = attempt::read_body(&self.node, answer).await;
+        if let Err(end) = &body {
+            self.guard.set_result(CallResult::Broken);
+            self.handle_failure(*end).await;
+        }
+        body
+    }
+
     /// Blames the content if the end indicates that the target may be down.
     async fn handle_failure(&self, end: AttemptEnd) {
         if end == AttemptEnd::Lost && !self.is_proven {
