--- a/crates/node/tests/endless_answers.rs
+++ b/crates/node/tests/endless_answers.rs
@@ -1,6 +1,8 @@
-//! Answers of targets that do not end.
+//! Answers of targets, and requests of callers, that do not end.
 
 use std::fs;
+use std::io::Write;
+use std::net::TcpStream;
 use std::thread;
 
 use wasabipier_fakes::faults::FaultSettings;
@@ -9,6 +11,8 @@
 
 /// Number of requests that run at the same time.
 const REQUEST_COUNT: usize = 8;
+/// Bytes of a head after which its caller sends no more.
+const MAX_HEAD_BYTES: usize = 64 * 1024 * 1024;
 /// Memory in bytes that a node may take.
 const MAX_NODE_MEMORY: u64 = 256 * 1024 * 1024;
 
@@ -51,3 +55,29 @@
         });
     }
 }
+
+/// Guards against a node that keeps all of a request line that does not end.
+#[test]
+fn heads_without_end_of_callers_take_bounded_memory() {
+    let env = TestEnv::start(TestPlan { node_count: 1, ..TestPlan::typical(env!("CARGO_BIN_EXE_wasabipier")) });
+    let address = env.nodes[0].caller_address;
+    let block = vec![b'a'; 64 * 1024];
+
+    let connections: Vec<TcpStream> = thread::scope(|scope| {
+        let send = || {
+            let mut stream = TcpStream::connect(address).expect("the node listens");
+            let mut written = stream.write_all(b"GET /");
+            for _ in 0..MAX_HEAD_BYTES / block.len() {
+                // A write fails once the node has closed the connection.
+                written = written.and_then(|()| stream.write_all(&block));
+            }
+            stream
+        };
+        let senders: Vec<_> = (0..REQUEST_COUNT).map(|_| scope.spawn(send)).collect();
+        senders.into_iter().map(|sender| sender.join().expect("it does not panic")).collect()
+    });
+    let peak = peak_memory(&env, 0);
+    drop(connections);
+
+    assert!(peak < MAX_NODE_MEMORY, "peak of {} MB", peak / 1024 / 1024);
+}
