--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -8,13 +8,15 @@
 //! ([`rate_limits`]) and no more than fit while they are brittle ([`brittle`]). [`members`], [`fleet`] and [`rows`] hold what nodes know of each other and of the store, whose
 //! versions ([`store_version`]) count anew when it is restored from an older copy ([`store_restoration`]),
 //! [`chunks`] transfers it, [`read_attempts`] and [`answer_timeout`] tell when to call the store. [`rollout`],
-//! [`rollout_board`] and [`speed`] move a service to another version. [`board`] holds the whole state of a node.
+//! [`rollout_board`] and [`speed`] move a service to another version. [`caller_addresses`] tells callers which nodes to
+//! use. [`board`] holds the whole state of a node.
 
 pub mod access;
 pub mod answer_timeout;
 pub mod board;
 pub mod brittle;
 pub mod budget;
+pub mod caller_addresses;
 pub mod choice;
 pub mod chunks;
 pub mod departure;
--- a/crates/core/src/relay/paths.rs
+++ b/crates/core/src/relay/paths.rs
@@ -5,7 +5,6 @@
 //! takes no path for granted until a connection succeeds, and probes others. If they fail, too, it counts as cut off.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::clock::Moment;
@@ -315,20 +314,6 @@
         }
     }
 
-    /// Returns the addresses for callers of the nodes that accept new work, including this one. Nodes that are cut off
-    /// from all targets are left out if they are not more than half of all.
-    #[must_use]
-    pub fn addresses(&self, now: Moment) -> Vec<SocketAddr> {
-        let own = (self.state == NodeState::Serving).then_some((self.identity.caller_address, self.paths.is_cut_off()));
-        let peers = self.members.serving(now);
-        let peers = peers.map(|view| (view.heartbeat.caller_address, view.heartbeat.paths.is_cut_off));
-        let (cut_off, connected): (Vec<_>, Vec<_>) =
-            own.into_iter().chain(peers).partition(|(_, is_cut_off)| *is_cut_off);
-        let is_few = cut_off.len() <= connected.len();
-        let named = connected.into_iter().chain(cut_off.into_iter().filter(|_| !is_few));
-        named.map(|(address, _)| address).collect()
-    }
-
     /// Returns the node that batches the pieces of `service`. It is not this node while it is leaving, unless it has no
     /// serving peer.
     #[must_use]
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -6,6 +6,8 @@
 mod answer_timeout;
 #[path = "relay/brittle.rs"]
 mod brittle;
+#[path = "relay/caller_addresses.rs"]
+mod caller_addresses;
 #[path = "relay/choice.rs"]
 mod choice;
 #[path = "relay/chunks.rs"]
--- a/crates/relay/src/listeners.rs
+++ b/crates/relay/src/listeners.rs
@@ -1,6 +1,7 @@
 //! Listeners for callers' requests, readiness checks, address queries and metrics.
 
 use std::convert::Infallible;
+use std::net::IpAddr;
 
 use bytes::Bytes;
 use http::header::{CONNECTION, HeaderValue};
@@ -13,6 +14,8 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 use wasabipier_core::message::NodeState;
+use wasabipier_core::names::DcName;
+use wasabipier_core::relay::caller_addresses::AddressQuery;
 
 use crate::body::AnswerBody;
 use crate::caller_stream::{CallerStream, UnframedMark};
@@ -33,8 +36,8 @@
 pub async fn serve_listener(node: SharedNode, kind: ListenKind, listener: TcpListener) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                spawn_local(serve_connection(node.clone(), kind, stream));
+            Ok((stream, caller)) => {
+                spawn_local(serve_connection(node.clone(), kind, stream, caller.ip()));
             }
             Err(error) => {
                 warn!("{CALLERS} connection could not be accepted: {error}; check the VM's limit on open files.");
@@ -44,7 +47,7 @@
     }
 }
 
-async fn serve_connection(node: SharedNode, kind: ListenKind, stream: TcpStream) {
+async fn serve_connection(node: SharedNode, kind: ListenKind, stream: TcpStream, caller: IpAddr) {
     // A caller may pause its reading.
     let prepared = sockets::detect_silent_peer(&stream).and_then(|()| sockets::allow_paused_reader(&stream));
     if let Err(error) = prepared {
@@ -66,7 +69,7 @@
         let (node, guard, unframed) = (node.clone(), signal.record_head_read(), unframed.clone());
         let knows_chunks = request.version() >= Version::HTTP_11;
         async move {
-            let response = answer_request(node, kind, request).await;
+            let response = answer_request(node, kind, caller, request).await;
             unframed.set(!knows_chunks && matches!(response.body(), AnswerBody::Stream(_)));
             Ok::<_, Infallible>(response.map(|body| GuardedBody { body, _guard: guard }))
         }
@@ -82,14 +85,19 @@
     }
 }
 
-async fn answer_request(node: SharedNode, kind: ListenKind, request: Request<Incoming>) -> Response<AnswerBody> {
+async fn answer_request(
+    node: SharedNode,
+    kind: ListenKind,
+    caller: IpAddr,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
     let (parts, body) = request.into_parts();
     let mut response = match node.platform.read_request(kind, &parts) {
         ListenerRequest::Relay(head) => request::serve(node.clone(), *head, parts, body).await,
         ListenerRequest::Ready => {
             status_response(if is_ready(&node) { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
         }
-        ListenerRequest::Addresses => addresses_response(&node),
+        ListenerRequest::Addresses(dc) => addresses_response(&node, caller, dc),
         ListenerRequest::Metrics => Response::new(AnswerBody::whole(Bytes::from(node.metrics.render()))),
         ListenerRequest::Unknown => status_response(StatusCode::NOT_FOUND),
         ListenerRequest::Malformed(reason) => {
@@ -114,8 +122,9 @@
     node.board.borrow().state == NodeState::Serving
 }
 
-fn addresses_response(node: &SharedNode) -> Response<AnswerBody> {
-    let addresses = node.board.borrow().addresses(clock::now());
+fn addresses_response(node: &SharedNode, caller: IpAddr, dc: Option<DcName>) -> Response<AnswerBody> {
+    let query = AddressQuery { host: caller, dc, max_count: node.platform.max_addresses() };
+    let addresses = node.board.borrow().addresses_for(&query, clock::now());
     if addresses.is_empty() {
         return status_response(StatusCode::SERVICE_UNAVAILABLE);
     }
--- a/crates/relay/src/ports.rs
+++ b/crates/relay/src/ports.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode, Uri};
-use wasabipier_core::names::{OrgName, TargetName};
+use wasabipier_core::names::{DcName, OrgName, TargetName};
 use wasabipier_core::relay::board::OrderChange;
 use wasabipier_core::relay::brittle::RejectTolerance;
 use wasabipier_core::relay::choice::PromptSpec;
@@ -61,8 +61,8 @@
     Relay(Box<RequestHead>),
     /// A query whether this node is ready.
     Ready,
-    /// A query for the addresses that callers may use.
-    Addresses,
+    /// A query for the addresses that callers may use, with the data centre that it names.
+    Addresses(Option<DcName>),
     /// A query for the metrics.
     Metrics,
     /// A request that the listener does not serve.
@@ -205,6 +205,8 @@
     fn read_request(&self, kind: ListenKind, head: &http::request::Parts) -> ListenerRequest;
     /// Returns the response that refuses a request.
     fn refusal_response(&self, notice: RefusalNotice) -> Response<Bytes>;
+    /// Returns the maximum number of addresses that callers read in an answer.
+    fn max_addresses(&self) -> usize;
     /// Returns the response that lists `addresses`, which callers may cache for `keep_for`.
     fn addresses_response(&self, addresses: &[SocketAddr], keep_for: Duration) -> Response<Bytes>;
     /// Removes headers of a target's answer that concern only the connection to the target.
