--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -3,9 +3,9 @@
 //! The modules in the order in which a request uses them: the document, which is the configuration that operators
 //! promote, defines its route ([`document`], [`access`]). Admission control accepts or refuses it ([`overload`],
 //! [`departure`]). Its preparation stages run ([`graph`], [`pieces`]), a target is chosen ([`targets`], [`prompts`],
-//! [`choice`]) and connected to ([`paths`]), and the answer is passed on or the request is retried ([`steps`], [`budget`], [`events`]). Content that
+//! [`choice`], [`placement`]) and connected to ([`paths`]), and the answer is passed on or the request is retried ([`steps`], [`budget`], [`events`]). Content that
 //! crashes targets is refused ([`suspects`]), and targets get no more requests than they say they take
-//! ([`rate_limits`]) and no more than fit while they are brittle ([`brittle`]). [`members`], [`fleet`] and [`rows`] hold what nodes know of each other and of the store, whose
+//! ([`rate_limits`]) and no more than fit while they are brittle ([`brittle`]). [`members`], [`fleet`], [`rosters`] and [`rows`] hold what nodes know of each other and of the store, whose
 //! versions ([`store_version`]) count anew when it is restored from an older copy ([`store_restoration`]),
 //! [`chunks`] transfers it, [`read_attempts`] and [`answer_timeout`] tell when to call the store. [`rollout`],
 //! [`rollout_board`] and [`speed`] move a service to another version. [`caller_addresses`] tells callers which nodes to
@@ -28,12 +28,14 @@
 pub mod overload;
 pub mod paths;
 pub mod pieces;
+pub mod placement;
 pub mod prompts;
 pub mod rate_limits;
 pub mod read_attempts;
 pub mod refusals;
 pub mod rollout;
 pub mod rollout_board;
+pub mod rosters;
 pub mod rows;
 pub mod speed;
 pub mod steps;
--- a/crates/core/src/relay/board.rs
+++ b/crates/core/src/relay/board.rs
@@ -11,18 +11,20 @@
 use crate::relay::access::{AccessClaim, AccessDenial, AccessGrant, FreshnessLimits, check_access};
 use crate::relay::brittle::{BrittleTable, RoomLedger};
 use crate::relay::budget::{RetryLedger, RetryLimits};
-use crate::relay::choice::{CallRequirements, ChoiceContext, ChoiceWeights, choose_target};
+use crate::relay::choice::{CallRequirements, ChoiceContext, ChoiceScope, ChoiceWeights, choose_target};
 use crate::relay::departure::DepartureGate;
 use crate::relay::document::{DocumentIndex, RelayRoute, RelayService};
 use crate::relay::fleet::{FleetReport, sum_loads};
-use crate::relay::members::{PeerTable, RelayHeartbeat, TableProof};
+use crate::relay::members::{CallVersion, PeerTable, RelayHeartbeat, TableProof};
 use crate::relay::overload::OverloadBounds;
 use crate::relay::paths::PathTable;
 use crate::relay::pieces::{PieceTable, QueueWait};
+use crate::relay::placement::GrantLedger;
 use crate::relay::prompts::PromptCacheTable;
 use crate::relay::rate_limits::{PermitBuckets, RateLimitTable};
 use crate::relay::rollout::{RolloutLimits, RolloutOrder, RolloutTable, VersionLane};
 use crate::relay::rollout_board::VersionSightings;
+use crate::relay::rosters::RosterTable;
 use crate::relay::rows::{TableCopy, TableId};
 use crate::relay::speed::SpeedTable;
 use crate::relay::steps::SilenceTimeouts;
@@ -133,6 +135,10 @@
     pub(super) speeds: SpeedTable,
     /// Peers: the other nodes, by their heartbeats.
     pub members: PeerTable,
+    /// The roster that this node keeps as a hub, and those of other hubs.
+    pub rosters: RosterTable,
+    /// Prompts that this node has placed as a hub.
+    pub grants: GrantLedger,
     /// Planned end of this node, and which requests it accepts until then.
     pub departure: DepartureGate,
     /// Numbers of requests and retries of this node, for the retry budget.
@@ -178,6 +184,8 @@
             sightings: VersionSightings::default(),
             speeds: SpeedTable::default(),
             members: PeerTable::default(),
+            rosters: RosterTable::default(),
+            grants: GrantLedger::default(),
             departure: DepartureGate::default(),
             tuning,
             retry_ledger: RetryLedger::default(),
@@ -252,10 +260,27 @@
     /// Chooses the target for a call and returns its entry, or `None` if no target may get the call now.
     pub fn choose(&mut self, call: &CallRequirements<'_>, now: Moment) -> Option<TargetEntry> {
         let lanes = self.version_lanes(call.service, now);
-        lanes.iter().find_map(|lane| self.choose_in_lane(call, lane, now))
+        lanes.iter().find_map(|lane| self.choose_in_lane(call, lane, ChoiceScope::Node, now))
     }
 
-    fn choose_in_lane(&mut self, call: &CallRequirements<'_>, lane: &VersionLane, now: Moment) -> Option<TargetEntry> {
+    /// Chooses the target for a call of any node as a hub does, among the versions of `lane`. Targets of this data centre
+    /// are preferred, whose calls in flight this hub knows best.
+    pub(super) fn choose_for_fleet(
+        &mut self,
+        call: &CallRequirements<'_>,
+        lane: &VersionLane,
+        now: Moment,
+    ) -> Option<TargetEntry> {
+        self.choose_in_lane(call, lane, ChoiceScope::Fleet, now)
+    }
+
+    fn choose_in_lane(
+        &mut self,
+        call: &CallRequirements<'_>,
+        lane: &VersionLane,
+        scope: ChoiceScope,
+        now: Moment,
+    ) -> Option<TargetEntry> {
         let mut random = self.random.clone();
         let unlimited = if call.only_unlimited { self.unlimited_targets(call.service) } else { BTreeSet::new() };
         let context = ChoiceContext {
@@ -270,6 +295,7 @@
             node: &self.identity.node,
             dc: &self.identity.dc,
             weights: &self.tuning.weights,
+            scope,
             now,
         };
         let chosen = choose_target(&context, call, &mut random);
@@ -382,6 +408,11 @@
     /// Builds the next heartbeat to peers and counts its sequence number up.
     pub fn next_heartbeat(&mut self, now: Moment) -> RelayHeartbeat {
         self.heartbeat_count += 1;
+        self.build_heartbeat(now)
+    }
+
+    /// Builds this node's heartbeat with the sequence number of the last one.
+    pub(super) fn build_heartbeat(&self, now: Moment) -> RelayHeartbeat {
         let proofs = self.copies.iter().filter_map(|(table, copy)| {
             let age = now.since(copy.confirmed_at()?);
             let (version, last_change_version) = (copy.version(), copy.last_change_version());
@@ -392,6 +423,7 @@
             node: self.identity.node.clone(),
             instance: self.identity.instance,
             sequence: self.heartbeat_count,
+            call_version: CallVersion::CURRENT,
             dc: self.identity.dc.clone(),
             capacity: self.tuning.capacity,
             caller_address: self.identity.caller_address,
@@ -442,7 +474,7 @@
     }
 
     /// Handles a heartbeat of a peer, with its loads and prompts. Returns whether the instance of the peer is new. The
-    /// loads count only if the peer is one of the `load_reporters`.
+    /// loads count only if `counts_loads_of` the peer is true.
     pub fn handle_heartbeat(&mut self, heartbeat: RelayHeartbeat, now: Moment) -> bool {
         let (node, loads) = (heartbeat.node.clone(), heartbeat.loads.clone());
         self.prompts.receive_updates(&node, &heartbeat.prompts, now);
@@ -451,7 +483,7 @@
         self.handle_rollout_reports(&heartbeat, now, now);
         self.record_peer_document(&heartbeat, now);
         let is_new = self.members.handle_heartbeat(heartbeat, now);
-        let loads = if self.load_reporters(now).contains(&node) { loads } else { Vec::new() };
+        let loads = if self.counts_loads_of(&node, now) { loads } else { Vec::new() };
         self.targets.set_peer_loads(&node, loads);
         is_new
     }
@@ -470,18 +502,27 @@
         for (member, age) in &report.members {
             self.handle_rollout_reports(member, requested_at - *age, now);
         }
+        self.handle_roster_updates(&report.rosters, requested_at, now);
         heartbeat.loads = sum_loads(heartbeat.loads.iter().chain(&report.loads));
         heartbeat.prompts.extend(report.prompts);
         self.handle_heartbeat(heartbeat, now)
     }
 
-    /// Removes expired state: targets whose entries are gone, peers that have been silent for long, and the loads of
-    /// peers that are no longer among the `load_reporters`. Returns the removed targets.
+    /// Removes expired state: targets whose entries are gone, peers that have been silent for long, grants, and the loads
+    /// of peers that count no longer. Returns the removed targets.
     pub fn remove_expired(&mut self, now: Moment) -> Vec<TargetName> {
-        let reporters = self.load_reporters(now);
-        for node in self.targets.peers_with_load().iter().filter(|node| !reporters.contains(*node)) {
-            self.targets.set_peer_loads(node, Vec::new());
+        for node in self.targets.peers_with_load() {
+            if !self.counts_loads_of(&node, now) {
+                self.targets.set_peer_loads(&node, Vec::new());
+            }
+        }
+        for hub in self.targets.peers_with_grants() {
+            if !self.members.get(&hub).is_some_and(|view| view.is_alive(now)) {
+                self.targets.set_peer_grants(&hub, Vec::new());
+            }
         }
+        self.remove_expired_grants(now);
+        self.rosters.remove_expired(now);
         self.members.evict_expired(now);
         self.maintain_limits(now);
         let removed = self.targets.remove_due(now);
--- a/crates/core/src/relay/choice.rs
+++ b/crates/core/src/relay/choice.rs
@@ -114,6 +114,15 @@
     pub only_unlimited: bool,
 }
 
+/// For which nodes a target is chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ChoiceScope {
+    /// For calls of this node. Nodes that do not know each other's calls prefer the same target for a prompt.
+    Node,
+    /// For calls of all nodes, as a hub that knows their calls, above all those to targets of its data centre.
+    Fleet,
+}
+
 /// State that the choice of a target depends on.
 #[derive(Clone, Copy, Debug)]
 pub struct ChoiceContext<'a> {
@@ -139,6 +148,8 @@
     pub dc: &'a DcName,
     /// Weights of the cost estimate.
     pub weights: &'a ChoiceWeights,
+    /// For which nodes the target is chosen.
+    pub scope: ChoiceScope,
     /// When the target is chosen.
     pub now: Moment,
 }
@@ -200,7 +211,7 @@
 
 /// Returns the preferred target for a shared prompt prefix, by rendezvous hash. Nodes with the same eligible targets
 /// compute the same one, so that the prefix is usually processed by one engine only.
-fn preferred_target(eligible: &[&TargetView], key: &str) -> Option<TargetName> {
+pub(super) fn preferred_target(eligible: &[&TargetView], key: &str) -> Option<TargetName> {
     let names = eligible.iter().map(|view| &view.entry.target);
     names.max_by_key(|name| rendezvous_weight(key, name.as_str())).cloned()
 }
@@ -217,13 +228,20 @@
     /// Extra cost of a target other than the preferred one. With it, nodes that know of no cached copy agree on one
     /// target.
     const NON_PREFERRED_COST_MS: f64 = 50.0;
+    /// Cost of a target that a hub has kept busy all the time of late. With it, prompts that no target has cached are
+    /// spread evenly.
+    const BUSY_COST_MS: f64 = 500.0;
     let weights = context.weights;
     let cached = context.prompts.cached_tokens(prompt, keys, &view.entry.target, context.now);
     let reread = prompt.shared_tokens().saturating_sub(cached);
     let unshared = prompt.tokens().saturating_sub(cached).saturating_sub(reread);
-    let queued = view.pending_prompt_tokens + view.others_pending_prompt_tokens;
+    let queued = view.total_pending_tokens();
     let tokens_to_read = f64::from(unshared + queued) + f64::from(reread) * weights.reread_factor;
-    let preference_ms = if is_preferred { 0.0 } else { NON_PREFERRED_COST_MS };
+    let preference_ms = match context.scope {
+        ChoiceScope::Fleet => BUSY_COST_MS * view.recent_busy_ratio(weights.tokens_per_ms, context.now),
+        ChoiceScope::Node if is_preferred => 0.0,
+        ChoiceScope::Node => NON_PREFERRED_COST_MS,
+    };
     tokens_to_read / weights.tokens_per_ms + f64::from(view.total_in_flight()) * weights.stream_cost_ms + preference_ms
 }
 
@@ -233,18 +251,27 @@
     const DEFAULT_CALL_MS: f64 = 15.0;
     /// Cost of a target that this node does not reach itself. A call through a peer has one hop more.
     const UNREACHED_COST_MS: f64 = 20.0;
+    /// Cost of a target whose calls another hub knows better.
+    const OTHER_HUB_COST_MS: f64 = 20.0;
+    /// Maximum random part of the cost of a call with a prompt. Targets that are equal otherwise are chosen in turn.
+    const PROMPT_JITTER_MS: f64 = 2.0;
     let weights = context.weights;
     let remote_bytes: u64 =
         call.input_bytes_by_dc.iter().filter(|(dc, _)| **dc != view.entry.dc).map(|(_, bytes)| bytes).sum();
     let mut cost =
         remote_bytes as f64 / 1e6 * weights.remote_megabyte_cost_ms + view.failure_ratio * weights.failure_cost_ms;
     if view.entry.dc != *context.dc {
-        cost += weights.remote_call_cost_ms;
+        cost += match context.scope {
+            ChoiceScope::Node => weights.remote_call_cost_ms,
+            ChoiceScope::Fleet => OTHER_HUB_COST_MS,
+        };
     }
     if context.paths.is_doubtful(&view.entry.target) {
         cost += UNREACHED_COST_MS;
     }
-    if call.prompt.is_none() {
+    if call.prompt.is_some() {
+        cost += PROMPT_JITTER_MS * jitter;
+    } else {
         let response_ms = if view.average_first_byte_ms > 0.0 { view.average_first_byte_ms } else { DEFAULT_CALL_MS };
         // The jitter keeps nodes with the same outdated view from all choosing the same target.
         let load_per_slot = f64::from(view.total_in_flight()) / f64::from(view.entry.slots.max(1));
--- a/crates/core/src/relay/document.rs
+++ b/crates/core/src/relay/document.rs
@@ -138,6 +138,8 @@
     pub cold_rate: f64,
     /// Batch settings if the targets process pieces of stages, otherwise `None`.
     pub batch: Option<BatchSpec>,
+    /// Whether the targets are engines, which process prompts.
+    pub has_engines: bool,
 }
 
 /// Limits on the size of requests and on the time for which connections may be silent.
--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -11,10 +11,11 @@
 
 use crate::clock::Moment;
 use crate::message::NodeState;
-use crate::names::{DcName, NodeName, TargetName};
+use crate::names::{DcName, InstanceId, NodeName, ServiceName, TargetName};
 use crate::relay::board::RelayBoard;
-use crate::relay::members::{PeerView, RelayHeartbeat, TargetLoad, rendezvous_weight};
+use crate::relay::members::{CallVersion, PeerView, RelayHeartbeat, TargetLoad, rendezvous_weight};
 use crate::relay::prompts::PromptCacheUpdate;
+use crate::relay::rosters::{KnownRoster, RosterId, RosterUpdate};
 use crate::relay::rows::{TableCopy, TableId};
 
 /// Maximum number of nodes of a small fleet, in which all exchange heartbeats with all. With a heartbeat interval of
@@ -30,6 +31,23 @@
     pub loads: Vec<TargetLoad>,
     /// Prompts that the represented nodes recently sent to engines.
     pub prompts: Vec<PromptCacheUpdate>,
+    /// Rosters of hubs, whose members are not among `members`. Nodes that read calls of version 7 get them.
+    pub rosters: Vec<RosterUpdate>,
+}
+
+/// A node that sends its heartbeat and asks for a report on the fleet.
+#[derive(Clone, Debug)]
+pub struct FleetCaller {
+    /// Name of the node.
+    pub node: NodeName,
+    /// Its instance.
+    pub instance: InstanceId,
+    /// Its data centre.
+    pub dc: DcName,
+    /// Highest version of calls that it reads.
+    pub call_version: CallVersion,
+    /// Copies of rosters that it has.
+    pub known: Vec<KnownRoster>,
 }
 
 /// The nodes with which a node exchanges heartbeats.
@@ -92,6 +110,13 @@
         FleetPartners::Only(hubs.filter(|node| node != own).collect())
     }
 
+    /// Returns the nodes of `partners`, or none in a small fleet.
+    #[must_use]
+    pub fn partner_views(&self, now: Moment) -> Vec<&PeerView> {
+        let FleetPartners::Only(names) = self.partners(now) else { return Vec::new() };
+        names.iter().filter_map(|name| self.members.get(name)).collect()
+    }
+
     /// Returns the data centres of all known nodes, sorted.
     fn known_dcs(&self) -> Vec<DcName> {
         let peers = self.members.known().map(|view| view.heartbeat.dc.clone());
@@ -101,8 +126,127 @@
         dcs
     }
 
-    /// Returns the report for `peer`, a node in `peer_dc`: the heartbeats of all other live peers, and the loads and
-    /// prompts of the nodes that this node represents to `peer`. The report is empty in a small fleet.
+    /// Returns the report for a node that asks for one, in the form that the node reads. The report is empty in a small
+    /// fleet.
+    pub fn report_to(&mut self, caller: &FleetCaller, now: Moment) -> FleetReport {
+        if caller.call_version < CallVersion::ROSTERS {
+            return self.fleet_report(&caller.node, &caller.dc, now);
+        }
+        if self.is_small_fleet() {
+            return FleetReport::default();
+        }
+        let is_hub = self.is_hub(now);
+        let own = is_hub.then(|| RosterId::of(&self.identity.node, self.identity.instance));
+        if is_hub && self.rosters.is_refresh_due(now) {
+            self.refresh_own_roster(now);
+        }
+        let receiver = RosterId::of(&caller.node, caller.instance);
+        let rosters = self.rosters.updates_for(&caller.known, own, receiver, now);
+        let is_listed = |node: &NodeName| self.rosters.lists(node) || (is_hub && self.rosters.lists_in_own(node));
+        let others = self.members.alive(now).filter(|view| view.heartbeat.node != caller.node);
+        let unlisted = others.filter(|view| !is_listed(&view.heartbeat.node));
+        let members =
+            unlisted.map(|view| (summarize_heartbeat(&view.heartbeat), now.since(view.last_heartbeat_at))).collect();
+        FleetReport { members, rosters, ..self.load_report(&caller.node, &caller.dc, now) }
+    }
+
+    /// Returns the loads and prompts that this node tells a peer which reads rosters, as a hub.
+    fn load_report(&self, peer: &NodeName, dc: &DcName, now: Moment) -> FleetReport {
+        if self.is_small_fleet() || !self.is_hub(now) {
+            return FleetReport::default();
+        }
+        if !self.is_other_hub(peer, dc, now) {
+            return FleetReport { loads: self.plain_peer_loads(peer), ..FleetReport::default() };
+        }
+        let represented = self.represented_nodes(peer, dc, now);
+        let prompts = self.prompts.forwardable_updates(|node| represented.contains(node), now);
+        FleetReport { loads: self.targets.sum_peer_loads(&represented), prompts, ..FleetReport::default() }
+    }
+
+    /// Returns whether `node` in `dc` is the hub of another data centre.
+    fn is_other_hub(&self, node: &NodeName, dc: &DcName, now: Moment) -> bool {
+        *dc != self.identity.dc && self.hub(dc, now) == Some(node)
+    }
+
+    /// Sets the own roster to this hub and its followers.
+    fn refresh_own_roster(&mut self, now: Moment) {
+        let followers = self.members.alive(now).filter(|view| self.is_follower(view, now));
+        let followers = followers.map(|view| summarize_heartbeat(&view.heartbeat));
+        let own = summarize_heartbeat(&self.build_heartbeat(now));
+        let members = followers.chain([own]).collect();
+        self.rosters.set_own_members(members, now);
+    }
+
+    fn is_follower(&self, view: &PeerView, now: Moment) -> bool {
+        view.has_direct_contact(now) && view.heartbeat.dc == self.identity.dc
+    }
+
+    /// Returns whether followers choose targets of `service` by themselves, or judge it, and so are told its load. Hubs
+    /// place prompts, and the nodes that batch pieces know the calls of stages.
+    fn is_load_told(&self, service: &ServiceName) -> bool {
+        let settings = self.index.services.get(service);
+        let is_chosen_by_all = settings.is_none_or(|settings| !settings.has_engines && settings.batch.is_none());
+        is_chosen_by_all || self.rollouts.get(service).is_some()
+    }
+
+    /// Returns the load that all peers but `except` have reported, by target of services whose load followers are told.
+    fn plain_peer_loads(&self, except: &NodeName) -> Vec<TargetLoad> {
+        let services = self.targets.services().filter(|service| self.is_load_told(service));
+        let views = services.flat_map(|service| self.targets.of(service));
+        let loads = views.map(|view| {
+            let target = &view.entry.target;
+            let (in_flight, tokens) = match self.targets.peer_load(except, target) {
+                Some(load) => (load.in_flight, load.pending_prompt_tokens),
+                None => (0, 0),
+            };
+            TargetLoad {
+                target: target.clone(),
+                in_flight: view.others_in_flight.saturating_sub(in_flight),
+                pending_prompt_tokens: view.others_pending_prompt_tokens.saturating_sub(tokens),
+            }
+        });
+        loads.filter(|load| load.in_flight > 0).collect()
+    }
+
+    /// Builds the next heartbeat for a peer of a large fleet. Only hubs get the prompts and all loads.
+    pub fn next_heartbeat_to(&mut self, peer: &NodeName, dc: &DcName, now: Moment) -> RelayHeartbeat {
+        let mut heartbeat = self.next_heartbeat(now);
+        if !self.is_small_fleet() && self.hub(dc, now) != Some(peer) {
+            heartbeat.prompts.clear();
+            let is_told = |load: &TargetLoad| {
+                let view = self.targets.get(&load.target);
+                view.is_some_and(|view| self.is_load_told(&view.entry.service))
+            };
+            heartbeat.loads.retain(is_told);
+        }
+        heartbeat
+    }
+
+    /// Handles updates of rosters that a peer sent in reply to a call made at `requested_at`.
+    pub(super) fn handle_roster_updates(&mut self, updates: &[RosterUpdate], requested_at: Moment, now: Moment) {
+        if updates.is_empty() {
+            return;
+        }
+        for update in updates {
+            let vouched_at = requested_at - update.age;
+            let Some(change) = self.rosters.apply(update, vouched_at) else { continue };
+            let members = self.rosters.members(update.known.id);
+            for (heartbeat, vouched_at) in members.filter(|(heartbeat, _)| heartbeat.node != self.identity.node) {
+                self.members.handle_relayed_heartbeat(heartbeat, vouched_at);
+            }
+            for heartbeat in &update.changed {
+                self.handle_rollout_reports(heartbeat, vouched_at, now);
+            }
+            for node in change.gone.iter().filter(|node| !self.rosters.lists(node)) {
+                self.members.handle_departure(node, now);
+            }
+        }
+        self.members.count_alive(now);
+    }
+
+    /// Returns the report for `peer`, a node in `peer_dc` that does not read rosters: the heartbeats of all other live
+    /// peers, and the loads and prompts of the nodes that this node represents to `peer`. The report is empty in a small
+    /// fleet.
     #[must_use]
     pub fn fleet_report(&self, peer: &NodeName, peer_dc: &DcName, now: Moment) -> FleetReport {
         if self.is_small_fleet() {
@@ -117,6 +261,7 @@
                 .collect(),
             loads: self.targets.sum_peer_loads(&represented),
             prompts: self.prompts.forwardable_updates(|node| represented.contains(node), now),
+            rosters: Vec::new(),
         }
     }
 
@@ -127,11 +272,9 @@
         if self.is_small_fleet() || !self.is_hub(now) {
             return BTreeSet::new();
         }
-        let is_peer_hub = *peer_dc != self.identity.dc && self.hub(peer_dc, now) == Some(peer);
-        let is_represented = |view: &&PeerView| {
-            let is_follower = view.has_direct_contact(now) && view.heartbeat.dc == self.identity.dc;
-            view.heartbeat.node != *peer && (is_follower || !is_peer_hub)
-        };
+        let is_peer_hub = self.is_other_hub(peer, peer_dc, now);
+        let is_represented =
+            |view: &&PeerView| view.heartbeat.node != *peer && (self.is_follower(view, now) || !is_peer_hub);
         self.members.alive(now).filter(is_represented).map(|view| &view.heartbeat.node).collect()
     }
 
@@ -144,32 +287,37 @@
     }
 
     /// Handles the loads that a peer reports between heartbeats. They replace the earlier ones of the peer, and are
-    /// ignored if the peer is not one of the `load_reporters`.
+    /// ignored if the loads of the peer do not count.
     pub fn handle_load_report(&mut self, peer: &NodeName, loads: Vec<TargetLoad>, now: Moment) {
-        if self.load_reporters(now).contains(peer) {
+        if self.counts_loads_of(peer, now) {
             self.targets.set_peer_loads(peer, loads);
         }
     }
 
-    /// Returns the peers whose reported loads this node counts. The load of any other peer is included in the report of
-    /// one of these.
+    /// Returns whether this node counts the loads that `peer` reports. The load of any other peer is included in the
+    /// report of one that counts.
     #[must_use]
-    pub fn load_reporters(&self, now: Moment) -> BTreeSet<NodeName> {
-        match self.partners(now) {
-            FleetPartners::All => {
-                let peers = self.members.known().filter(|view| view.has_direct_contact(now));
-                peers.map(|view| view.heartbeat.node.clone()).collect()
-            }
-            FleetPartners::Only(partners) => self.followers(now).into_iter().chain(partners).collect(),
+    pub fn counts_loads_of(&self, peer: &NodeName, now: Moment) -> bool {
+        let Some(view) = self.members.get(peer) else { return false };
+        if self.is_small_fleet() {
+            return view.has_direct_contact(now);
         }
+        if !self.is_hub(now) {
+            return self.hub(&self.identity.dc, now) == Some(peer);
+        }
+        (view.is_alive(now) && self.is_follower(view, now)) || self.hub(&view.heartbeat.dc, now) == Some(peer)
     }
 
     /// Returns the report that this node sends when it calls `peer`. The report is empty if `peer` is unknown or this
-    /// node is not a hub, since only hubs know more than their peers.
+    /// node is not a hub, since only hubs know more than their peers. Peers that read rosters ask for them.
     #[must_use]
     pub fn fleet_report_for(&self, peer: &NodeName, now: Moment) -> FleetReport {
-        let dc = self.members.get(peer).map(|view| view.heartbeat.dc.clone());
-        dc.filter(|_| self.is_hub(now)).map(|dc| self.fleet_report(peer, &dc, now)).unwrap_or_default()
+        let Some(view) = self.members.get(peer).filter(|_| self.is_hub(now)) else { return FleetReport::default() };
+        if view.heartbeat.call_version < CallVersion::ROSTERS {
+            self.fleet_report(peer, &view.heartbeat.dc, now)
+        } else {
+            self.load_report(peer, &view.heartbeat.dc, now)
+        }
     }
 
     /// Returns the followers of this hub: the live nodes of its data centre that exchange heartbeats with it. Returns
@@ -179,8 +327,11 @@
         if self.is_small_fleet() || !self.is_hub(now) {
             return Vec::new();
         }
-        let is_follower = |view: &&PeerView| view.has_direct_contact(now) && view.heartbeat.dc == self.identity.dc;
-        self.members.alive(now).filter(is_follower).map(|view| view.heartbeat.node.clone()).collect()
+        self.members
+            .alive(now)
+            .filter(|view| self.is_follower(view, now))
+            .map(|view| view.heartbeat.node.clone())
+            .collect()
     }
 
     /// Returns whether this node reads a table from the store. In a large fleet that is the case for hubs, for starting
--- a/crates/core/src/relay/members.rs
+++ b/crates/core/src/relay/members.rs
@@ -44,6 +44,25 @@
     pub age_ms: u32,
 }
 
+/// Version of the calls between nodes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct CallVersion(pub u32);
+
+impl CallVersion {
+    /// Version of nodes that do not tell theirs.
+    pub const BASE: Self = Self(6);
+    /// Version from which on nodes tell rosters and load reports, and place prompts for each other.
+    pub const ROSTERS: Self = Self(7);
+    /// Highest version that this release reads.
+    pub const CURRENT: Self = Self::ROSTERS;
+}
+
+impl Default for CallVersion {
+    fn default() -> Self {
+        Self::BASE
+    }
+}
+
 /// State of a node that it sends to its peers at a regular interval.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RelayHeartbeat {
@@ -53,6 +72,8 @@
     pub instance: InstanceId,
     /// Sequence number of the heartbeat within the instance.
     pub sequence: u64,
+    /// Highest version of calls that the node reads.
+    pub call_version: CallVersion,
     /// Data centre of the node.
     pub dc: DcName,
     /// Relative strength of the node's VM. Stronger nodes are preferred as hubs and for batching.
@@ -190,7 +211,7 @@
             suspected_since: None,
         };
         self.peers.insert(view.heartbeat.node.clone(), view);
-        self.max_alive_nodes = self.max_alive_nodes.max(self.alive(now).count() + 1);
+        self.count_alive(now);
         is_new
     }
 
@@ -200,27 +221,47 @@
         for (heartbeat, age) in report.members.iter().filter(|(heartbeat, _)| heartbeat.node != *own) {
             self.handle_relayed_heartbeat(heartbeat, requested_at - *age);
         }
-        self.max_alive_nodes = self.max_alive_nodes.max(self.alive(requested_at).count() + 1);
+        self.count_alive(requested_at);
     }
 
-    /// Handles a heartbeat that a hub relayed and that the peer sent at about `sent_at`. It is ignored if a later one
-    /// is known.
-    fn handle_relayed_heartbeat(&mut self, heartbeat: &RelayHeartbeat, sent_at: Moment) {
-        let known = self.peers.get(&heartbeat.node);
-        if known.is_some_and(|view| view.last_heartbeat_at >= sent_at) {
+    /// Handles a heartbeat that a hub relayed and that the peer sent at about `sent_at`, or that its hub vouched for
+    /// then. It is ignored if a later one is known. One that is not newer than the last one of the same instance only
+    /// shows that the peer is alive.
+    pub(super) fn handle_relayed_heartbeat(&mut self, heartbeat: &RelayHeartbeat, sent_at: Moment) {
+        let Some(view) = self.peers.get_mut(&heartbeat.node) else {
+            let view = PeerView {
+                heartbeat: heartbeat.clone(),
+                last_heartbeat_at: sent_at,
+                is_direct: false,
+                last_direct_heartbeat_at: None,
+                suspected_since: None,
+            };
+            self.peers.insert(heartbeat.node.clone(), view);
             return;
-        }
-        let last_direct_heartbeat_at = known.and_then(|view| view.last_direct_heartbeat_at);
-        let suspected_since = known.and_then(|view| view.suspected_since);
-        let suspected_since = suspected_since.filter(|since| sent_at.since(*since) < Self::SUSPICION_TIMEOUT);
-        let view = PeerView {
-            heartbeat: heartbeat.clone(),
-            last_heartbeat_at: sent_at,
-            is_direct: false,
-            last_direct_heartbeat_at,
-            suspected_since,
         };
-        self.peers.insert(heartbeat.node.clone(), view);
+        if view.last_heartbeat_at >= sent_at {
+            return;
+        }
+        let known = &view.heartbeat;
+        if known.instance != heartbeat.instance || known.sequence < heartbeat.sequence {
+            view.heartbeat = heartbeat.clone();
+        }
+        view.last_heartbeat_at = sent_at;
+        view.is_direct = false;
+        view.suspected_since = view.suspected_since.filter(|since| sent_at.since(*since) < Self::SUSPICION_TIMEOUT);
+    }
+
+    /// Records that a peer that only hubs tell of is in no hub's roster any more. It counts as gone.
+    pub(super) fn handle_departure(&mut self, node: &NodeName, now: Moment) {
+        if let Some(view) = self.peers.get_mut(node).filter(|view| !view.has_direct_contact(now)) {
+            view.is_direct = false;
+            view.last_heartbeat_at = view.last_heartbeat_at.min(now - Self::RELAYED_PEER_TIMEOUT);
+        }
+    }
+
+    /// Counts the nodes that are alive at `now` for the largest number that were at one time.
+    pub(super) fn count_alive(&mut self, now: Moment) {
+        self.max_alive_nodes = self.max_alive_nodes.max(self.alive(now).count() + 1);
     }
 
     /// Returns the peers that count as alive.
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -30,6 +30,8 @@
 mod paths;
 #[path = "relay/pieces.rs"]
 mod pieces;
+#[path = "relay/placement.rs"]
+mod placement;
 #[path = "relay/rate_limits.rs"]
 mod rate_limits;
 #[path = "relay/read_attempts.rs"]
@@ -38,6 +40,8 @@
 mod refusals;
 #[path = "relay/rollout.rs"]
 mod rollout;
+#[path = "relay/rosters.rs"]
+mod rosters;
 #[path = "relay/rows.rs"]
 mod rows;
 #[path = "relay/steps.rs"]
--- a/crates/core/tests/relay/fixtures.rs
+++ b/crates/core/tests/relay/fixtures.rs
@@ -14,7 +14,7 @@
 use wasabipier_core::relay::board::{RelayBoard, RelayTuning};
 use wasabipier_core::relay::choice::CallRequirements;
 use wasabipier_core::relay::document::{DocumentIndex, KeyHolder, RelayDocument, RelayRoute, WeightedService};
-use wasabipier_core::relay::members::RelayHeartbeat;
+use wasabipier_core::relay::members::{CallVersion, RelayHeartbeat};
 use wasabipier_core::relay::paths::PathReport;
 use wasabipier_core::relay::store_version::StoreVersion;
 use wasabipier_core::relay::targets::TargetEntry;
@@ -87,6 +87,7 @@
         node: NodeName::new(node),
         instance: InstanceId(1),
         sequence,
+        call_version: CallVersion::CURRENT,
         dc: DcName::new("khomas-b"),
         capacity: 0,
         caller_address: address(8001),
--- a/crates/core/tests/relay/fleet.rs
+++ b/crates/core/tests/relay/fleet.rs
@@ -8,7 +8,8 @@
 use wasabipier_core::names::{DcName, NodeName, ServiceName, TargetName};
 use wasabipier_core::relay::board::{RelayBoard, RelayTuning};
 use wasabipier_core::relay::choice::{CallRequirements, PromptPart, PromptSpec};
-use wasabipier_core::relay::fleet::{FleetPartners, MAX_SMALL_FLEET_NODES};
+use wasabipier_core::relay::fleet::{FleetCaller, FleetPartners, MAX_SMALL_FLEET_NODES};
+use wasabipier_core::relay::members::{CallVersion, RelayHeartbeat};
 use wasabipier_core::relay::rows::{RowBatch, TableId};
 use wasabipier_core::relay::suspects::{CrashId, SuspectKey};
 
@@ -29,6 +30,10 @@
     now_ms: u64,
     /// Number of heartbeat exchanges that nodes attempted, with or without success.
     call_count: usize,
+    /// Nodes that read calls of the base version only.
+    old_nodes: BTreeSet<NodeName>,
+    /// Number of heartbeats of other nodes that reports held.
+    told_count: usize,
 }
 
 impl FleetSimulation {
@@ -47,7 +52,15 @@
             board.state = NodeState::Serving;
             (NodeName::new(name), board)
         });
-        Self { boards: boards.collect(), down: BTreeSet::new(), partitions: Vec::new(), now_ms: 0, call_count: 0 }
+        Self {
+            boards: boards.collect(),
+            down: BTreeSet::new(),
+            partitions: Vec::new(),
+            now_ms: 0,
+            call_count: 0,
+            old_nodes: BTreeSet::new(),
+            told_count: 0,
+        }
     }
 
     fn is_partitioned(&self, one: &NodeName, other: &NodeName) -> bool {
@@ -67,16 +80,48 @@
             return;
         }
         let sender = self.boards.get_mut(from).expect("the sender is in the fleet");
-        let (report, heartbeat) = (sender.fleet_report_for(to, now), sender.next_heartbeat(now));
+        let to_dc = sender.members.get(to).map(|view| view.heartbeat.dc.clone());
+        let (report, known) = (sender.fleet_report_for(to, now), sender.rosters.known());
+        let heartbeat = match &to_dc {
+            Some(dc) => sender.next_heartbeat_to(to, dc, now),
+            None => sender.next_heartbeat(now),
+        };
+        let heartbeat = self.as_sent(heartbeat);
+        let caller = FleetCaller {
+            node: from.clone(),
+            instance: heartbeat.instance,
+            dc: heartbeat.dc.clone(),
+            call_version: heartbeat.call_version,
+            known: if heartbeat.call_version < CallVersion::ROSTERS { Vec::new() } else { known },
+        };
+        let is_old_replier = self.old_nodes.contains(to);
         let peer = self.boards.get_mut(to).expect("the peer is in the fleet");
         peer.handle_heartbeat_reply(heartbeat.clone(), report, now, now);
         peer.suspects.merge_reports(&heartbeat.suspects, now);
-        let (report, reply) = (peer.fleet_report(from, &heartbeat.dc, now), peer.next_heartbeat(now));
+        let report =
+            if is_old_replier { peer.fleet_report(from, &heartbeat.dc, now) } else { peer.report_to(&caller, now) };
+        let reply = peer.next_heartbeat_to(from, &heartbeat.dc, now);
+        self.told_count +=
+            report.members.len() + report.rosters.iter().map(|roster| roster.changed.len()).sum::<usize>();
+        let reply = self.as_sent(reply);
         let sender = self.boards.get_mut(from).expect("the sender is in the fleet");
         sender.suspects.merge_reports(&reply.suspects, now);
         sender.handle_heartbeat_reply(reply, report, now, now);
     }
 
+    /// Has all nodes read calls of the base version only, but each one of `part`.
+    fn set_old_nodes(&mut self, part: usize) {
+        let numbered = self.boards.keys().enumerate();
+        self.old_nodes = numbered.filter(|(number, _)| number % part != 0).map(|(_, name)| name.clone()).collect();
+    }
+
+    /// Returns a heartbeat with the version of calls that its node reads.
+    fn as_sent(&self, heartbeat: RelayHeartbeat) -> RelayHeartbeat {
+        let is_old = self.old_nodes.contains(&heartbeat.node);
+        let call_version = if is_old { CallVersion::BASE } else { heartbeat.call_version };
+        RelayHeartbeat { call_version, ..heartbeat }
+    }
+
     /// Lets every live node exchange heartbeats with its partners once. Nodes without listed partners contact the first
     /// three live nodes. Then advances the time by one heartbeat interval.
     fn run_round(&mut self) {
@@ -168,6 +213,53 @@
     assert!(fleet.call_count <= 5 * (61 + 6), "{} calls", fleet.call_count);
 }
 
+/// Guards against heartbeats that name all nodes at rest, which took most of a hub's processor and link at 295 nodes.
+#[test]
+fn heartbeats_of_a_large_fleet_at_rest_tell_of_no_other_nodes() {
+    let mut fleet = FleetSimulation::new(150);
+    fleet.run_rounds(12);
+
+    fleet.told_count = 0;
+    fleet.run_rounds(5);
+
+    assert_eq!(fleet.told_count, 0);
+    let now = at(fleet.now_ms);
+    assert!(fleet.live_boards().all(|(_, board)| board.addresses(now).len() == 150), "all know all");
+}
+
+/// Guards against nodes that seem gone, or stay known for ever, while a fleet is replaced by the next release.
+#[test]
+fn nodes_of_two_releases_know_each_other_and_notice_who_is_gone() {
+    for old_part in [2, 3, 61] {
+        let mut fleet = FleetSimulation::new(61);
+        fleet.set_old_nodes(old_part);
+        fleet.run_rounds(10);
+        let now = at(fleet.now_ms);
+        for (name, board) in fleet.live_boards() {
+            assert_eq!(
+                board.addresses(now).len(),
+                61,
+                "{name} knows all nodes, with {} old ones",
+                fleet.old_nodes.len()
+            );
+        }
+
+        let failed: Vec<NodeName> = fleet.hubs().into_iter().chain([NodeName::new("edge-044")]).collect();
+        fleet.down.extend(failed.iter().cloned());
+        fleet.run_rounds(20);
+
+        let now = at(fleet.now_ms);
+        for (name, board) in fleet.live_boards() {
+            assert_eq!(
+                board.addresses(now).len(),
+                61 - failed.len(),
+                "{name}, with {} old nodes",
+                fleet.old_nodes.len()
+            );
+        }
+    }
+}
+
 /// Guards against a fleet that remains without hubs after all of them lose power at once.
 #[test]
 fn other_nodes_become_hubs_when_all_hubs_fail() {
@@ -223,18 +315,22 @@
 /// loads of all 61 nodes at one target.
 #[test]
 fn loads_are_counted_once_whichever_hubs_report_them() {
-    let mut fleet = FleetSimulation::new(61);
-    let target = TargetName::new("engine-1");
-    for board in fleet.boards.values_mut() {
-        board.upsert_target(target_entry("engine-1", "coachmodel", DCS[0]), at(0));
-        board.targets.record_call_start(&target, 10, at(0));
-    }
+    for old_part in [1, 2, 61] {
+        let mut fleet = FleetSimulation::new(61);
+        fleet.set_old_nodes(old_part);
+        let target = TargetName::new("engine-1");
+        for board in fleet.boards.values_mut() {
+            board.upsert_target(target_entry("engine-1", "coachmodel", DCS[0]), at(0));
+            board.targets.record_call_start(&target, 10, at(0));
+        }
 
-    fleet.run_rounds(10);
+        fleet.run_rounds(10);
 
-    for (name, board) in fleet.live_boards() {
-        let view = board.targets.get(&target).expect("every node knows the target");
-        assert_eq!((view.total_in_flight(), view.others_pending_prompt_tokens), (61, 600), "as {name} sees it");
+        for (name, board) in fleet.live_boards() {
+            let view = board.targets.get(&target).expect("every node knows the target");
+            let seen = (view.total_in_flight(), view.others_pending_prompt_tokens);
+            assert_eq!(seen, (61, 600), "as {name} sees it, with {} old nodes", fleet.old_nodes.len());
+        }
     }
 }
 
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -14,7 +14,7 @@
 use wasabipier_core::relay::rollout_board::CallOrigin;
 use wasabipier_core::relay::steps::AttemptEnd;
 use wasabipier_core::relay::suspects::RunStage;
-use wasabipier_core::relay::targets::{CallResult, TargetEntry};
+use wasabipier_core::relay::targets::{CallResult, TargetEntry, TargetView};
 
 use crate::buffer_memory::{BodyBuffer, BufferOverflow};
 use crate::call_progress::CallProgress;
@@ -23,6 +23,7 @@
 use crate::log_prefixes::TARGETS;
 use crate::metering;
 use crate::notices;
+use crate::placement::GrantGuard;
 use crate::pool::PooledConnection;
 use crate::ports::{AnswerHead, RunClaim};
 use crate::state::SharedNode;
@@ -51,6 +52,8 @@
     result: CallResult,
     /// Room that the call takes at a brittle target.
     room: Option<RoomGuard>,
+    /// Grant of the hub that chose the target.
+    grant: Option<GrantGuard>,
 }
 
 impl CallGuard {
@@ -62,7 +65,7 @@
         let mut board = node.board.borrow_mut();
         board.record_call_start(entry, unread_tokens, started);
         let view = board.targets.get(&entry.target);
-        let tokens_ahead = view.map_or(0, |view| view.pending_prompt_tokens + view.others_pending_prompt_tokens);
+        let tokens_ahead = view.map_or(0, TargetView::total_pending_tokens);
         let origin = CallOrigin {
             service: entry.service.clone(),
             version: entry.version.clone(),
@@ -82,6 +85,7 @@
             started,
             result: CallResult::Unknown,
             room: None,
+            grant: None,
         }
     }
 
@@ -92,6 +96,16 @@
         self
     }
 
+    /// Has the hub that granted the call told how it goes on.
+    #[must_use]
+    pub fn with_grant(mut self, grant: Option<GrantGuard>) -> Self {
+        if let Some(grant) = &grant {
+            self.tokens_ahead = grant.tokens().1;
+        }
+        self.grant = grant;
+        self
+    }
+
     /// Records that the first part of the answer has arrived, and thus that the prompt is processed.
     pub fn record_first_part(&mut self) {
         let unread_tokens = std::mem::take(&mut self.unread_tokens);
@@ -102,6 +116,10 @@
         if self.first_part_at.is_none() {
             self.first_part_at = Some(now);
             board.record_first_part(&self.origin, now.since(self.started), self.tokens_ahead);
+            drop(board);
+            if let Some(grant) = &self.grant {
+                grant.record_prompt_read();
+            }
         }
     }
 
@@ -167,6 +185,9 @@
         if let Some(room) = &mut self.room {
             room.set_rejected(self.result == CallResult::Full);
         }
+        if let Some(grant) = &mut self.grant {
+            grant.set_result(self.result);
+        }
         let outcome = match self.result {
             CallResult::Good(_) => "good",
             CallResult::Faulty => "faulty",
--- a/crates/relay/src/heartbeats.rs
+++ b/crates/relay/src/heartbeats.rs
@@ -10,8 +10,9 @@
 use tokio::time::sleep;
 use wasabipier_core::clock::Moment;
 use wasabipier_core::names::NodeName;
-use wasabipier_core::relay::fleet::{FleetPartners, MAX_SMALL_FLEET_NODES};
-use wasabipier_core::relay::members::RelayHeartbeat;
+use wasabipier_core::relay::fleet::{FleetPartners, FleetReport, MAX_SMALL_FLEET_NODES};
+use wasabipier_core::relay::members::{CallVersion, RelayHeartbeat};
+use wasabipier_wire::relay::extension::HeartbeatExtension;
 use wasabipier_wire::relay::{WireCall, WireReply};
 
 use crate::clock;
@@ -185,19 +186,32 @@
 /// Sends a heartbeat to a peer and handles the reply. A peer that does not answer is marked as suspected.
 async fn send_heartbeat(node: SharedNode, address: SocketAddr) {
     let called_at = clock::now();
-    let call = {
+    let (call, extension) = {
         let mut board = node.board.borrow_mut();
         let peer = board.members.known().find(|view| view.heartbeat.peer_address == address);
-        let peer = peer.map(|view| view.heartbeat.node.clone());
-        let report = peer.map(|peer| board.fleet_report_for(&peer, called_at)).unwrap_or_default();
-        WireCall::Heartbeat(Box::new((&board.next_heartbeat(called_at)).into()), (&report).into())
+        let peer = peer.map(|view| (view.heartbeat.node.clone(), view.heartbeat.dc.clone()));
+        let report = peer.as_ref().map(|(peer, _)| board.fleet_report_for(peer, called_at)).unwrap_or_default();
+        let heartbeat = match &peer {
+            Some((peer, dc)) => board.next_heartbeat_to(peer, dc, called_at),
+            None => board.next_heartbeat(called_at),
+        };
+        let call = WireCall::Heartbeat(Box::new((&heartbeat).into()), (&report).into());
+        (call, HeartbeatExtension::of_call(CallVersion::CURRENT, &board.rosters.known()))
     };
-    let reply = node.peers.call(address, &call, HEARTBEAT_TIMEOUT).await;
+    let reply = node.peers.call_heartbeat(address, &call, &extension, HEARTBEAT_TIMEOUT).await;
     let has_answered = match reply {
-        Ok(WireReply::Heartbeat(heartbeat, known_addresses, report)) => {
-            let heartbeat = RelayHeartbeat::from(*heartbeat);
+        Ok((WireReply::Heartbeat(heartbeat, known_addresses, report), extension)) => {
+            let heartbeat = RelayHeartbeat { call_version: extension.call_version(), ..(*heartbeat).into() };
             let proofs = heartbeat.proofs.clone();
-            peers::handle_heartbeat(&node, heartbeat, report.into(), called_at);
+            let mut report = FleetReport::from(report);
+            let (rosters, members) = extension.into_report();
+            report.rosters = rosters;
+            report.members.extend(members);
+            let told = report.rosters.iter().flat_map(|update| &update.changed);
+            for told in told.chain(report.members.iter().map(|(heartbeat, _)| heartbeat)) {
+                node.contacts.add(node.addresses.peers, told.peer_address);
+            }
+            peers::handle_heartbeat(&node, heartbeat, report, called_at);
             table_transfers::handle_proofs(&node, address, &proofs, Some(called_at));
             for other in known_addresses {
                 node.contacts.add(node.addresses.peers, other);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -44,6 +44,7 @@
 mod heartbeats;
 mod load_exchange;
 mod peers;
+mod placement;
 mod rollouts;
 mod store;
 mod store_link;
--- a/crates/relay/src/load_exchange.rs
+++ b/crates/relay/src/load_exchange.rs
@@ -1,7 +1,7 @@
 //! Exchanges the load of targets, the calls in flight and their unread prompt tokens, between heartbeats. In a large
 //! fleet heartbeats are too rare for this, and pass through two hubs.
 //!
-//! Before a node chooses a target for a prompt, it asks its hub for the calls in flight. After the choice, it reports
+//! This concerns nodes whose hub does not place prompts, see `crate::placement`: before such a node chooses a target for a prompt, it asks its hub for the calls in flight. After the choice, it reports
 //! its own load to the hub. Hubs exchange loads at a short interval while there are changes.
 
 use std::net::SocketAddr;
@@ -11,7 +11,7 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 use wasabipier_core::names::{DcName, NodeName};
-use wasabipier_core::relay::fleet::FleetPartners;
+use wasabipier_core::relay::members::CallVersion;
 use wasabipier_wire::relay::{WireCall, WireNodeLoads, WireReply};
 
 use crate::clock;
@@ -57,11 +57,11 @@
 }
 
 /// Returns the nodes that this node exchanges loads with: the hub of its data centre, or the other hubs if it is a hub.
-/// There are none in a small fleet.
+/// There are none in a small fleet, and hubs that place prompts are told the calls in flight otherwise.
 fn partner_hubs(node: &SharedNode) -> Vec<(NodeName, DcName, SocketAddr)> {
     let board = node.board.borrow();
-    let FleetPartners::Only(names) = board.partners(clock::now()) else { return Vec::new() };
-    let views = names.iter().filter_map(|name| board.members.get(name));
+    let views = board.partner_views(clock::now()).into_iter();
+    let views = views.filter(|view| view.heartbeat.call_version < CallVersion::ROSTERS);
     views.map(|view| (view.heartbeat.node.clone(), view.heartbeat.dc.clone(), view.heartbeat.peer_address)).collect()
 }
 
--- a/crates/relay/src/metering.rs
+++ b/crates/relay/src/metering.rs
@@ -69,6 +69,19 @@
     counter!("wasabipier_relay_answer_faults_total", "service" => service.to_owned(), "reason" => reason).increment(1);
 }
 
+/// Counts a call between nodes, and the bytes of the call and of its reply. `side` tells whether this node sent or answered
+/// it.
+pub fn record_peer_call(side: &'static str, kind: &'static str, call_bytes: usize, reply_bytes: usize) {
+    counter!("wasabipier_relay_peer_calls_total", "side" => side, "kind" => kind).increment(1);
+    counter!("wasabipier_relay_peer_call_bytes_total", "side" => side, "kind" => kind).increment(call_bytes as u64);
+    counter!("wasabipier_relay_peer_reply_bytes_total", "side" => side, "kind" => kind).increment(reply_bytes as u64);
+}
+
+/// Counts a request to choose the target of a prompt, by its outcome.
+pub fn record_placement(outcome: &'static str) {
+    counter!("wasabipier_relay_placements_total", "outcome" => outcome).increment(1);
+}
+
 /// Counts a call to the store that ended with `outcome`.
 pub fn record_store_call(outcome: &str) {
     counter!("wasabipier_relay_store_calls_total", "outcome" => outcome.to_owned()).increment(1);
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -29,6 +29,7 @@
 use crate::metering;
 use crate::paths;
 use crate::peers::{self, PeerLinks};
+use crate::placement::{self, GrantEventQueue};
 use crate::pool::TargetPool;
 use crate::ports::{ListenKind, PlatformPort};
 use crate::rollouts;
@@ -146,6 +147,8 @@
     spawn_local(batching::run(node.clone()));
     spawn_local(paths::run(node.clone()));
     spawn_local(limits::run(node.clone()));
+    spawn_local(placement::run(node.clone()));
+    spawn_local(placement::run_load_reports(node.clone()));
     spawn_local(rollouts::run(node.clone()));
     spawn_local(maintenance::run(node.clone()));
     let stop_timeout = watch_settings(&node, source, &mut terminate, &mut reload).await;
@@ -164,6 +167,7 @@
         contacts: PeerContacts::default(),
         piece_waiters: PieceWaiters::default(),
         lease_ends: LeaseEndQueue::default(),
+        grant_events: GrantEventQueue::default(),
         brittle_services: RefCell::default(),
         times: settings.times,
         addresses: settings.addresses,
@@ -179,6 +183,7 @@
         heartbeat_now: Notify::new(),
         store_restored: Notify::new(),
         load_changed: Notify::new(),
+        grants_changed: Notify::new(),
         log_limiter: LogLimiter::default(),
         started_at: clock::now(),
         metrics: metering::install()?,
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -17,13 +17,20 @@
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 use wasabipier_core::clock::Moment;
-use wasabipier_core::names::{DcName, NodeName, ServiceName};
-use wasabipier_core::relay::fleet::FleetReport;
-use wasabipier_core::relay::members::RelayHeartbeat;
+use wasabipier_core::names::ServiceName;
+use wasabipier_core::relay::fleet::{FleetCaller, FleetReport};
+use wasabipier_core::relay::members::{CallVersion, RelayHeartbeat};
 use wasabipier_core::relay::pieces::PieceJob;
 use wasabipier_wire::frame::{FrameError, MAX_FRAME_BYTES};
+use wasabipier_wire::relay::current::{
+    CallKind, CurrentCall, CurrentReply, decode_current, encode_current, is_current,
+};
+use wasabipier_wire::relay::extension::{
+    HeartbeatExtension, decode_extended, encode_heartbeat, encode_heartbeat_reply,
+};
 use wasabipier_wire::relay::{
-    WireCall, WireReply, decode, encode, jobs_from_wire, outcome_to_wire, permit_to_wire, version_from_wire,
+    WireCall, WireFleetReport, WireHeartbeat, WireReply, decode, encode, jobs_from_wire, outcome_to_wire,
+    permit_to_wire, version_from_wire,
 };
 use wasabipier_wire::tunnel::TUNNEL_MARK;
 
@@ -33,6 +40,8 @@
 use crate::limits;
 use crate::load_exchange;
 use crate::log_prefixes::PEERS;
+use crate::metering;
+use crate::placement;
 use crate::sockets;
 use crate::state::SharedNode;
 use crate::store;
@@ -106,15 +115,62 @@
         call: &WireCall,
         time_limit: Duration,
     ) -> Result<WireReply, PeerError> {
-        let bytes = Bytes::from(encode(call));
-        let reply = timeout(time_limit, self.send_call(address, bytes)).await.unwrap_or(Err(PeerError::Timeout));
+        let reply = self.exchange(address, call.into(), encode(call), time_limit).await?;
+        Ok(decode(&reply)?)
+    }
+
+    /// Sends a heartbeat with its extension to a peer, and returns the reply with its extension.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no reply. The peer may have carried out the call.
+    pub async fn call_heartbeat(
+        &self,
+        address: SocketAddr,
+        call: &WireCall,
+        extension: &HeartbeatExtension,
+        time_limit: Duration,
+    ) -> Result<(WireReply, HeartbeatExtension), PeerError> {
+        let reply = self.exchange(address, call.into(), encode_heartbeat(call, extension), time_limit).await?;
+        Ok(decode_extended(&reply)?)
+    }
+
+    /// Sends a call of version 7 to a peer that reads it, and returns the reply.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no reply. The peer may have carried out the call.
+    pub async fn call_current(
+        &self,
+        address: SocketAddr,
+        call: CallKind,
+        time_limit: Duration,
+    ) -> Result<CurrentReply, PeerError> {
+        let kind: &'static str = (&call).into();
+        let bytes = encode_current(&CurrentCall { kind: Some(call) });
+        let reply = self.exchange(address, kind, bytes, time_limit).await?;
+        Ok(decode_current(&reply)?)
+    }
+
+    /// Sends an encoded call of a `kind` that is counted, and returns the encoded reply.
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        kind: &'static str,
+        call: Vec<u8>,
+        time_limit: Duration,
+    ) -> Result<Bytes, PeerError> {
+        let call_bytes = call.len();
+        let reply = timeout(time_limit, self.send_call(address, Bytes::from(call))).await;
+        let reply = reply.unwrap_or(Err(PeerError::Timeout));
         if matches!(reply, Err(PeerError::Http(_))) {
             self.links.borrow_mut().remove(&address);
         }
+        metering::record_peer_call("sent", kind, call_bytes, reply.as_ref().map_or(0, Bytes::len));
         reply
     }
 
-    async fn send_call(&self, address: SocketAddr, bytes: Bytes) -> Result<WireReply, PeerError> {
+    async fn send_call(&self, address: SocketAddr, bytes: Bytes) -> Result<Bytes, PeerError> {
         let mut link = self.connect(address).await?;
         link.ready().await?;
         let request = Request::post(format!("http://{address}/")).body(Full::new(bytes));
@@ -124,8 +180,7 @@
             return Err(PeerError::Refused(response.status()));
         }
         let body = Limited::new(response.into_body(), MAX_FRAME_BYTES).collect().await;
-        let body = body.map_err(|error| PeerError::Body(error.to_string()))?.to_bytes();
-        Ok(decode(&body)?)
+        Ok(body.map_err(|error| PeerError::Body(error.to_string()))?.to_bytes())
     }
 
     /// Has later calls to a silent peer open a new connection. Calls on the present one go on.
@@ -197,27 +252,82 @@
     request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, std::convert::Infallible> {
     let body = Limited::new(request.into_body(), MAX_FRAME_BYTES).collect().await;
-    let call = body.ok().and_then(|body| decode::<WireCall>(&body.to_bytes()).ok());
-    let Some(call) = call else {
-        warn!("{PEERS} call could not be decoded; run the same release on all nodes.");
+    let call = body.map_or_else(|_| Bytes::new(), http_body_util::Collected::to_bytes);
+    let Some((kind, reply)) = answer_bytes(&node, &call).await else {
+        warn!("{PEERS} call could not be decoded; run releases on all nodes that read each other's calls.");
         let mut response = Response::new(Full::default());
         *response.status_mut() = StatusCode::BAD_REQUEST;
         return Ok(response);
     };
-    let reply = handle_call(&node, call).await;
-    Ok(Response::new(Full::new(Bytes::from(encode(&reply)))))
+    metering::record_peer_call("answered", kind, call.len(), reply.len());
+    Ok(Response::new(Full::new(Bytes::from(reply))))
+}
+
+/// Handles an encoded call. Returns its kind and the encoded reply, or `None` if the call cannot be decoded.
+async fn answer_bytes(node: &SharedNode, bytes: &[u8]) -> Option<(&'static str, Vec<u8>)> {
+    if is_current(bytes) {
+        let call: CurrentCall = decode_current(bytes).ok()?;
+        let call = call.kind?;
+        return Some(((&call).into(), encode_current(&handle_current_call(node, call))));
+    }
+    let (call, extension) = decode_extended::<WireCall>(bytes).ok()?;
+    let kind = (&call).into();
+    let reply = match call {
+        WireCall::Heartbeat(heartbeat, report) => {
+            let (reply, extension) = answer_heartbeat(node, *heartbeat, report, &extension);
+            encode_heartbeat_reply(&reply, &extension)
+        }
+        call => encode(&handle_call(node, call).await),
+    };
+    Some((kind, reply))
+}
+
+fn handle_current_call(node: &SharedNode, call: CallKind) -> CurrentReply {
+    match call {
+        CallKind::Place(request) => {
+            CurrentReply { grant: placement::grant(node, &request.into()).as_ref().map(Into::into) }
+        }
+        CallKind::GrantEvents(events) => {
+            for (id, event) in events.into_events() {
+                placement::handle_event(node, id, event);
+            }
+            CurrentReply::default()
+        }
+        CallKind::GrantLoads(loads) => {
+            let (hub, loads) = loads.into_parts();
+            node.board.borrow_mut().targets.set_peer_grants(&hub, loads);
+            CurrentReply::default()
+        }
+    }
+}
+
+/// Handles a peer's heartbeat, and returns the reply.
+fn answer_heartbeat(
+    node: &SharedNode,
+    heartbeat: WireHeartbeat,
+    report: WireFleetReport,
+    extension: &HeartbeatExtension,
+) -> (WireReply, HeartbeatExtension) {
+    let now = clock::now();
+    let heartbeat = RelayHeartbeat { call_version: extension.call_version(), ..heartbeat.into() };
+    let caller = FleetCaller {
+        node: heartbeat.node.clone(),
+        instance: heartbeat.instance,
+        dc: heartbeat.dc.clone(),
+        call_version: heartbeat.call_version,
+        known: extension.known(),
+    };
+    let (proofs, address) = (heartbeat.proofs.clone(), heartbeat.peer_address);
+    handle_heartbeat(node, heartbeat, report.into(), now);
+    table_transfers::handle_proofs(node, address, &proofs, None);
+    build_heartbeat_reply(node, &caller)
 }
 
 async fn handle_call(node: &SharedNode, call: WireCall) -> WireReply {
     let now = clock::now();
     match call {
         WireCall::Heartbeat(heartbeat, report) => {
-            let heartbeat = RelayHeartbeat::from(*heartbeat);
-            let (peer, dc, proofs) = (heartbeat.node.clone(), heartbeat.dc.clone(), heartbeat.proofs.clone());
-            let address = heartbeat.peer_address;
-            handle_heartbeat(node, heartbeat, report.into(), now);
-            table_transfers::handle_proofs(node, address, &proofs, None);
-            heartbeat_reply(node, &peer, &dc)
+            answer_heartbeat(node, *heartbeat, report, &HeartbeatExtension::default()).0
         }
         WireCall::Work(loads) => WireReply::Work(load_exchange::answer_exchange(node, loads)),
         WireCall::Rows { table, have } => table_transfers::rows_reply(node, table, version_from_wire(have)),
@@ -274,10 +384,17 @@
     store::start_serving_if_ready(node);
 }
 
-fn heartbeat_reply(node: &SharedNode, peer: &NodeName, dc: &DcName) -> WireReply {
+fn build_heartbeat_reply(node: &SharedNode, caller: &FleetCaller) -> (WireReply, HeartbeatExtension) {
     let now = clock::now();
     let mut board = node.board.borrow_mut();
-    let known_addresses = board.members.alive(now).map(|view| view.heartbeat.peer_address).collect();
-    let report = board.fleet_report(peer, dc, now);
-    WireReply::Heartbeat(Box::new((&board.next_heartbeat(now)).into()), known_addresses, (&report).into())
+    let mut report = board.report_to(caller, now);
+    let reads_rosters = caller.call_version >= CallVersion::ROSTERS;
+    // Rosters and members hold the addresses.
+    let names_addresses = !reads_rosters || board.is_small_fleet();
+    let known = board.members.alive(now).filter(|_| names_addresses);
+    let known_addresses = known.map(|view| view.heartbeat.peer_address).collect();
+    let members = if reads_rosters { std::mem::take(&mut report.members) } else { Vec::new() };
+    let extension = HeartbeatExtension::of_reply(CallVersion::CURRENT, &report.rosters, &members);
+    let heartbeat = board.next_heartbeat_to(&caller.node, &caller.dc, now);
+    (WireReply::Heartbeat(Box::new((&heartbeat).into()), known_addresses, (&report).into()), extension)
 }
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -19,7 +19,7 @@
 use wasabipier_core::relay::prompts::prefix_keys;
 use wasabipier_core::relay::steps::{AttemptEnd, AttemptTally, NextStep};
 use wasabipier_core::relay::suspects::HarmfulContent;
-use wasabipier_core::relay::targets::TargetEntry;
+use wasabipier_core::relay::targets::{TargetEntry, TargetView};
 
 use crate::admission::{self, AdmittedRequest, Rejection};
 use crate::body::AnswerBody;
@@ -250,44 +250,46 @@
         harmful.find(|content| !self.is_proven && !is_trial(content)).cloned()
     }
 
-    /// Records that the prompt goes to the target, and logs the choice. Returns the number of prompt tokens that the
-    /// target has not cached; 0 for a request without a prompt.
-    fn record_prompt(&self, entry: &TargetEntry) -> u32 {
+    /// Records that the prompt goes to the target that this node has chosen. Returns the number of prompt tokens that the
+    /// target has not cached, and of those of other calls that it has to read before; 0 for a request without a prompt.
+    fn record_prompt(&self, entry: &TargetEntry) -> (u32, u32) {
         let now = clock::now();
         let mut board = self.node.board.borrow_mut();
-        let mut unread = 0;
-        if let Some(prompt) = &self.head.prompt {
-            let cached = board.prompts.cached_tokens(prompt, &prefix_keys(prompt), &entry.target, now);
-            board.prompts.record_call(prompt, &entry.target, now);
-            unread = prompt.tokens().saturating_sub(cached);
-            if unread >= LONG_PROMPT_TOKENS && board.is_small_fleet() {
-                self.node.heartbeat_now.notify_one();
-            }
+        let Some(prompt) = &self.head.prompt else { return (0, 0) };
+        let cached = board.prompts.cached_tokens(prompt, &prefix_keys(prompt), &entry.target, now);
+        board.prompts.record_call(prompt, &entry.target, now);
+        let unread = prompt.tokens().saturating_sub(cached);
+        if unread >= LONG_PROMPT_TOKENS && board.is_small_fleet() {
+            self.node.heartbeat_now.notify_one();
         }
+        (unread, board.targets.get(&entry.target).map_or(0, TargetView::total_pending_tokens))
+    }
+
+    /// Logs that a target was chosen. `unread` and `ahead` are the prompt tokens that it has to read of this request, and
+    /// of others before it; `is_granted` tells whether a hub chose it.
+    fn log_choice(&self, entry: &TargetEntry, unread: u32, ahead: u32, is_granted: bool) {
+        let now = clock::now();
+        let board = self.node.board.borrow();
         if let Some(view) = board.targets.get(&entry.target)
             && self.node.log_limiter.allows(now)
         {
             let (id, target, own, others) =
                 (&*self.head.request, entry.target.as_str(), view.in_flight, view.others_in_flight);
-            let ahead = view.pending_prompt_tokens + view.others_pending_prompt_tokens;
             let inputs = self.inputs.iter().flat_map(|(_, bytes)| bytes);
             let remote: u64 = inputs.filter(|(dc, _)| **dc != entry.dc).map(|(_, bytes)| bytes).sum();
             let remote_kb = remote / 1_000;
             let waited_ms = now.since(self.admitted.started).as_millis() as u64;
-            info!("{REQUEST} target chosen.", kv: { id, target, own, others, ahead, unread, remote_kb, waited_ms });
+            info!("{REQUEST} target chosen.", kv: { id, target, own, others, ahead, unread, remote_kb, waited_ms, is_granted });
         }
-        unread
     }
 
     /// Returns the time within which the first part of an answer must arrive, or `None` for no limit, as in the last
     /// attempt. `tokens` is the number of prompt tokens that the target has to read first.
-    fn first_part_timeout(&self, entry: &TargetEntry, unread_tokens: u32) -> Option<Duration> {
+    fn first_part_timeout(&self, entry: &TargetEntry, tokens: u32) -> Option<Duration> {
         let board = self.node.board.borrow();
         let view = board.targets.get(&entry.target);
         let average_ms = view.map_or(0.0, |view| view.average_first_byte_ms);
-        let ahead = view.map_or(0, |view| view.pending_prompt_tokens + view.others_pending_prompt_tokens);
-        let read_time =
-            Duration::from_secs_f64(f64::from(unread_tokens + ahead) / board.tuning.weights.tokens_per_ms / 1e3);
+        let read_time = Duration::from_secs_f64(f64::from(tokens) / board.tuning.weights.tokens_per_ms / 1e3);
         let route = &self.admitted.grant.route;
         // The last attempt has no timeout of its own, because no other attempt would follow it.
         let is_last = self.tally.may_have_run_count + self.tally.open_count + 1 >= route.max_attempts;
--- a/crates/relay/src/request/choice.rs
+++ b/crates/relay/src/request/choice.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use wasabipier_core::names::DcName;
 use wasabipier_core::relay::brittle::LeaseId;
 use wasabipier_core::relay::choice::CallRequirements;
 use wasabipier_core::relay::rate_limits::PermitRequest;
@@ -12,10 +13,19 @@
 use crate::admission::Rejection;
 use crate::clock;
 use crate::limits::{self, PermittedTarget};
+use crate::placement::{self, GrantGuard, PlacedCall};
 
 /// Maximum number of limited targets for which a permit is asked at once.
 const MAX_LIMITED_TARGETS: usize = 16;
 
+/// The target of an attempt.
+pub(super) struct ChosenTarget {
+    /// The target, which may be called now.
+    pub(super) permitted: PermittedTarget,
+    /// Grant of the hub that chose it.
+    pub(super) grant: Option<GrantGuard>,
+}
+
 impl RelayRequest {
     /// Returns whether a target of the service has not been tried for this request.
     pub(super) fn has_untried_target(&self) -> bool {
@@ -28,14 +38,28 @@
     /// Chooses a target apart from limits on requests. With `only_unlimited`, it is one that names none.
     pub(super) fn choose_target(&self, only_unlimited: bool) -> Option<TargetEntry> {
         let no_inputs = BTreeMap::new();
-        let requirements = CallRequirements {
+        let requirements = self.requirements(&no_inputs, only_unlimited);
+        self.node.board.borrow_mut().choose(&requirements, clock::now())
+    }
+
+    fn requirements<'a>(&'a self, no_inputs: &'a BTreeMap<DcName, u64>, only_unlimited: bool) -> CallRequirements<'a> {
+        CallRequirements {
             service: &self.admitted.service,
             avoid: &self.tried_targets,
             prompt: self.head.prompt.as_ref(),
-            input_bytes_by_dc: self.inputs.as_ref().map_or(&no_inputs, |(_, bytes)| bytes),
+            input_bytes_by_dc: self.inputs.as_ref().map_or(no_inputs, |(_, bytes)| bytes),
             only_unlimited,
-        };
-        self.node.board.borrow_mut().choose(&requirements, clock::now())
+        }
+    }
+
+    /// Chooses a target apart from limits on requests. The hub of a large fleet chooses that of a prompt.
+    async fn place_call(&self) -> Option<PlacedCall> {
+        if self.head.prompt.is_none() {
+            return self.choose_target(false).map(|entry| PlacedCall { entry, grant: None });
+        }
+        let no_inputs = BTreeMap::new();
+        let hold_time = clock::now().until(self.admitted.deadline);
+        placement::place_call(&self.node, &self.requirements(&no_inputs, false), hold_time).await
     }
 
     /// Rejects a request that no target took.
@@ -51,8 +75,8 @@
 
     /// Chooses a target, and gets a permit for it if it names a limit on its requests or is brittle. If the target takes
     /// no more, one without a limit is chosen, or any limited one that still takes requests.
-    pub(super) async fn choose_target_within_limits(&mut self) -> Result<PermittedTarget, AttemptEnd> {
-        let Some(entry) = self.choose_target(false) else {
+    pub(super) async fn choose_target_within_limits(&mut self) -> Result<ChosenTarget, AttemptEnd> {
+        let Some(PlacedCall { entry, grant }) = self.place_call().await else {
             let decline_time = self.node.board.borrow_mut().decline_time(&self.admitted.service, clock::now());
             if decline_time.is_zero() {
                 return Err(AttemptEnd::NotRun);
@@ -62,7 +86,9 @@
         };
         let service = self.admitted.service.clone();
         let limited = self.node.board.borrow().target_limits(&service, &entry.target);
-        let Some(limited) = limited else { return Ok(PermittedTarget { entry, room: None }) };
+        let Some(limited) = limited else {
+            return Ok(ChosenTarget { permitted: PermittedTarget { entry, room: None }, grant });
+        };
         let now = clock::now();
         let mut permit_request = PermitRequest {
             service,
@@ -72,11 +98,14 @@
             hold_time: now.until(self.admitted.deadline),
         };
         let pause = match limits::request_permit(&self.node, &permit_request).await {
-            Ok(permitted) => return permitted.ok_or(AttemptEnd::NotRun),
+            Ok(permitted) => {
+                return permitted.map(|permitted| ChosenTarget { permitted, grant }).ok_or(AttemptEnd::NotRun);
+            }
             Err(pause) => pause,
         };
+        drop(grant);
         if let Some(entry) = self.choose_target(true) {
-            return Ok(PermittedTarget { entry, room: None });
+            return Ok(ChosenTarget { permitted: PermittedTarget { entry, room: None }, grant: None });
         }
         let mut targets =
             self.node.board.borrow_mut().limited_targets(&permit_request.service, MAX_LIMITED_TARGETS, clock::now());
@@ -84,7 +113,9 @@
         permit_request.targets = targets;
         permit_request.lease = LeaseId(self.node.board.borrow_mut().random.u64(..));
         match limits::request_permit(&self.node, &permit_request).await {
-            Ok(permitted) => permitted.ok_or(AttemptEnd::NotRun),
+            Ok(permitted) => {
+                permitted.map(|permitted| ChosenTarget { permitted, grant: None }).ok_or(AttemptEnd::NotRun)
+            }
             Err(other_pause) => {
                 self.limit_pause = pause.min(other_pause);
                 Err(AttemptEnd::Limited)
--- a/crates/relay/src/request/open_attempts.rs
+++ b/crates/relay/src/request/open_attempts.rs
@@ -11,6 +11,7 @@
 use wasabipier_core::relay::targets::TargetEntry;
 
 use super::RelayRequest;
+use super::choice::ChosenTarget;
 use super::target_attempt::{AttemptResult, FailedAttempt, TargetAttempt};
 use crate::attempt::CallGuard;
 use crate::blame;
@@ -114,21 +115,25 @@
 
     /// Chooses a target and prepares an attempt at it.
     async fn begin_attempt(&mut self, last_event: Option<u64>) -> Result<OpenAttempt, FailedAttempt> {
-        if self.head.prompt.is_some() {
-            load_exchange::exchange_with_hub(&self.node).await;
-        }
         if let Some(content) = self.find_harmful_content() {
             blame::log_refused(&self.node, &self.head.request, &content);
             return Err(AttemptEnd::Harmful.into());
         }
-        let PermittedTarget { entry, room } = self.choose_target_within_limits().await?;
+        let ChosenTarget { permitted: PermittedTarget { entry, room }, grant } =
+            self.choose_target_within_limits().await?;
         self.tried_targets.push(entry.target.clone());
-        let unread_tokens = self.record_prompt(&entry);
-        let guard = CallGuard::new(&self.node, &entry, &self.admitted.grant.route.name, unread_tokens).with_room(room);
-        if unread_tokens > 0 {
+        let (unread_tokens, tokens_ahead) = match &grant {
+            Some(grant) => grant.tokens(),
+            None => self.record_prompt(&entry),
+        };
+        self.log_choice(&entry, unread_tokens, tokens_ahead, grant.is_some());
+        let is_granted = grant.is_some();
+        let guard = CallGuard::new(&self.node, &entry, &self.admitted.grant.route.name, unread_tokens);
+        let guard = guard.with_room(room).with_grant(grant);
+        if unread_tokens > 0 && !is_granted {
             load_exchange::notify_hub(&self.node);
         }
-        let silence_timeout = self.first_part_timeout(&entry, unread_tokens);
+        let silence_timeout = self.first_part_timeout(&entry, unread_tokens + tokens_ahead);
         self.has_attempt_in_flight = true;
         self.progress.record_start();
         let inputs = self.inputs.as_ref().map(|(inputs, _)| inputs.handles()).unwrap_or_default();
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -22,6 +22,7 @@
 use crate::limits::LeaseEndQueue;
 use crate::logging::LogLimiter;
 use crate::peers::PeerLinks;
+use crate::placement::GrantEventQueue;
 use crate::pool::TargetPool;
 use crate::ports::PlatformPort;
 use crate::settings::{RelayAddresses, RelayTimes};
@@ -48,6 +49,8 @@
     pub piece_waiters: PieceWaiters,
     /// Ends of calls to brittle targets that are still to be reported to keepers.
     pub lease_ends: LeaseEndQueue,
+    /// Events of granted calls that are still to be told to hubs.
+    pub grant_events: GrantEventQueue,
     /// Brittle services, as they were logged last, with the rejections that each of their targets withstands.
     pub brittle_services: RefCell<BTreeMap<ServiceName, RejectTolerance>>,
     /// Timeouts, intervals and the cache time of addresses.
@@ -80,6 +83,8 @@
     pub store_restored: Notify,
     /// Notified when a target load has changed that a hub should report to other hubs.
     pub load_changed: Notify,
+    /// Notified when a grant of this node has been given, or its call has gone on or ended.
+    pub grants_changed: Notify,
     /// Limits the number of log lines about requests, stages and target calls.
     pub log_limiter: LogLimiter,
     /// Handle that renders the metrics of the process as Prometheus text.
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -1,5 +1,12 @@
-//! Calls between relay nodes, encoded as a version byte followed by a `bincode` call or reply.
-
+//! Calls between relay nodes.
+//!
+//! Calls of version 6 are a version byte followed by a `bincode` call or reply, whose types never change any more. What a
+//! heartbeat tells beyond them follows in an [`extension`], and new kinds of calls are [`current`] ones. Both are messages
+//! whose unknown fields are skipped, so that nodes of any two releases from version 6 on read each other's calls. A node
+//! tells the highest version that it reads with each heartbeat.
+
+pub mod current;
+pub mod extension;
 mod limits;
 mod rows;
 
@@ -14,7 +21,7 @@
 use wasabipier_core::names::{DcName, InstanceId, NodeName, ServiceName, TargetName};
 use wasabipier_core::relay::brittle::RejectTolerance;
 use wasabipier_core::relay::fleet::FleetReport;
-use wasabipier_core::relay::members::{RelayHeartbeat, TableProof, TargetLoad};
+use wasabipier_core::relay::members::{CallVersion, RelayHeartbeat, TableProof, TargetLoad};
 use wasabipier_core::relay::paths::PathReport;
 use wasabipier_core::relay::pieces::{PieceFailure, PieceJob, PieceOutcome, PieceResult, PieceSource, QueueWait};
 use wasabipier_core::relay::prompts::PromptCacheUpdate;
@@ -33,8 +40,8 @@
     row_batch_from_wire, version_from_wire, version_to_wire,
 };
 
-/// Version of the encoding. Nodes of different versions reject each other's calls.
-const CALL_VERSION: u8 = 6;
+/// Version byte of the calls whose types are in this module.
+const VERSION_BYTE: u8 = CallVersion::BASE.0 as u8;
 
 /// Encoded form of [`RelayHeartbeat`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -148,7 +155,8 @@
 }
 
 /// A call from one relay node to another.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, strum::IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
 pub enum WireCall {
     /// Sends the caller's state and, if the caller is a hub, the state of other nodes, and asks for the same.
     Heartbeat(Box<WireHeartbeat>, WireFleetReport),
@@ -219,7 +227,7 @@
 /// Encodes a call or reply as a version byte followed by its `bincode` bytes.
 #[must_use]
 pub fn encode<T: Serialize>(value: &T) -> Vec<u8> {
-    let mut bytes = vec![CALL_VERSION];
+    let mut bytes = vec![VERSION_BYTE];
     // Encoding fails only for types that bincode does not support, and none of the encoded types is one.
     if let Ok(body) = bincode::serde::encode_to_vec(value, bincode::config::standard()) {
         bytes.extend_from_slice(&body);
@@ -238,17 +246,22 @@
 }
 
 fn decode_bounded<T: DeserializeOwned, const MAX_BYTES: usize>(bytes: &[u8]) -> Result<T, FrameError> {
+    decode_with_rest::<T, MAX_BYTES>(bytes).map(|(value, _)| value)
+}
+
+/// Does the same as [`decode`], and returns the bytes after the value, too.
+fn decode_with_rest<T: DeserializeOwned, const MAX_BYTES: usize>(bytes: &[u8]) -> Result<(T, &[u8]), FrameError> {
     if bytes.len() > MAX_BYTES {
         return Err(FrameError::TooLarge(bytes.len()));
     }
     let Some((version, body)) = bytes.split_first() else { return Err(FrameError::Malformed("empty".to_owned())) };
-    if *version != CALL_VERSION {
+    if *version != VERSION_BYTE {
         return Err(FrameError::WrongVersion(*version));
     }
     let config = bincode::config::standard().with_limit::<MAX_BYTES>();
-    let (value, _) =
+    let (value, length) =
         bincode::serde::decode_from_slice(body, config).map_err(|error| FrameError::Malformed(error.to_string()))?;
-    Ok(value)
+    Ok((value, &body[length..]))
 }
 
 /// Returns the number that stands for `table` in calls.
@@ -320,6 +333,7 @@
             node: NodeName::new(heartbeat.node),
             instance: InstanceId(heartbeat.instance),
             sequence: heartbeat.sequence,
+            call_version: CallVersion::BASE,
             dc: DcName::new(heartbeat.dc),
             capacity: heartbeat.capacity,
             caller_address: heartbeat.caller_address,
@@ -395,6 +409,7 @@
             members: members.collect(),
             loads: loads_from_wire(report.loads),
             prompts: prompts_from_wire(report.prompts),
+            rosters: Vec::new(),
         }
     }
 }
--- a/crates/wire/tests/relay.rs
+++ b/crates/wire/tests/relay.rs
@@ -10,7 +10,7 @@
 use wasabipier_core::names::{DcName, Fingerprint, InstanceId, NodeName, ServiceName, TargetName};
 use wasabipier_core::relay::brittle::RejectTolerance;
 use wasabipier_core::relay::fleet::FleetReport;
-use wasabipier_core::relay::members::{RelayHeartbeat, TableProof, TargetLoad};
+use wasabipier_core::relay::members::{CallVersion, RelayHeartbeat, TableProof, TargetLoad};
 use wasabipier_core::relay::paths::PathReport;
 use wasabipier_core::relay::pieces::{PieceJob, PieceSource};
 use wasabipier_core::relay::prompts::PromptCacheUpdate;
@@ -169,6 +169,7 @@
         node: NodeName::new("edge-1"),
         instance: InstanceId(9),
         sequence: 4,
+        call_version: CallVersion::BASE,
         dc: DcName::new("khomas-a"),
         capacity: 100,
         caller_address: ([10, 0, 0, 1], 8000).into(),
@@ -202,6 +203,7 @@
         loads: heartbeat.loads.clone(),
         prompts: heartbeat.prompts.clone(),
         members: vec![(heartbeat, Duration::from_millis(70))],
+        rosters: Vec::new(),
     };
 
     let wire: WireFleetReport = decode(&encode(&WireFleetReport::from(&report))).expect("encoded report decodes");
