--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -2,7 +2,8 @@
 //!
 //! The modules in the order in which a request uses them: the document, which is the configuration that operators
 //! promote, defines its route ([`document`], [`access`]). Admission control accepts or refuses it ([`overload`],
-//! [`departure`]). Its preparation stages run ([`graph`], [`pieces`]), a target is chosen ([`targets`], [`prompts`],
+//! [`departure`]). Its preparation stages run ([`graph`], [`pieces`],
+//! [`piece_nodes`]), a target is chosen ([`targets`], [`prompts`],
 //! [`choice`], [`placement`]) and connected to ([`paths`]), and the answer is passed on or the request is retried ([`steps`], [`budget`], [`events`]). Content that
 //! crashes targets is refused ([`suspects`]), and targets get no more requests than they say they take
 //! ([`rate_limits`]) and no more than fit while they are brittle ([`brittle`]). [`members`], [`fleet`], [`rosters`] and [`rows`] hold what nodes know of each other and of the store, whose
@@ -27,6 +28,7 @@
 pub mod members;
 pub mod overload;
 pub mod paths;
+pub mod piece_nodes;
 pub mod pieces;
 pub mod placement;
 pub mod prompts;
--- a/crates/core/src/relay/board.rs
+++ b/crates/core/src/relay/board.rs
@@ -31,7 +31,7 @@
 use crate::relay::store_restoration::StoreRestoration;
 use crate::relay::store_version::StoreVersion;
 use crate::relay::suspects::{HarmfulContent, SuspectKey, SuspectLimits, SuspectTable};
-use crate::relay::targets::{EntryEffect, TargetEntry, TargetRegistry};
+use crate::relay::targets::{EntryEffect, TargetEntry, TargetRegistry, TargetView};
 
 /// Settings of the relay's decisions: time limits, ratios and weights.
 #[derive(Clone, Debug, PartialEq)]
@@ -452,18 +452,24 @@
         waits.collect()
     }
 
-    fn own_queue_wait(&self, service: &ServiceName, rank: u8, now: Moment) -> Option<QueueWait> {
+    pub(super) fn own_queue_wait(&self, service: &ServiceName, rank: u8, now: Moment) -> Option<QueueWait> {
         let spec = self.index.services.get(service)?.batch.as_ref()?;
-        let eligible =
-            self.targets.of(service).filter(|view| view.takes_calls(now) && !self.closed_dcs.contains(&view.entry.dc));
+        let is_own_dc = |view: &TargetView| view.entry.dc == self.identity.dc;
+        let usable = |view: &&TargetView| view.takes_calls(now) && !self.closed_dcs.contains(&view.entry.dc);
+        let is_local = self.batches_by_dc(service, now) && self.targets.of(service).filter(usable).any(is_own_dc);
+        let eligible = self.targets.of(service).filter(usable).filter(|view| !is_local || is_own_dc(view));
         Some(self.pieces.get(service)?.expected_wait(spec, eligible.count(), rank, now))
     }
 
-    /// Returns the expected wait of a piece with priority `rank` that arrives now: that of this node's own queue or the
+    /// Returns the expected wait of a piece with priority `rank` that arrives now. If pieces are batched by data centre, it
+    /// is the shortest of them all, to which pieces can go. Otherwise it is that of this node's own queue or the
     /// one that peers report, whichever is longer for a late piece. Queues of nodes that do not reach the targets of the
     /// service do not count while others reach them, since those batch the pieces.
     #[must_use]
     pub fn queue_wait(&self, service: &ServiceName, rank: u8, now: Moment) -> QueueWait {
+        if self.batches_by_dc(service, now) {
+            return self.shortest_queue_wait(service, rank, now);
+        }
         let scope = self.service_scope(service);
         let is_own_reaching = self.reaches_service(service);
         let is_reached = is_own_reaching || self.members.serving(now).any(|view| scope.is_reached_by(view));
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -28,6 +28,8 @@
 mod members;
 #[path = "relay/paths.rs"]
 mod paths;
+#[path = "relay/piece_nodes.rs"]
+mod piece_nodes;
 #[path = "relay/pieces.rs"]
 mod pieces;
 #[path = "relay/placement.rs"]
--- a/crates/relay/src/batching.rs
+++ b/crates/relay/src/batching.rs
@@ -148,13 +148,19 @@
     let (mut board, now) = (node.board.borrow_mut(), clock::now());
     let lanes = board.version_lanes(service, now);
     let within_limits = board.targets_within_limits(service, now);
+    let batches_by_dc = board.batches_by_dc(service, now);
+    let own_dc = board.identity.dc.clone();
     let RelayBoard { pieces, targets, index, closed_dcs: closed, .. } = &mut *board;
     let spec = index.services.get(service)?.batch.clone()?;
     let is_usable = |view: &TargetView| view.takes_calls(now) && !closed.contains(&view.entry.dc);
+    let is_own_dc = |view: &TargetView| view.entry.dc == own_dc;
+    // Other nodes batch the calls to targets elsewhere.
+    let is_local = batches_by_dc && targets.of(service).any(|view| is_usable(view) && is_own_dc(view));
     let plan = lanes.iter().find_map(|lane| {
         let is_candidate = |view: &&TargetView| {
             let entry = &view.entry;
-            is_usable(view) && lane.allows(&entry.version) && within_limits.contains(&entry.target)
+            let is_near = !is_local || is_own_dc(view);
+            is_near && is_usable(view) && lane.allows(&entry.version) && within_limits.contains(&entry.target)
         };
         let candidates: Vec<&TargetView> = targets.of(service).filter(is_candidate).collect();
         pieces.queue_mut(service).plan(&spec, &candidates, now)
--- a/crates/relay/src/prepare.rs
+++ b/crates/relay/src/prepare.rs
@@ -24,7 +24,7 @@
 use crate::log_prefixes::STAGES;
 use crate::ports::RequestHead;
 use crate::state::SharedNode;
-use piece_calls::{batching_peer, make_pieces};
+use piece_calls::{make_pieces, owning_peer};
 
 /// Timeout of the call that asks a peer to free results.
 const FREE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -38,9 +38,12 @@
 
 impl Drop for HeldResults {
     fn drop(&mut self) {
-        let handles: Vec<Arc<str>> = self.results.drain(..).map(|result| result.handle).collect();
-        if !handles.is_empty() {
-            spawn_local(free_results(self.node.clone(), self.service.clone(), handles));
+        let mut by_dc: BTreeMap<DcName, Vec<Arc<str>>> = BTreeMap::new();
+        for result in self.results.drain(..) {
+            by_dc.entry(result.dc).or_default().push(result.handle);
+        }
+        for (dc, handles) in by_dc {
+            spawn_local(free_results(self.node.clone(), self.service.clone(), dc, handles));
         }
     }
 }
@@ -222,9 +225,9 @@
     }
 }
 
-/// Frees results at the node that batched their pieces.
-async fn free_results(node: SharedNode, service: ServiceName, handles: Vec<Arc<str>>) {
-    let Some((_, address)) = batching_peer(&node, &service) else {
+/// Frees results of a data centre at the node that batched their pieces.
+async fn free_results(node: SharedNode, service: ServiceName, dc: DcName, handles: Vec<Arc<str>>) {
+    let Some((_, address)) = owning_peer(&node, &service, &dc) else {
         return batching::free_results_locally(&node, &service, &handles);
     };
     let call =
--- a/crates/relay/src/prepare/piece_calls.rs
+++ b/crates/relay/src/prepare/piece_calls.rs
@@ -9,7 +9,8 @@
 
 use spdlog::info;
 use tokio::time::sleep;
-use wasabipier_core::names::{NodeName, ServiceName};
+use wasabipier_core::names::{DcName, NodeName, ServiceName};
+use wasabipier_core::relay::piece_nodes::PieceScope;
 use wasabipier_core::relay::pieces::{PieceFailure, PieceJob, PieceOutcome};
 use wasabipier_wire::relay::{WireCall, WireReply, jobs_to_wire, outcome_from_wire};
 
@@ -53,12 +54,10 @@
     let mut doubt = Some(String::new());
     loop {
         if let Some(doubt) = doubt.take() {
-            let peer = batching_peer(node, service);
-            let own = || node.board.borrow().identity.node.clone();
-            let name = peer.as_ref().map_or_else(own, |(name, _)| name.clone());
+            let (name, address) = choose_batching_node(node, service, &jobs);
             if calls.iter().all(|call| call.batching_node != name) && !failed_nodes.contains(&name) {
                 log_next_call(service, &name, &doubt);
-                calls.push(start_call(node, service, &jobs, name, peer.map(|(_, address)| address)));
+                calls.push(start_call(node, service, &jobs, name, address));
             }
         }
         if calls.is_empty() {
@@ -144,22 +143,44 @@
 /// reachable, or does not reach the targets of `service` while another node does.
 async fn wait_until_doubted(node: &SharedNode, service: &ServiceName, newest: Option<(NodeName, bool)>) {
     let Some((name, is_peer)) = newest else { return };
+    let dc = node.board.borrow().members.get(&name).map(|view| view.heartbeat.dc.clone());
     loop {
         sleep(LIVENESS_CHECK_INTERVAL).await;
         let (board, now) = (node.board.borrow(), clock::now());
         let is_reachable =
             !is_peer || board.members.alive(now).any(|view| view.is_reachable(now) && view.heartbeat.node == name);
-        let is_taken_over = !board.node_reaches(&name, service) && *board.batching_node(service, now) != name;
+        let is_first = if board.batches_by_dc(service, now) {
+            dc.as_ref().is_none_or(|dc| board.batching_node_in(service, dc, now) == Some(&name))
+        } else {
+            *board.batching_node(service, now) == name
+        };
+        let is_taken_over = !board.node_reaches(&name, service) && !is_first;
         if !is_reachable || is_taken_over {
             return;
         }
     }
 }
 
-/// Returns the peer that batches the pieces of a service, or `None` if this node does.
-pub(super) fn batching_peer(node: &SharedNode, service: &ServiceName) -> Option<(NodeName, SocketAddr)> {
-    let board = node.board.borrow();
-    let name = board.batching_node(service, clock::now());
+/// Returns the node that is to batch the pieces of `jobs`, all of one stage, and its address if it is a peer.
+fn choose_batching_node(node: &SharedNode, service: &ServiceName, jobs: &[PieceJob]) -> (NodeName, Option<SocketAddr>) {
+    let mut board = node.board.borrow_mut();
+    let first = jobs.first();
+    let scope = PieceScope {
+        service,
+        wanted_in: first.and_then(|job| job.wanted_in.as_ref()),
+        rank: first.map_or(0, |job| job.rank),
+        remote_bytes: jobs.iter().map(|job| job.remote_bytes).sum(),
+    };
+    let name = board.choose_batching_node(scope, clock::now());
+    let address = board.members.get(&name).map(|view| view.heartbeat.peer_address);
+    (name, address)
+}
+
+/// Returns the peer that batches the pieces of a service for the targets in `dc`, or `None` if this node does.
+pub(super) fn owning_peer(node: &SharedNode, service: &ServiceName, dc: &DcName) -> Option<(NodeName, SocketAddr)> {
+    let (board, now) = (node.board.borrow(), clock::now());
+    let in_dc = board.batching_node_in(service, dc, now).filter(|_| board.batches_by_dc(service, now));
+    let name = in_dc.unwrap_or_else(|| board.batching_node(service, now));
     let view = board.members.get(name)?;
     Some((name.clone(), view.heartbeat.peer_address))
 }
