--- a/crates/core/src/relay/choice.rs
+++ b/crates/core/src/relay/choice.rs
@@ -228,8 +228,8 @@
     /// Extra cost of a target other than the preferred one. With it, nodes that know of no cached copy agree on one
     /// target.
     const NON_PREFERRED_COST_MS: f64 = 50.0;
-    /// Cost of a target that a hub has kept busy all the time of late. With it, prompts that no target has cached are
-    /// spread evenly.
+    /// Cost of a target that has not cached the shared part and that a hub has kept busy all the time of late. With it,
+    /// parts that no target has cached are spread evenly.
     const BUSY_COST_MS: f64 = 500.0;
     let weights = context.weights;
     let cached = context.prompts.cached_tokens(prompt, keys, &view.entry.target, context.now);
@@ -238,7 +238,11 @@
     let queued = view.total_pending_tokens();
     let tokens_to_read = f64::from(unshared + queued) + f64::from(reread) * weights.reread_factor;
     let preference_ms = match context.scope {
-        ChoiceScope::Fleet => BUSY_COST_MS * view.recent_busy_ratio(weights.tokens_per_ms, context.now),
+        ChoiceScope::Fleet => {
+            let shared = prompt.shared_tokens();
+            let uncached_ratio = if shared == 0 { 1.0 } else { f64::from(reread) / f64::from(shared) };
+            BUSY_COST_MS * uncached_ratio * view.recent_busy_ratio(weights.tokens_per_ms, context.now)
+        }
         ChoiceScope::Node if is_preferred => 0.0,
         ChoiceScope::Node => NON_PREFERRED_COST_MS,
     };
--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -13,7 +13,7 @@
 use crate::message::NodeState;
 use crate::names::{DcName, InstanceId, NodeName, ServiceName, TargetName};
 use crate::relay::board::RelayBoard;
-use crate::relay::members::{CallVersion, PeerView, RelayHeartbeat, TargetLoad, rendezvous_weight};
+use crate::relay::members::{CallVersion, PeerTable, PeerView, RelayHeartbeat, TargetLoad, rendezvous_weight};
 use crate::relay::prompts::PromptCacheUpdate;
 use crate::relay::rosters::{KnownRoster, RosterId, RosterUpdate};
 use crate::relay::rows::{TableCopy, TableId};
@@ -72,12 +72,24 @@
     /// hub serves any node that asks it.
     #[must_use]
     pub fn hub(&self, dc: &DcName, now: Moment) -> Option<&NodeName> {
+        self.first_hub(dc, |view| view.suspected_since.is_none(), now)
+    }
+
+    /// Returns the node that would be the hub of a data centre if it had answered, unless it has been silent for long.
+    fn suspected_hub(&self, dc: &DcName, now: Moment) -> Option<&NodeName> {
+        let is_recent = |view: &PeerView| now.since(view.last_heartbeat_at) < PeerTable::RELAYED_PEER_TIMEOUT;
+        let hub = self.first_hub(dc, is_recent, now)?;
+        self.members.get(hub).filter(|view| view.suspected_since.is_some()).map(|_| hub)
+    }
+
+    /// Returns the first of the nodes of a data centre that may be its hub, with those peers that `is_allowed` selects.
+    fn first_hub(&self, dc: &DcName, is_allowed: impl Fn(&PeerView) -> bool, now: Moment) -> Option<&NodeName> {
         let identity = &self.identity;
         let own = (identity.dc == *dc)
             .then_some((true, self.state == NodeState::Serving, self.tuning.capacity, &identity.node))
             .filter(|_| self.state != NodeState::Leaving);
         let in_dc = |view: &&PeerView| {
-            view.heartbeat.dc == *dc && view.suspected_since.is_none() && view.heartbeat.state != NodeState::Leaving
+            view.heartbeat.dc == *dc && is_allowed(view) && view.heartbeat.state != NodeState::Leaving
         };
         let peers = self.members.known().filter(in_dc).map(|view| {
             let is_serving = view.heartbeat.state == NodeState::Serving;
@@ -96,18 +108,18 @@
     }
 
     /// Returns the nodes with which this node exchanges heartbeats: all in a small fleet, the other hubs for a hub, and
-    /// otherwise the hub of the data centre.
+    /// otherwise the hub of the data centre. A hub that has not answered is called, too, so that the node returns to it as
+    /// soon as it does: the node that it takes for the hub meanwhile does not speak for it.
     #[must_use]
     pub fn partners(&self, now: Moment) -> FleetPartners {
         if self.is_small_fleet() {
             return FleetPartners::All;
         }
         let own = &self.identity.node;
-        if !self.is_hub(now) {
-            return FleetPartners::Only(self.hub(&self.identity.dc, now).cloned().into_iter().collect());
-        }
-        let hubs = self.known_dcs().into_iter().filter_map(|dc| self.hub(&dc, now).cloned());
-        FleetPartners::Only(hubs.filter(|node| node != own).collect())
+        let dcs = if self.is_hub(now) { self.known_dcs() } else { vec![self.identity.dc.clone()] };
+        let hubs = dcs.iter().filter_map(|dc| self.hub(dc, now));
+        let suspected = dcs.iter().filter_map(|dc| self.suspected_hub(dc, now));
+        FleetPartners::Only(hubs.chain(suspected).filter(|node| *node != own).cloned().collect())
     }
 
     /// Returns the nodes of `partners`, or none in a small fleet.
--- a/crates/core/src/relay/pieces.rs
+++ b/crates/core/src/relay/pieces.rs
@@ -156,6 +156,11 @@
         self.queues.get(service)
     }
 
+    /// Returns the number of pending pieces of each service that this node has batched pieces of.
+    pub fn pending_counts(&self) -> impl Iterator<Item = (&ServiceName, usize)> {
+        self.queues.iter().map(|(service, queue)| (service, queue.len()))
+    }
+
     /// Returns the services that have pending pieces.
     #[must_use]
     pub fn services_with_pending_pieces(&self) -> Vec<ServiceName> {
--- a/crates/core/src/relay/rosters.rs
+++ b/crates/core/src/relay/rosters.rs
@@ -243,6 +243,12 @@
         self.own.members.contains_key(node)
     }
 
+    /// Returns the time since the hub vouched for the roster that is the oldest, or zero without any.
+    #[must_use]
+    pub fn oldest_age(&self, now: Moment) -> Duration {
+        self.received.values().map(|roster| now.since(roster.vouched_at)).max().unwrap_or_default()
+    }
+
     /// Forgets copies of rosters whose hubs have not vouched for them for as long as relayed heartbeats count.
     pub fn remove_expired(&mut self, now: Moment) {
         self.received.retain(|_, roster| now.since(roster.vouched_at) < PeerTable::RELAYED_PEER_TIMEOUT);
--- a/crates/core/tests/relay/fleet.rs
+++ b/crates/core/tests/relay/fleet.rs
@@ -293,6 +293,29 @@
     }
 }
 
+/// Guards against a live node that seems gone to the whole fleet because it takes another node for its hub: its hub has not
+/// answered it in time once.
+#[test]
+fn a_node_that_leaves_its_hub_for_some_time_stays_known() {
+    let mut fleet = FleetSimulation::new(61);
+    fleet.run_rounds(8);
+    let node = NodeName::new("edge-040");
+    let FleetPartners::Only(hubs) = fleet.boards[&node].partners(at(fleet.now_ms)) else {
+        panic!("the fleet is large")
+    };
+    let now = at(fleet.now_ms);
+
+    fleet.boards.get_mut(&node).expect("the node is in the fleet").members.mark_suspected(&hubs[0], now);
+
+    for round in 0..12 {
+        fleet.run_round();
+        let now = at(fleet.now_ms);
+        let known = fleet.live_boards().filter(|(_, board)| board.addresses(now).len() == 61).count();
+        // The hub itself has not heard from the node.
+        assert!(known >= 60, "{known} nodes know all {round} rounds later");
+    }
+}
+
 /// Guards against a live node that seems gone. Nodes of a large fleet call some others only now and then, such as the
 /// node that batches the pieces of a service, and must not expect regular heartbeats from a node that they called once.
 #[test]
--- a/crates/relay/src/maintenance.rs
+++ b/crates/relay/src/maintenance.rs
@@ -4,7 +4,8 @@
 
 use spdlog::info;
 use stakker::{ActorOwn, CX, Stakker, actor, after, ret_nop};
-use tokio::time::sleep;
+use tokio::runtime::Handle;
+use tokio::time::sleep_until;
 
 use crate::blame;
 use crate::clock;
@@ -54,6 +55,7 @@
 
     fn publish_gauges(&mut self, cx: CX![]) {
         metering::publish_gauges(&self.node.board.borrow(), self.node.open_requests.get(), clock::now());
+        metering::publish_busy_time(Handle::current().metrics().worker_total_busy_duration(0));
         after!(GAUGE_INTERVAL, [cx], publish_gauges());
     }
 }
@@ -64,6 +66,8 @@
     let _actor: ActorOwn<MaintenanceActor> = actor!(&mut stakker, MaintenanceActor::init(node), ret_nop!());
     while stakker.not_shutdown() {
         stakker.run(Instant::now(), false);
-        sleep(stakker.next_wait_max(Instant::now(), MAX_SLEEP, false)).await;
+        let due_at = Instant::now() + stakker.next_wait_max(Instant::now(), MAX_SLEEP, false);
+        sleep_until(due_at.into()).await;
+        metering::record_loop_delay(due_at.elapsed());
     }
 }
--- a/crates/relay/src/metering.rs
+++ b/crates/relay/src/metering.rs
@@ -139,6 +139,16 @@
     counter!("wasabipier_relay_rollout_changes_total", "service" => service, "phase" => phase).increment(1);
 }
 
+/// Records how much later than planned the node's thread ran a timer, because it was busy.
+pub fn record_loop_delay(delay: Duration) {
+    histogram!("wasabipier_relay_loop_delay_seconds").record(delay.as_secs_f64());
+}
+
+/// Updates the gauge of the time for which the node's thread has been busy since its start.
+pub fn publish_busy_time(busy: Duration) {
+    gauge!("wasabipier_relay_loop_busy_seconds").set(busy.as_secs_f64());
+}
+
 /// Updates the gauges of open requests, document, peers and targets. The document's age is NaN without a document.
 pub fn publish_gauges(board: &RelayBoard, open_requests: usize, now: Moment) {
     gauge!("wasabipier_relay_requests_open").set(open_requests as f64);
@@ -146,6 +156,11 @@
     gauge!("wasabipier_relay_document_age_seconds")
         .set(board.document_age(now).map_or(f64::NAN, |age| age.as_secs_f64()));
     gauge!("wasabipier_relay_peers_alive").set(board.members.alive(now).count() as f64);
+    gauge!("wasabipier_relay_roster_age_seconds").set(board.rosters.oldest_age(now).as_secs_f64());
+    gauge!("wasabipier_relay_grants_open").set(board.grants.len() as f64);
+    for (service, pending) in board.pieces.pending_counts() {
+        gauge!("wasabipier_relay_pieces_pending", "service" => service.to_string()).set(pending as f64);
+    }
     for watch in board.rollouts.iter() {
         let (total, candidate) = watch.call_counts();
         let service = watch.order().service.to_string();
