--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
 use http_body_util::BodyExt;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 use wasabipier_core::relay::events::{EventSplitter, EventVerdict, StreamEvent};
 use wasabipier_core::relay::suspects::RunStage;
 use wasabipier_core::relay::targets::{CallResult, TargetEntry};
@@ -113,8 +113,8 @@
         }
     }
 
-    /// Returns the next part, or `Silent` if no data arrives within `part_timeout`; `None` means no limit. No data is lost if
-    /// the future is dropped before it is ready.
+    /// Returns the next part, or `Silent` if the target sends no whole event within `part_timeout`; `None` means no limit. The
+    /// time for which the caller leaves no room does not count. No data is lost if the future is dropped before it is ready.
     pub async fn next_part(&mut self, node: &SharedNode, part_timeout: Option<Duration>) -> StreamPart {
         let part = self.wait_for_part(node, part_timeout).await;
         if let StreamPart::Broken(reason) = part {
@@ -127,6 +127,7 @@
         if let Some(bytes) = self.first_part.take() {
             return StreamPart::Events(bytes);
         }
+        let mut waited = Duration::ZERO;
         loop {
             if let Some(part) = self.take_ready_events() {
                 return part;
@@ -140,10 +141,12 @@
             self.memory.wait_for_room().await;
             let Some(answer) = &mut self.answer else { return StreamPart::End };
             let frame = answer.body.frame();
+            let waits_since = Instant::now();
             let frame = match part_timeout {
-                Some(part_timeout) => timeout(part_timeout, frame).await,
+                Some(part_timeout) => timeout(part_timeout.saturating_sub(waited), frame).await,
                 None => Ok(frame.await),
             };
+            waited += waits_since.elapsed();
             match frame {
                 Err(_) => return StreamPart::Silent,
                 Ok(Some(Err(_))) => return StreamPart::Broken("connection broke"),
