--- a/crates/core/tests/relay/fleet.rs
+++ b/crates/core/tests/relay/fleet.rs
@@ -5,7 +5,7 @@
 
 use wasabipier_core::blackboard::Identity;
 use wasabipier_core::message::NodeState;
-use wasabipier_core::names::{DcName, NodeName, ServiceName, TargetName};
+use wasabipier_core::names::{DcName, InstanceId, NodeName, ServiceName, TargetName};
 use wasabipier_core::relay::board::{RelayBoard, RelayTuning};
 use wasabipier_core::relay::choice::{CallRequirements, PromptPart, PromptSpec};
 use wasabipier_core::relay::fleet::{FleetCaller, FleetPartners, MAX_SMALL_FLEET_NODES};
@@ -293,6 +293,84 @@
     }
 }
 
+impl FleetSimulation {
+    /// Has a node start again as a new run of its process, which knows nobody.
+    fn restart(&mut self, name: &NodeName, instance: u64) {
+        let old = &self.boards[name];
+        let identity = Identity { instance: InstanceId(instance), ..old.identity.clone() };
+        let mut board = RelayBoard::new(identity, old.tuning.clone());
+        board.state = NodeState::Serving;
+        self.boards.insert(name.clone(), board);
+        self.down.remove(name);
+    }
+
+    /// Has nodes or a whole data centre lose power, nodes that are down come back, or two data centres be partitioned.
+    fn draw_fault(&mut self, random: &mut fastrand::Rng) {
+        let names: Vec<NodeName> = self.boards.keys().cloned().collect();
+        match random.u8(..8) {
+            0 => {
+                let dc = DcName::new(DCS[random.usize(..DCS.len())]);
+                self.down.extend(names.iter().filter(|name| self.boards[*name].identity.dc == dc).cloned());
+            }
+            1 => self.partitions = vec![(DcName::new(DCS[0]), DcName::new(DCS[random.usize(1..DCS.len())]))],
+            2 => self.partitions.clear(),
+            3 => self.down.extend(self.hubs()),
+            4 | 5 => self.down.extend(random.choose_multiple(names, 5)),
+            _ => {
+                let down: Vec<NodeName> = self.down.iter().cloned().collect();
+                for name in random.choose_multiple(down, 20) {
+                    self.restart(&name, random.u64(..));
+                }
+            }
+        }
+    }
+}
+
+/// Guards against live nodes that stay unknown, dead ones that stay known, and nodes that disagree about who is the hub of a
+/// data centre or batches its pieces, after hubs, data centres and single nodes have come and gone in any order.
+#[test]
+fn nodes_agree_on_the_fleet_soon_after_the_last_of_many_faults() {
+    let seeds = std::env::var("WASABIPIER_FLEET_SEEDS").ok().and_then(|count| count.parse().ok()).unwrap_or(4);
+    for seed in 0..seeds {
+        let mut random = fastrand::Rng::with_seed(seed);
+        let mut fleet = FleetSimulation::new(60);
+        if random.bool() {
+            fleet.set_old_nodes(random.usize(2..4));
+        }
+        fleet.run_rounds(6);
+        for _ in 0..30 {
+            if random.u8(..3) == 0 {
+                fleet.draw_fault(&mut random);
+            }
+            fleet.run_round();
+        }
+        fleet.partitions.clear();
+        let down: Vec<NodeName> = fleet.down.iter().cloned().collect();
+        for name in down.into_iter().skip(7) {
+            fleet.restart(&name, random.u64(..));
+        }
+        fleet.run_rounds(25);
+
+        let now = at(fleet.now_ms);
+        let live = fleet.live_boards().count();
+        let service = ServiceName::new("clubs");
+        let mut views = BTreeSet::new();
+        for (name, board) in fleet.live_boards() {
+            assert_eq!(
+                board.addresses(now).len(),
+                live,
+                "seed {seed}: as {name} sees it, {} are down",
+                fleet.down.len()
+            );
+            let dcs = DCS.map(DcName::new);
+            let roles =
+                dcs.map(|dc| (board.hub(&dc, now).cloned(), board.batching_node_in(&service, &dc, now).cloned()));
+            views.insert(roles);
+        }
+        assert_eq!(views.len(), 1, "seed {seed}: nodes agree on hubs and batching nodes");
+    }
+}
+
 /// Guards against a live node that seems gone to the whole fleet because it takes another node for its hub: its hub has not
 /// answered it in time once.
 #[test]
