--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -22,6 +22,8 @@
 mod fleet;
 #[path = "relay/fleet_limits.rs"]
 mod fleet_limits;
+#[path = "relay/fleet_simulation.rs"]
+mod fleet_simulation;
 #[path = "relay/graph.rs"]
 mod graph;
 #[path = "relay/members.rs"]
