Refuse keys soon after a document that cannot be decoded

A stateful test of sequences of documents, at a node that reads the store and at one that learns from it, found another path to what callers saw.

Cause: a node keeps the document that it has if the next one cannot be decoded, and each read of the store proved the kept one to be the newest. A key that the unreadable document took away was accepted without end.

Change: the age of the document in force counts from its last proof before the rows that hold an undecodable one. Keyed requests get 503 (not run) within the limit for revoked keys; public routes are served; the next document that can be decoded ends it.

Evidence: the property test failed before (a key accepted 5.0 s after it was replaced, minimal case of eight steps) and passes 600 cases; the test with a real node got 200 for the key after 5 s before, and 503 after.

--- a/crates/core/src/relay/board.rs
+++ b/crates/core/src/relay/board.rs
@@ -163,6 +163,10 @@
     heartbeat_count: u64,
 }
 
+    /// When the document was last proven to be the newest before the latest rows of its table were read.
+    pub(super) document_proven_before: Option<Moment>,
+    /// When the document in force was last proven to be the newest, if the store holds one that this node cannot decode.
+    proven_before_undecodable: Option<Moment>,
 impl RelayBoard {
     /// Creates the state of a node that has not received anything yet.
     #[must_use]
@@ -201,6 +205,8 @@
         }
     }
 
+            document_proven_before: None,
+            proven_before_undecodable: None,
     /// Returns the time since the document was last known to be the newest, or `None` if this node has no document.
     #[must_use]
     pub fn document_age(&self, now: Moment) -> Option<Duration> {
@@ -208,13 +214,20 @@
     }
 
     /// Returns the latest time at which the document was proven to be the newest. A store that may have lost a newer one
-    /// proves nothing.
+    /// proves nothing, and neither does one that holds a document that this node cannot decode: it may revoke keys.
     pub(super) fn document_proven_at(&self, now: Moment) -> Option<Moment> {
         let rewrite_time = self.tuning.reregistration_timeout;
         if !self.restoration.is_settled(self.index.version, rewrite_time, now) {
             return self.restoration.proven_before();
         }
-        self.copies.get(&TableId::Orders)?.confirmed_at()
+        let confirmed_at = self.copies.get(&TableId::Orders)?.confirmed_at()?;
+        Some(self.proven_before_undecodable.map_or(confirmed_at, |proven_at| proven_at.min(confirmed_at)))
+    }
+
+    /// Records that the rows read last hold a document that this node cannot decode. The document in force then ages until
+    /// one that can be decoded follows.
+    pub fn record_undecodable_document(&mut self) {
+        self.proven_before_undecodable.get_or_insert(self.document_proven_before.unwrap_or_default());
     }
 
     /// Checks whether a request may be served. A node that has known for long that its document or another order is not
@@ -342,6 +355,9 @@
             // The document version never decreases within one run of the process.
             OrderChange::Document(index) if index.version <= self.index.version => false,
             OrderChange::Document(index) => {
+        if matches!(change, OrderChange::Document(_)) {
+            self.proven_before_undecodable = None;
+        }
                 self.index = Arc::new(index);
                 self.retain_speeds();
                 true
--- a/crates/core/src/relay/store_restoration.rs
+++ b/crates/core/src/relay/store_restoration.rs
@@ -195,6 +195,7 @@
         let changed = copy.apply(batch, up_to_date_at);
         let copy_version = copy.version();
         if table == TableId::Orders {
+            self.document_proven_before = proven_at;
             // If the document is among the changed rows, it is recorded as stored next.
             self.restoration.record_orders_read(copy_version);
         }
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -2,6 +2,8 @@
 
 #[path = "relay/access.rs"]
 mod access;
+#[path = "relay/access_sequences.rs"]
+mod access_sequences;
 #[path = "relay/answer_timeout.rs"]
 mod answer_timeout;
 #[path = "relay/brittle.rs"]
--- a/crates/relay/src/ports.rs
+++ b/crates/relay/src/ports.rs
@@ -266,4 +266,6 @@
     fn announced_addresses_request(&self) -> Request<Bytes>;
     /// Decodes the addresses that nodes have written into the store. Returns none if the body is malformed.
     fn read_announced_addresses(&self, body: &[u8]) -> Vec<SocketAddr>;
+    /// Returns whether a row of orders holds the document, also if the row was deleted or is malformed.
+    fn is_document(&self, row: &SharedRow) -> bool;
 }
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -84,7 +84,11 @@
         }
         Ok(None) => info!("{STORE} order does not concern this node.", kv: { key, version, source }),
         Err(fault) => {
-            warn!("{STORE} order could not be decoded; the previous one stays in force.", kv: { key, version, source, fault = fault.as_str() });
+            let is_document = node.platform.is_document(row);
+            if is_document {
+                node.board.borrow_mut().record_undecodable_document();
+            }
+            warn!("{STORE} order could not be decoded; the previous one stays in force.", kv: { key, version, source, is_document, fault = fault.as_str() });
         }
     }
 }
