--- a/crates/core/src/relay/board.rs
+++ b/crates/core/src/relay/board.rs
@@ -16,6 +16,7 @@
 use crate::relay::choice::{CallRequirements, ChoiceContext, ChoiceScope, ChoiceWeights, choose_target};
 use crate::relay::departure::DepartureGate;
 use crate::relay::document::{DocumentIndex, RelayRoute, RelayService};
+use crate::relay::duties::DutyTable;
 use crate::relay::members::PeerTable;
 use crate::relay::overload::OverloadBounds;
 use crate::relay::paths::PathTable;
@@ -137,6 +138,8 @@
     pub rosters: RosterTable,
     /// Prompts that this node has placed as a hub.
     pub grants: GrantLedger,
+    /// Duties that this node has.
+    pub duties: DutyTable,
     /// Planned end of this node, and which requests it accepts until then.
     pub departure: DepartureGate,
     /// Numbers of requests and retries of this node, for the retry budget.
@@ -160,13 +163,13 @@
     is_store_unreachable: bool,
     /// What the store lost when it was restored.
     pub(super) restoration: StoreRestoration,
-    heartbeat_count: u64,
-}
-
     /// When the document was last proven to be the newest before the latest rows of its table were read.
     pub(super) document_proven_before: Option<Moment>,
     /// When the document in force was last proven to be the newest, if the store holds one that this node cannot decode.
     proven_before_undecodable: Option<Moment>,
+    heartbeat_count: u64,
+}
+
 impl RelayBoard {
     /// Creates the state of a node that has not received anything yet.
     #[must_use]
@@ -188,6 +191,7 @@
             members: PeerTable::default(),
             rosters: RosterTable::default(),
             grants: GrantLedger::default(),
+            duties: DutyTable::default(),
             departure: DepartureGate::default(),
             tuning,
             retry_ledger: RetryLedger::default(),
@@ -201,12 +205,12 @@
             store_recovered_at: None,
             is_store_unreachable: false,
             restoration: StoreRestoration::default(),
+            document_proven_before: None,
+            proven_before_undecodable: None,
             heartbeat_count: 0,
         }
     }
 
-            document_proven_before: None,
-            proven_before_undecodable: None,
     /// Returns the time since the document was last known to be the newest, or `None` if this node has no document.
     #[must_use]
     pub fn document_age(&self, now: Moment) -> Option<Duration> {
@@ -351,13 +355,13 @@
 
     /// Applies a change by an operator, whether it was written or is withheld no longer.
     pub(super) fn put_in_force(&mut self, change: OrderChange, now: Moment) -> bool {
+        if matches!(change, OrderChange::Document(_)) {
+            self.proven_before_undecodable = None;
+        }
         match change {
             // The document version never decreases within one run of the process.
             OrderChange::Document(index) if index.version <= self.index.version => false,
             OrderChange::Document(index) => {
-        if matches!(change, OrderChange::Document(_)) {
-            self.proven_before_undecodable = None;
-        }
                 self.index = Arc::new(index);
                 self.retain_speeds();
                 true
--- a/crates/core/src/relay/members.rs
+++ b/crates/core/src/relay/members.rs
@@ -53,8 +53,10 @@
     pub const BASE: Self = Self(6);
     /// Version from which on nodes tell rosters and load reports, and place prompts for each other.
     pub const ROSTERS: Self = Self(7);
+    /// Version from which on nodes tell the candidates of a duty what they counted.
+    pub const DUTIES: Self = Self(8);
     /// Highest version that this release reads.
-    pub const CURRENT: Self = Self::ROSTERS;
+    pub const CURRENT: Self = Self::DUTIES;
 }
 
 impl Default for CallVersion {
--- a/crates/node/src/relay_settings.rs
+++ b/crates/node/src/relay_settings.rs
@@ -1,5 +1,5 @@
 //! Settings of a relaying node, which is a node whose settings file has the section `[relay]`. They are read from the
-//! sections `[relay]`, `[bounds]` and `[vm]`. All faults are returned together.
+//! sections `[relay]`, `[bounds]`, `[vm]` and `[duties]`. All faults are returned together.
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -9,6 +9,7 @@
 use wasabipier_core::relay::access::FreshnessLimits;
 use wasabipier_core::relay::board::RelayTuning;
 use wasabipier_core::relay::budget::RetryLimits;
+use wasabipier_core::relay::duties::{DutyKind, DutyTimes};
 use wasabipier_core::relay::rollout::RolloutLimits;
 use wasabipier_relay::prelude::*;
 use wasabipier_wire::fault::FaultList;
@@ -59,7 +60,7 @@
 /// Returns all faults in the settings.
 pub fn parse(text: &str) -> Result<RelaySettings, FaultList> {
     let mut reader = IniReader::parse(text)?;
-    reader.check_sections(&["relay", "bounds", "vm"], &[]);
+    reader.check_sections(&["relay", "bounds", "vm", "duties"], &[]);
     let known_keys = [
         "name",
         "data_centre",
@@ -84,6 +85,7 @@
         },
         tuning: read_tuning(&mut reader),
         times: read_durations(&mut reader),
+        duties: read_duties(&mut reader),
         addresses,
     };
     reader.faults.into_result(settings)
@@ -198,3 +200,32 @@
 fn read_seconds(reader: &mut IniReader, key: &str, default: Duration) -> Duration {
     Duration::from_secs_f64(reader.number_in_range("bounds", key, default.as_secs_f64(), 0.05..=3_600.0))
 }
+
+/// Returns the duties of the nodes, or `None` without the section `[duties]`.
+fn read_duties(reader: &mut IniReader) -> Option<DutySettings> {
+    let known_keys = ["address", "names", "calls_per_s", "lease_ms", "window_s", "usage_late_s", "require_fence"];
+    reader.check_keys("duties", &known_keys);
+    reader.text("duties", "address")?;
+    let defaults = DutyTimes::default();
+    let seconds = |reader: &mut IniReader, key, default: Duration| {
+        Duration::from_secs_f64(reader.number_in_range("duties", key, default.as_secs_f64(), 0.5..=3_600.0))
+    };
+    // Calls carry a fencing token whether the platform compares it or not.
+    let _: bool = reader.value("duties", "require_fence", true, "true or false");
+    Some(DutySettings {
+        address: reader.value("duties", "address", UNSET_ADDRESS, ADDRESS),
+        kinds: read_duty_kinds(reader),
+        max_calls_per_s: reader.number_in_range("duties", "calls_per_s", 10.0, 0.1..=1e6),
+        times: DutyTimes {
+            lease_length: reader.duration_from_ms("duties", "lease_ms", defaults.lease_length, 500..=HOUR_MS),
+            window_length: seconds(reader, "window_s", defaults.window_length),
+            report_timeout: seconds(reader, "usage_late_s", defaults.report_timeout),
+        },
+    })
+}
+
+/// Returns the duties that the settings name. Duties that this release does not know are left to others.
+fn read_duty_kinds(reader: &mut IniReader) -> Vec<DutyKind> {
+    let names = reader.text("duties", "names").unwrap_or_default();
+    names.split(',').filter_map(|name| name.trim().parse().ok()).collect()
+}
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -170,6 +170,7 @@
         grant_events: GrantEventQueue::default(),
         brittle_services: RefCell::default(),
         times: settings.times,
+        duties: settings.duties,
         addresses: settings.addresses,
         pending_tables: RefCell::default(),
         assemblies: RefCell::default(),
--- a/crates/relay/src/ports.rs
+++ b/crates/relay/src/ports.rs
@@ -2,13 +2,14 @@
 //!
 //! An implementation only translates. It contains no thresholds, no retries and no choice of targets.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode, Uri};
-use wasabipier_core::names::{DcName, OrgName, TargetName};
+use wasabipier_core::names::{DcName, NodeName, OrgName, ServiceName, TargetName};
 use wasabipier_core::relay::board::OrderChange;
 use wasabipier_core::relay::brittle::RejectTolerance;
 use wasabipier_core::relay::choice::PromptSpec;
@@ -199,6 +200,27 @@
     Conflict(RolloutRecord),
 }
 
+/// The holder of a duty, as it names itself in a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DutyHolder<'a> {
+    /// Name of the node.
+    pub node: &'a NodeName,
+    /// Fencing token of its lease.
+    pub fence: u64,
+}
+
+/// The platform's reply to a call of a duty.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, strum::Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum DutyReply {
+    /// The call was carried out.
+    Accepted,
+    /// The platform has seen a higher fencing token.
+    Fenced,
+    /// The platform did not carry out the call; it may be repeated later.
+    Refused,
+}
+
 /// Translates between a relaying node and the platform that it runs on.
 pub trait PlatformPort {
     /// Decodes the head of a request that arrived at a listener of the given kind.
@@ -244,6 +266,8 @@
     ///
     /// Returns a description of what is wrong with the row.
     fn read_order(&self, row: &SharedRow) -> Result<Option<OrderChange>, String>;
+    /// Returns whether a row of orders holds the document, also if the row was deleted or is malformed.
+    fn is_document(&self, row: &SharedRow) -> bool;
     /// Decodes the entry with which a target registers itself.
     ///
     /// # Errors
@@ -266,6 +290,14 @@
     fn announced_addresses_request(&self) -> Request<Bytes>;
     /// Decodes the addresses that nodes have written into the store. Returns none if the body is malformed.
     fn read_announced_addresses(&self, body: &[u8]) -> Vec<SocketAddr>;
-    /// Returns whether a row of orders holds the document, also if the row was deleted or is malformed.
-    fn is_document(&self, row: &SharedRow) -> bool;
+
+    /// Returns a request that reports the requests that began to run in a window of metering. `report` has been encoded by
+    /// [`Self::encode_usage`].
+    fn usage_request(&self, holder: DutyHolder<'_>, report: Bytes) -> Request<Bytes>;
+    /// Encodes the number of requests of each organisation in the window with the number `window`.
+    fn encode_usage(&self, window: u64, counts: &BTreeMap<OrgName, u64>) -> Bytes;
+    /// Returns a request that orders the number of targets of a service in a data centre.
+    fn scale_request(&self, holder: DutyHolder<'_>, service: &ServiceName, dc: &DcName, count: u32) -> Request<Bytes>;
+    /// Decodes the reply to a call of a duty.
+    fn read_duty_reply(&self, status: StatusCode) -> DutyReply;
 }
--- a/crates/relay/src/prelude.rs
+++ b/crates/relay/src/prelude.rs
@@ -1,7 +1,7 @@
 //! Types that platform packages and the node's program use.
 
 pub use crate::ports::{
-    AnswerHead, ListenKind, ListenerRequest, PlatformPort, RefusalKind, RefusalNotice, RequestHead, RolloutReply,
-    RowPage, RunClaim, StoreFault, TargetRequest,
+    AnswerHead, DutyHolder, DutyReply, ListenKind, ListenerRequest, PlatformPort, RefusalKind, RefusalNotice,
+    RequestHead, RolloutReply, RowPage, RunClaim, StoreFault, TargetRequest,
 };
-pub use crate::settings::{RelayAddresses, RelaySettings, RelayTimes, SettingsSource};
+pub use crate::settings::{DutySettings, RelayAddresses, RelaySettings, RelayTimes, SettingsSource};
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -5,6 +5,7 @@
 
 use wasabipier_core::blackboard::Identity;
 use wasabipier_core::relay::board::RelayTuning;
+use wasabipier_core::relay::duties::{DutyKind, DutyTimes};
 
 /// Timeouts, intervals and the cache time of addresses.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -58,6 +59,19 @@
     pub seeds: Vec<SocketAddr>,
 }
 
+/// Duties of the nodes, and the platform's interface for them.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DutySettings {
+    /// Address of the interface.
+    pub address: SocketAddr,
+    /// Duties that the nodes have.
+    pub kinds: Vec<DutyKind>,
+    /// Maximum number of calls per second of all nodes together.
+    pub max_calls_per_s: f64,
+    /// Lengths of leases and windows, and when reports are due.
+    pub times: DutyTimes,
+}
+
 /// All settings of a relaying node.
 #[derive(Clone, Debug)]
 pub struct RelaySettings {
@@ -69,6 +83,8 @@
     pub tuning: RelayTuning,
     /// Timeouts, intervals and the cache time of addresses.
     pub times: RelayTimes,
+    /// Duties of the nodes; `None` if the platform asks for none.
+    pub duties: Option<DutySettings>,
 }
 
 /// Source of the settings, which may change while the node runs.
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -25,7 +25,7 @@
 use crate::placement::GrantEventQueue;
 use crate::pool::TargetPool;
 use crate::ports::PlatformPort;
-use crate::settings::{RelayAddresses, RelayTimes};
+use crate::settings::{DutySettings, RelayAddresses, RelayTimes};
 use crate::unwritten::UnwrittenAnswers;
 
 /// The state of a node, its connections and its settings.
@@ -55,6 +55,8 @@
     pub brittle_services: RefCell<BTreeMap<ServiceName, RejectTolerance>>,
     /// Timeouts, intervals and the cache time of addresses.
     pub times: RelayTimes,
+    /// Duties of the nodes; `None` if the platform asks for none.
+    pub duties: Option<DutySettings>,
     /// Addresses that the node listens at or connects to.
     pub addresses: RelayAddresses,
     /// Tables that are being read from a peer.
