Check a configuration of relaying nodes before it is sent

Operators could check the product's own document, but not the configuration of relaying nodes: a route that never matches, or a stage without batch settings, showed only as refused requests.

`wasabipierctl check-relay` prints errors and warnings with their place and remedy, and what differs from the configuration in force, as text or JSON, with an exit code for scripts. The check is core code over the decoded document; the adapter decodes.

Exit codes 0 and 2 are tested at the command line.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -1,7 +1,7 @@
 //! Decisions about relayed requests, without I/O. A relay node passes a request unchanged to one of the targets.
 //!
 //! The modules in the order in which a request uses them: the document, which is the configuration that operators
-//! promote, defines its route ([`document`], [`access`]). Admission control accepts or refuses it ([`overload`],
+//! promote and can check before ([`document_check`]), defines its route ([`document`], [`access`]). Admission control accepts or refuses it ([`overload`],
 //! [`departure`]). Its preparation stages run ([`graph`], [`pieces`],
 //! [`piece_nodes`]), a target is chosen ([`targets`], [`prompts`],
 //! [`choice`], [`placement`]) and connected to ([`paths`]), and the answer is passed on or the request is retried ([`steps`], [`budget`], [`events`]). Content that
@@ -22,6 +22,7 @@
 pub mod chunks;
 pub mod departure;
 pub mod document;
+pub mod document_check;
 pub mod duties;
 pub mod events;
 pub mod fleet;
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -16,6 +16,8 @@
 mod chunks;
 #[path = "relay/departure.rs"]
 mod departure;
+#[path = "relay/document_check.rs"]
+mod document_check;
 #[path = "relay/events.rs"]
 mod events;
 #[path = "relay/fixtures.rs"]
--- a/crates/core/tests/relay/access_sequences.rs
+++ b/crates/core/tests/relay/access_sequences.rs
@@ -67,11 +67,11 @@
 }
 
 impl KeyList {
-    /// Returns for whom a request with `key` runs, or `None` if it is refused.
-    fn admits(&self, key: Option<usize>) -> Option<Option<String>> {
+    /// Returns for whom a request with `key` runs, an empty name if for no organisation, or `None` if it is refused.
+    fn admits(&self, key: Option<usize>) -> Option<String> {
         match self {
-            Self::Missing => Some(None),
-            Self::Holders(orgs) => orgs[key?].map(|org| Some(format!("org-{org}"))),
+            Self::Missing => Some(String::new()),
+            Self::Holders(orgs) => orgs[key?].map(|org| format!("org-{org}")),
             Self::Undecodable => None,
         }
     }
@@ -79,7 +79,7 @@
     fn index(&self, number: u64) -> Option<DocumentIndex> {
         let holders = match self {
             Self::Missing => None,
-            Self::Holders(orgs) => Some((0..2).map(|org| holder_of(org, orgs)).collect()),
+            Self::Holders(orgs) => Some((0..2).map(|org| holder_of(org, *orgs)).collect()),
             Self::Undecodable => return None,
         };
         let public = RelayRoute { public: true, ..route("/open/", "open") };
@@ -88,8 +88,8 @@
     }
 }
 
-fn holder_of(org: u8, orgs: &[Option<u8>; 3]) -> KeyHolder {
-    let keys = KEYS.iter().zip(orgs).filter(|(_, holder)| **holder == Some(org)).map(|(key, _)| Arc::from(*key));
+fn holder_of(org: u8, orgs: [Option<u8>; 3]) -> KeyHolder {
+    let keys = KEYS.iter().zip(orgs).filter(|(_, holder)| *holder == Some(org)).map(|(key, _)| Arc::from(*key));
     KeyHolder { org: OrgName::new(format!("org-{org}")), keys: keys.collect(), rank: None }
 }
 
@@ -132,7 +132,7 @@
     }
 
     /// Returns for whom `key` may be accepted: as in a document that was the newest at some time within the limit.
-    fn allowed(&self, key: Option<usize>) -> Vec<Option<String>> {
+    fn allowed(&self, key: Option<usize>) -> Vec<String> {
         let replaced_at = self.written.iter().skip(1).map(|(at, _)| Some(*at)).chain([None]);
         let recent = self.written.iter().zip(replaced_at).filter(|(_, replaced_at)| {
             replaced_at.is_none_or(|replaced_at| self.now.since(replaced_at) <= REVOCATION_LIMIT)
@@ -152,9 +152,9 @@
     }
 }
 
-fn check(node: &RelayBoard, path: &str, key: Option<usize>, now: Moment) -> Option<Option<String>> {
+fn check(node: &RelayBoard, path: &str, key: Option<usize>, now: Moment) -> Option<String> {
     let claim = AccessClaim { host: "nets.example", path, key: key.map(|key| KEYS[key]) };
-    node.check_access(claim, now).ok().map(|grant| grant.org.map(|org| org.to_string()))
+    node.check_access(claim, now).ok().map(|grant| grant.org.map(|org| org.to_string()).unwrap_or_default())
 }
 
 proptest! {
@@ -172,8 +172,8 @@
                 // Without a list of organisations nobody needs a key, however old the document is.
                 let is_open = model.written.iter().any(|(_, list)| matches!(list, KeyList::Missing));
                 if let Some(org) = check(&model.nodes[node], "/x", key, model.now) {
-                    let is_allowed = model.allowed(key).contains(&org) || (org.is_none() && is_open);
-                    prop_assert!(is_allowed, "node {node} accepts {key:?} for {org:?} after {step:?}");
+                    let is_allowed = model.allowed(key).contains(&org) || (org.is_empty() && is_open);
+                    prop_assert!(is_allowed, "node {node} accepts {key:?} for `{org}` after {step:?}");
                 }
             }
         }
@@ -183,7 +183,7 @@
         for (node, key) in (0..2).flat_map(|node| [None, Some(0), Some(1), Some(2)].map(|key| (node, key))) {
             if !matches!(newest, KeyList::Undecodable) {
                 prop_assert_eq!(check(&model.nodes[node], "/x", key, model.now), newest.admits(key));
-                prop_assert_eq!(check(&model.nodes[node], "/open/x", key, model.now), Some(None));
+                prop_assert_eq!(check(&model.nodes[node], "/open/x", key, model.now), Some(String::new()));
             }
         }
     }
--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -65,6 +65,8 @@
 pub enum CtlCommand {
     /// Check a document.
     Check(CheckArgs),
+    /// Check a configuration of relaying nodes.
+    CheckRelay(CheckRelayArgs),
     /// Print the document in force.
     Document(DocumentArgs),
     /// Promote a document with all its candidates on trial.
@@ -94,6 +96,24 @@
     pub document: PathBuf,
 }
 
+/// Checks a configuration of relaying nodes before it is sent: errors, entries that never match, limits that contradict
+/// each other, and what differs from the configuration in force. Exits with 0 if there is no error, with 2 otherwise.
+#[derive(Clone, Debug, FromArgs)]
+#[argh(subcommand, name = "check-relay")]
+pub struct CheckRelayArgs {
+    /// path of the configuration, a JSON file in the platform's format
+    #[argh(positional)]
+    pub config: PathBuf,
+
+    /// path of the configuration in force, to show the differences (default: none are shown)
+    #[argh(option)]
+    pub in_force: Option<PathBuf>,
+
+    /// print the result as JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
 /// Prints the document in force, with its revision in the first line, to be edited and promoted.
 #[derive(Clone, Debug, FromArgs)]
 #[argh(subcommand, name = "document")]
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -10,7 +10,7 @@
 use crate::client::NodeClient;
 use crate::exit::{CtlError, ExitKind};
 use crate::output::{self, print_line};
-use crate::{admission, ask, burn, charges, edit, promote, status};
+use crate::{admission, ask, burn, charges, check_relay, edit, promote, status};
 
 /// Runs the subcommand given in `args` and returns the kind of exit.
 ///
@@ -20,6 +20,7 @@
 pub fn run(args: &CtlArgs) -> Result<ExitKind, CtlError> {
     match &args.command {
         CtlCommand::Check(check) => check_document(&check.document)?,
+        CtlCommand::CheckRelay(options) => return check_relay::check(options),
         CtlCommand::Document(_) => print_document(&NodeClient::new(args)?)?,
         CtlCommand::Trial(options) => promote::promote_on_trial(&NodeClient::new(args)?, options)?,
         CtlCommand::Promote(options) => promote::promote(&NodeClient::new(args)?, options)?,
--- a/crates/ctl/src/exit.rs
+++ b/crates/ctl/src/exit.rs
@@ -59,6 +59,14 @@
         /// Error of the read.
         source: std::io::Error,
     },
+    /// A configuration of relaying nodes cannot be decoded.
+    #[error("{path}: {detail}; correct the file")]
+    UndecodableConfig {
+        /// Path of the file.
+        path: PathBuf,
+        /// What is wrong, with line and column.
+        detail: String,
+    },
     /// A file cannot be written.
     #[error("cannot write {path}: {source}; choose another path")]
     Unwritable {
@@ -165,6 +173,7 @@
     }
     match error {
         CtlError::InvalidDocument(_)
+        | CtlError::UndecodableConfig { .. }
         | CtlError::RefusedDocument(_)
         | CtlError::Unreadable { .. }
         | CtlError::UnreadableKey { .. }
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -4,6 +4,7 @@
 mod ask;
 mod burn;
 mod charges;
+mod check_relay;
 mod cli;
 mod client;
 mod commands;
--- a/crates/ctl/tests/ctl/commands.rs
+++ b/crates/ctl/tests/ctl/commands.rs
@@ -29,6 +29,39 @@
     assert!(help.code == Some(0) && help.stdout.contains("Error codes:"), "{help:?}");
 }
 
+/// Guards against a configuration that is sent with an error because the check ended with code 0, and against differences
+/// that are not shown.
+#[test]
+fn check_relay_shows_errors_and_differences_and_ends_with_exit_code_2_for_errors() {
+    // Arrange
+    let folder = std::env::temp_dir().join(format!("wasabipierctl-relay-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder can be made");
+    let write = |name: &str, version: u32, service: &str| {
+        let path = folder.join(name);
+        let text = format!(
+            r#"{{"version":{version},"routes":[{{"name":"r-1","host":"nets.example","prefix":"/plan/","kind":"streaming",
+            "timeoutMs":8000,"service":"{service}"}}],"services":[{{"name":"model"}}]}}"#
+        );
+        std::fs::write(&path, text).expect("the file can be written");
+        path.to_str().unwrap_or_default().to_owned()
+    };
+    let (sound, faulty, broken) = (write("sound", 7, "model"), write("faulty", 8, "gone"), folder.join("broken"));
+    std::fs::write(&broken, "{").expect("the file can be written");
+
+    // Act
+    let valid = run(&["check-relay", &sound]);
+    let compared = run(&["check-relay", &faulty, "--in-force", &sound, "--json"]);
+    let undecodable = run(&["check-relay", broken.to_str().unwrap_or_default()]);
+    let _ = std::fs::remove_dir_all(&folder);
+
+    // Assert
+    assert!(valid.code == Some(0) && valid.stdout.contains("sound: valid"), "{valid:?}");
+    let report: serde_json::Value = serde_json::from_str(&compared.stdout).expect("the report is JSON");
+    assert_eq!((compared.code, &report["findings"][0]["place"]), (Some(2), &"route `r-1`".into()), "{compared:?}");
+    assert_eq!(report["differences"][0], serde_json::json!({ "kind": "changed", "place": "route `r-1`" }));
+    assert!(undecodable.code == Some(2) && undecodable.stderr.contains("line 1"), "{undecodable:?}");
+}
+
 /// Guards against a lost change when two operators edit the same revision: the second promotion would undo the first,
 /// so the second one is refused. A wrong key is refused too, and the message names the flag for the key file.
 #[test]
