Keep pieces from a target that fails all calls at once

Cause: a target that answers with an error had no backoff in the queue of pieces; only broken connections, rejections and garbled answers had one.

Change: a call that fails as a whole takes the target out for 250 ms, twice as long each time up to 2 s, and then one piece shows whether it works again, as long as another target of the service has not failed last. If all fail, pieces are tried as before.

--- a/crates/core/src/relay/pieces/queue.rs
+++ b/crates/core/src/relay/pieces/queue.rs
@@ -38,6 +38,10 @@
     stored_results: BTreeMap<Arc<str>, (u64, Moment)>,
     /// Time until which the target gets no pieces after it had no storage left. Reset when one of its results is freed.
     full_until: Moment,
+    /// Number of calls in a row that failed as a whole.
+    failed_calls: u32,
+    /// Time until which the target gets no pieces after such a call.
+    retry_at: Moment,
 }
 
 /// Key of a pending piece. Pieces of started stages come first, since their earlier results occupy storage until the
@@ -79,6 +83,23 @@
 }
 
 impl TargetUsage {
+    /// Time for which a target gets no pieces after a call that failed as a whole. Each further such call doubles it.
+    const MIN_FAILURE_BACKOFF: Duration = Duration::from_millis(250);
+    /// Maximum backoff. A target that recovers gets a piece again within this time.
+    const MAX_FAILURE_BACKOFF: Duration = Duration::from_secs(2);
+
+    /// Records whether a call failed as a whole. A target that fails at once is free again at once, so that without a
+    /// backoff it gets most of the pieces and uses up their attempts.
+    fn record_call_end(&mut self, has_failed: bool, now: Moment) {
+        if !has_failed {
+            self.failed_calls = 0;
+            return;
+        }
+        let factor = 1 << self.failed_calls.min(8);
+        self.failed_calls += 1;
+        self.retry_at = now + (Self::MIN_FAILURE_BACKOFF * factor).min(Self::MAX_FAILURE_BACKOFF);
+    }
+
     /// Returns the bytes that stored results occupy at `now`. Forgets results that the target has dropped by then.
     fn stored_bytes(&mut self, now: Moment) -> u64 {
         self.stored_results.retain(|_, (_, until)| *until > now);
@@ -267,13 +288,21 @@
             self.busy_since = None;
             return None;
         }
-        let free: Vec<&TargetView> =
-            targets.iter().filter(|view| self.has_free_slot(spec, view, now)).copied().collect();
+        // If all targets fail, the pieces lose nothing by being tried.
+        let skips_failing = targets.iter().any(|view| self.failed_calls(view) == 0);
+        let is_free = |view: &&&TargetView| {
+            self.has_free_slot(spec, view, now) && !(skips_failing && self.is_backing_off(view, now))
+        };
+        let free: Vec<&TargetView> = targets.iter().filter(is_free).copied().collect();
         let waits = self.dc_waits(spec, targets, now);
         let spare_bytes = self.spare_bytes(spec, targets, now);
         let mut best: Option<(&TargetView, Vec<QueuePosition>)> = None;
         for view in free {
-            let positions = self.select_pieces(spec, &waits, spare_bytes, view, now);
+            let mut positions = self.select_pieces(spec, &waits, spare_bytes, view, now);
+            if skips_failing && self.failed_calls(view) > 0 {
+                // One piece shows whether the target works again.
+                positions.truncate(1);
+            }
             if best.as_ref().is_none_or(|(_, most)| positions.len() > most.len()) {
                 best = Some((view, positions));
             }
@@ -289,6 +318,15 @@
         is_usage_low && view.backoff_until <= now && view.declines_until <= now
     }
 
+    /// Returns the number of calls to a target in a row that failed as a whole.
+    fn failed_calls(&self, view: &TargetView) -> u32 {
+        self.usages.get(&view.entry.target).map_or(0, |usage| usage.failed_calls)
+    }
+
+    fn is_backing_off(&self, view: &TargetView, now: Moment) -> bool {
+        self.usages.get(&view.entry.target).is_some_and(|usage| usage.failed_calls > 0 && usage.retry_at > now)
+    }
+
     /// Returns the free storage of all `targets` together, in bytes, less what the results of the pending pieces of
     /// started stages will occupy.
     fn spare_bytes(&mut self, spec: &BatchSpec, targets: &[&TargetView], now: Moment) -> u64 {
--- a/crates/core/src/relay/pieces/queue/call_ends.rs
+++ b/crates/core/src/relay/pieces/queue/call_ends.rs
@@ -51,6 +51,7 @@
         let bytes: u64 = plan.pieces.iter().map(|(_, job)| job.result_bytes).sum();
         usage.reserved_bytes = usage.reserved_bytes.saturating_sub(bytes);
         let completed = outcomes.iter().filter(|outcome| outcome.is_ok()).count() as u32;
+        usage.record_call_end(completed == 0 && outcomes.contains(&Err(PieceFailure::Failed)), now);
         if outcomes.contains(&Err(PieceFailure::NoRoom)) {
             usage.full_until = now + Self::FULL_BACKOFF;
         }
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -34,6 +34,8 @@
 mod members;
 #[path = "relay/paths.rs"]
 mod paths;
+#[path = "relay/piece_failures.rs"]
+mod piece_failures;
 #[path = "relay/piece_nodes.rs"]
 mod piece_nodes;
 #[path = "relay/pieces.rs"]
