Add a port for conditional writes of rows of the nodes' own tables

Leases of duties and reports of windows of metering are rows that a node may write only if no other node has written them since. The port for the state of a rollout did that for its one table and one format.

RowWrite names a table of the nodes' own, a key, the value, the version that the row must have (0: it must not exist), and optionally one older row of the table that is removed in the same transaction. The reply is the new version, or the current row with the era of the store.

--- a/crates/core/src/relay/rows.rs
+++ b/crates/core/src/relay/rows.rs
@@ -18,6 +18,31 @@
     Targets,
 }
 
+/// A table of the store that only the nodes write, and that is read when needed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, strum::Display, strum::EnumIter)]
+#[strum(serialize_all = "kebab-case")]
+pub enum OwnTable {
+    /// Leases of duties.
+    Duties,
+    /// Reports of windows of metering.
+    Usage,
+}
+
+/// A write of a row that takes effect only if the row has the expected version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RowWrite {
+    /// Table of the row.
+    pub table: OwnTable,
+    /// Key of the row.
+    pub key: Arc<str>,
+    /// Content that the row gets.
+    pub value: Arc<[u8]>,
+    /// Number of the version that the row must have; 0 if the row must not exist.
+    pub expected_version: u64,
+    /// Key of another row of the table that is removed in the same transaction.
+    pub removed_key: Option<Arc<str>>,
+}
+
 /// A row of a table, or its removal.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SharedRow {
--- a/crates/relay/src/ports.rs
+++ b/crates/relay/src/ports.rs
@@ -16,7 +16,7 @@
 use wasabipier_core::relay::pieces::{PieceFailure, PieceJob};
 use wasabipier_core::relay::rate_limits::RequestRate;
 use wasabipier_core::relay::rollout::{RolloutRecord, RolloutWrite};
-use wasabipier_core::relay::rows::{RowBatch, SharedRow, TableId};
+use wasabipier_core::relay::rows::{OwnTable, RowBatch, RowWrite, SharedRow, TableId};
 use wasabipier_core::relay::store_version::StoreVersion;
 use wasabipier_core::relay::targets::TargetEntry;
 
@@ -200,6 +200,20 @@
     Conflict(RolloutRecord),
 }
 
+/// The store's reply to a conditional write of a row.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RowReply {
+    /// The write took effect and gave the row this store version.
+    Written(StoreVersion),
+    /// The row has another version than the write requires, and nothing was written.
+    Conflict {
+        /// Era of the store that replied.
+        era: u64,
+        /// The current row; `None` if it does not exist.
+        row: Option<SharedRow>,
+    },
+}
+
 /// The holder of a duty, as it names itself in a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct DutyHolder<'a> {
@@ -284,6 +298,17 @@
     ///
     /// Returns why the store's answer cannot be used.
     fn read_rollout_reply(&self, response: &Response<Bytes>) -> Result<RolloutReply, StoreFault>;
+    /// Returns a request for the rows of a table of the nodes' own, which [`Self::read_rows`] decodes. A table has at most
+    /// one page of rows.
+    fn own_rows_request(&self, table: OwnTable) -> Request<Bytes>;
+    /// Returns a request that writes a row on condition that it has the expected version.
+    fn row_write_request(&self, write: &RowWrite) -> Request<Bytes>;
+    /// Decodes the reply to a conditional write of a row.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the store's answer cannot be used. A write that was refused has not taken effect.
+    fn read_row_reply(&self, response: &Response<Bytes>) -> Result<RowReply, StoreFault>;
     /// Returns a request that writes a node's address into the store, for other nodes to read.
     fn announce_request(&self, node: &str, address: SocketAddr) -> Request<Bytes>;
     /// Returns a request for the addresses that nodes have written into the store.
