--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -72,6 +72,7 @@
 
 pub mod delta;
 pub mod documents;
+pub mod fenced_lease;
 pub mod leases;
 pub mod members;
 pub mod membership;
--- a/crates/core/src/orders.rs
+++ b/crates/core/src/orders.rs
@@ -16,7 +16,7 @@
 use crate::controller::Controller;
 use crate::document::{EngineSpec, TargetSpec};
 use crate::event::{Event, OrderReply};
-use crate::leases::HeldLease;
+use crate::fenced_lease::HeldLease;
 use crate::names::TargetName;
 use crate::store::LeaseKind;
 
