Hold duties under fenced leases in the store

Calls to the platform for all nodes must come from one node at a time. Each node decides from the lease's row whether it may make them.

DutyTable drives the lease of each duty; RelayBoard names its three candidates. One task for each duty reads and writes the row, gives a call up after a quarter of the lease, and frees the row when the node leaves or is no candidate any more. DutyLink sends calls within the rate, checks the lease right before it sends, and ends the right at a refusal. It shares HttpLink with StoreLink. Log lines begin with `duties:`.

--- a/crates/core/src/fenced_lease.rs
+++ b/crates/core/src/fenced_lease.rs
@@ -63,6 +63,11 @@
         self.length / 10
     }
 
+    /// Returns the time after the sending of a write for which its sender may act.
+    fn usable_length(&self) -> Duration {
+        self.length.saturating_sub(self.margin())
+    }
+
     /// Returns the time for which a node that is not the holder waits before it takes the lease over.
     fn takeover_wait(&self) -> Duration {
         self.length + self.margin()
@@ -223,7 +228,7 @@
     /// after a read which showed that the last write did not take effect.
     pub fn overdue_renewal(&mut self, claim: &LeaseClaim<'_>, now: Moment) -> Option<LeaseStep> {
         let held = self.held(now).filter(|_| claim.can_acquire)?;
-        let is_overdue = held.expires_at.since(now) + claim.renewal_interval() <= claim.length - claim.margin();
+        let is_overdue = held.expires_at.since(now) + claim.renewal_interval() <= claim.usable_length();
         let step = is_overdue.then(|| self.renewal(now))??;
         self.next_check_at = Some(now + claim.renewal_interval());
         Some(step)
@@ -338,7 +343,7 @@
         if !write.made(self.era, row) || row.fence <= self.ended_fence {
             return;
         }
-        let expires_at = write.sent_at + claim.length.saturating_sub(claim.margin());
+        let expires_at = write.sent_at + claim.usable_length();
         let acquired_at = self.held.filter(|held| held.fencing == row.fence).map_or(now, |held| held.acquired_at);
         self.held = Some(HeldLease { fencing: row.fence, acquired_at, expires_at });
     }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -41,7 +41,11 @@
 mod tunnels;
 mod unwritten;
 
+mod duties;
+#[expect(dead_code, reason = "metering and autoscaling make the calls, and are not part of this release yet")]
+mod duty_link;
 mod heartbeats;
+mod http_link;
 mod load_exchange;
 mod peers;
 mod placement;
--- a/crates/relay/src/log_prefixes.rs
+++ b/crates/relay/src/log_prefixes.rs
@@ -16,3 +16,5 @@
 pub const ROLLOUTS: &str = "rollouts:";
 /// Prefix of lines about the store and the copies of its tables.
 pub const STORE: &str = "store:";
+/// Prefix of lines about the duties of one node at a time.
+pub const DUTIES: &str = "duties:";
--- a/crates/relay/src/metering.rs
+++ b/crates/relay/src/metering.rs
@@ -6,6 +6,7 @@
 use metrics_exporter_prometheus::{BuildError, PrometheusBuilder, PrometheusHandle};
 use wasabipier_core::clock::Moment;
 use wasabipier_core::relay::board::RelayBoard;
+use wasabipier_core::relay::duties::DutyChange;
 use wasabipier_core::relay::rollout::RolloutChange;
 
 /// Upper bounds of the latency buckets in seconds, from the time of a plain call to the longest deadline.
@@ -139,6 +140,22 @@
     counter!("wasabipier_relay_rollout_changes_total", "service" => service, "phase" => phase).increment(1);
 }
 
+/// Counts a change of a duty, and updates the gauges whether this node has the duty, and of the fencing token last seen.
+pub fn record_duty_change(change: &DutyChange) {
+    let (duty, event) = (change.kind.to_string(), change.event.to_string());
+    let is_held = !change.time_left.is_zero();
+    let fence = change.row.as_ref().map_or(0, |row| row.fence);
+    gauge!("wasabipier_relay_duty_held", "duty" => duty.clone()).set(f64::from(u8::from(is_held)));
+    gauge!("wasabipier_relay_duty_fence", "duty" => duty.clone()).set(fence as f64);
+    counter!("wasabipier_relay_duty_changes_total", "duty" => duty, "event" => event).increment(1);
+}
+
+/// Counts a call of a duty to the platform that ended with `outcome`.
+pub fn record_duty_call(duty: &str, outcome: &str) {
+    counter!("wasabipier_relay_duty_calls_total", "duty" => duty.to_owned(), "outcome" => outcome.to_owned())
+        .increment(1);
+}
+
 /// Records how much later than planned the node's thread ran a timer, because it was busy.
 pub fn record_loop_delay(delay: Duration) {
     histogram!("wasabipier_relay_loop_delay_seconds").record(delay.as_secs_f64());
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -19,6 +19,7 @@
 use crate::batching::{self, PieceWaiters};
 use crate::buffer_memory::BufferMemory;
 use crate::clock;
+use crate::duties;
 use crate::heartbeats::{self, PeerContacts};
 use crate::limits::{self, LeaseEndQueue};
 use crate::listeners;
@@ -151,6 +152,7 @@
     spawn_local(placement::run_load_reports(node.clone()));
     spawn_local(rollouts::run(node.clone()));
     spawn_local(maintenance::run(node.clone()));
+    duties::start(&node);
     let stop_timeout = watch_settings(&node, source, &mut terminate, &mut reload).await;
     stop_node(&node, stop_timeout).await;
     Ok(())
--- a/crates/relay/src/ports.rs
+++ b/crates/relay/src/ports.rs
@@ -9,6 +9,7 @@
 
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode, Uri};
+use wasabipier_core::fenced_lease::FencedRow;
 use wasabipier_core::names::{DcName, NodeName, OrgName, ServiceName, TargetName};
 use wasabipier_core::relay::board::OrderChange;
 use wasabipier_core::relay::brittle::RejectTolerance;
@@ -316,6 +317,14 @@
     /// Decodes the addresses that nodes have written into the store. Returns none if the body is malformed.
     fn read_announced_addresses(&self, body: &[u8]) -> Vec<SocketAddr>;
 
+    /// Encodes the content of the row of a duty's lease.
+    fn encode_lease(&self, row: &FencedRow) -> Arc<[u8]>;
+    /// Decodes the content of the row of a duty's lease.
+    ///
+    /// # Errors
+    ///
+    /// Returns a description of what is wrong with the content.
+    fn read_lease(&self, value: &[u8]) -> Result<FencedRow, String>;
     /// Returns a request that reports the requests that began to run in a window of metering. `report` has been encoded by
     /// [`Self::encode_usage`].
     fn usage_request(&self, holder: DutyHolder<'_>, report: Bytes) -> Request<Bytes>;
--- a/crates/relay/src/table_reader.rs
+++ b/crates/relay/src/table_reader.rs
@@ -14,6 +14,7 @@
 use wasabipier_core::relay::store_version::StoreVersion;
 
 use crate::clock;
+use crate::http_link::LinkError;
 use crate::log_prefixes::STORE;
 use crate::ports::{RowPage, StoreFault};
 use crate::state::SharedNode;
@@ -122,7 +123,7 @@
             return;
         }
         if self.attempts.is_overdue(now) {
-            self.record_failed_call(self.last_called_at, &StoreError::Timeout);
+            self.record_failed_call(self.last_called_at, &StoreError::Link(LinkError::Timeout));
         }
         let wait =
             if self.needs_whole_table { Duration::ZERO } else { self.attempts.next_wait(change_wait(&self.node)) };
