Count requests by organisation and window, and decide which window is reported

The platform wants a report of each window of time: the requests that targets began to run, by organisation, never with two contents.

Nodes count in windows of true time, which is read once at the start. They tell candidates of the duty cumulative counts, so that updates can be lost, repeated and overtaken; only windows that changed since the last confirmed update are told, and kept until they are known as reported. A candidate passes on the counts of nodes that have ended: a node that becomes a candidate after their end would report their window short.

The holder reports windows one after the other. It reads the rows of windows at the start of each lease; a window older than the newest row that has none has been reported. It writes the next window's row unless there is one, and sends what the row holds.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -10,7 +10,7 @@
 //! versions ([`store_version`]) count anew when it is restored from an older copy ([`store_restoration`]),
 //! [`chunks`] transfers it, [`read_attempts`] and [`answer_timeout`] tell when to call the store. [`rollout`],
 //! [`rollout_board`] and [`speed`] move a service to another version. [`caller_addresses`] tells callers which nodes to
-//! use. [`duties`] are calls that one node makes for all. [`board`] holds the whole state of a node.
+//! use. [`duties`] are calls that one node makes for all, and [`usage`] is what they report. [`board`] holds the whole state of a node.
 
 pub mod access;
 pub mod answer_timeout;
@@ -47,3 +47,4 @@
 pub mod store_version;
 pub mod suspects;
 pub mod targets;
+pub mod usage;
--- a/crates/core/src/relay/board.rs
+++ b/crates/core/src/relay/board.rs
@@ -34,6 +34,7 @@
 use crate::relay::store_version::StoreVersion;
 use crate::relay::suspects::{HarmfulContent, SuspectKey, SuspectLimits, SuspectTable};
 use crate::relay::targets::{EntryEffect, TargetEntry, TargetRegistry};
+use crate::relay::usage::UsageTable;
 
 /// Settings of the relay's decisions: time limits, ratios and weights.
 #[derive(Clone, Debug, PartialEq)]
@@ -140,6 +141,8 @@
     pub grants: GrantLedger,
     /// Duties that this node has.
     pub duties: DutyTable,
+    /// Requests that began to run, for metering; `None` if the nodes do not have that duty.
+    pub usage: Option<UsageTable>,
     /// Planned end of this node, and which requests it accepts until then.
     pub departure: DepartureGate,
     /// Numbers of requests and retries of this node, for the retry budget.
@@ -192,6 +195,7 @@
             rosters: RosterTable::default(),
             grants: GrantLedger::default(),
             duties: DutyTable::default(),
+            usage: None,
             departure: DepartureGate::default(),
             tuning,
             retry_ledger: RetryLedger::default(),
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -60,3 +60,5 @@
 mod store_restoration;
 #[path = "relay/suspects.rs"]
 mod suspects;
+#[path = "relay/usage.rs"]
+mod usage;
