Tell candidates the counts of metering, and report windows to the platform

Nothing counted the requests that began to run. A request of an organisation is now counted once, whatever the number of its attempts: a stream at its first event, another request at an answer that does not say that it has not run, or when an attempt that was sent ends without one. A guard in each attempt does this when it is dropped, so that attempts that are given up for silence, a deadline, a caller that left or the end of the process count, too. Such a request counts in the window in which it was sent.

Nodes tell the candidates in calls of the new kind `Usage` with the unused tag 4 of `CurrentCall`; the reply names the newest reported window in the unused field 2. The version byte and other kinds are unchanged, and replies to them have the same bytes as before. Candidates are nodes that tell the version of duties, so that no earlier release gets such a call. The recorded calls pass unchanged.

The holder writes and sends windows as the core decides. Without the duty in the settings, nothing is counted, told or reported.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -26,6 +26,7 @@
 use crate::placement::GrantGuard;
 use crate::pool::PooledConnection;
 use crate::ports::{AnswerHead, RunClaim};
+use crate::run_counter::RunGuard;
 use crate::state::SharedNode;
 
 /// Maximum size in bytes of an answer's body.
@@ -299,6 +300,7 @@
     entry: &TargetEntry,
     request: Request<Bytes>,
     progress: &CallProgress,
+    run: &RunGuard,
 ) -> Result<OpenAnswer, AttemptEnd> {
     let mut request = request.map(Full::new);
     let mut needs_new_connection = false;
@@ -307,6 +309,7 @@
         let connection = node.pool.acquire(node, entry, needs_new_connection).await;
         let mut connection = connection.map_err(|_| AttemptEnd::NotSent)?;
         progress.record_sent();
+        run.record_sent();
         match connection.sender.try_send_request(request).await {
             Ok(response) => {
                 progress.record_head();
@@ -315,6 +318,7 @@
             Err(mut error) => match error.take_message() {
                 // The target had closed an idle connection. Only a new connection shows whether it is reachable.
                 Some(unsent) if connection.is_reused => {
+                    run.record_end(AttemptEnd::NotSent);
                     request = unsent;
                     needs_new_connection = true;
                 }
--- a/crates/relay/src/batching.rs
+++ b/crates/relay/src/batching.rs
@@ -25,6 +25,7 @@
 use crate::limits::RoomGuard;
 use crate::log_prefixes::STAGES;
 use crate::ports::RunClaim;
+use crate::run_counter::RunGuard;
 use crate::state::SharedNode;
 
 /// Interval at which calls are planned while pieces are queued: after some time in the queue, a piece may go to targets
@@ -278,7 +279,7 @@
     let jobs: Vec<_> = plan.pieces.iter().map(|(_, job)| (job, now.until(job.deadline))).collect();
     let call = new_call_id();
     let request = node.platform.pieces_request(entry, &call, &jobs);
-    let answer = attempt::send_request(node, entry, request, &CallProgress::default()).await;
+    let answer = attempt::send_request(node, entry, request, &CallProgress::default(), &RunGuard::new(None)).await;
     let mut answer = answer.map_err(|outcome| attempt::call_result(outcome, None))?;
     if names_other_call(&answer, &call) {
         return Err(CallResult::Garbled);
@@ -329,7 +330,8 @@
     let call = new_call_id();
     let request = node.platform.free_request(&entry, &call, &handles);
     let freed = async {
-        let mut answer = attempt::send_request(&node, &entry, request, &CallProgress::default()).await?;
+        let mut answer =
+            attempt::send_request(&node, &entry, request, &CallProgress::default(), &RunGuard::new(None)).await?;
         if names_other_call(&answer, &call) {
             return Err(AttemptEnd::Garbled);
         }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -25,6 +25,7 @@
 mod head_timer;
 mod listeners;
 mod request;
+mod run_counter;
 
 mod batching;
 mod prepare;
@@ -42,7 +43,6 @@
 mod unwritten;
 
 mod duties;
-#[expect(dead_code, reason = "metering and autoscaling make the calls, and are not part of this release yet")]
 mod duty_link;
 mod heartbeats;
 mod http_link;
@@ -54,3 +54,4 @@
 mod store_link;
 mod table_reader;
 mod table_transfers;
+mod usage;
--- a/crates/relay/src/metering.rs
+++ b/crates/relay/src/metering.rs
@@ -156,6 +156,23 @@
         .increment(1);
 }
 
+/// Counts a request that is missing from the reports of metering because of `reason`: `orgs` if its window has too many
+/// organisations, `late` if the window was reported before the request was known to have begun.
+pub fn record_uncounted_request(reason: &'static str) {
+    counter!("wasabipier_relay_usage_uncounted_requests_total", "reason" => reason).increment(1);
+}
+
+/// Counts a window of metering whose report the platform accepted. `is_late` tells whether that was after it was due.
+pub fn record_reported_window(is_late: bool) {
+    counter!("wasabipier_relay_usage_windows_reported_total").increment(1);
+    counter!("wasabipier_relay_usage_windows_late_total").increment(u64::from(is_late));
+}
+
+/// Counts windows of metering that are never reported because their counts were dropped for want of memory.
+pub fn record_dropped_windows(count: usize) {
+    counter!("wasabipier_relay_usage_windows_dropped_total").increment(count as u64);
+}
+
 /// Records how much later than planned the node's thread ran a timer, because it was busy.
 pub fn record_loop_delay(delay: Duration) {
     histogram!("wasabipier_relay_loop_delay_seconds").record(delay.as_secs_f64());
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -14,6 +14,7 @@
 use tokio::time::{Instant, sleep};
 use wasabipier_core::message::NodeState;
 use wasabipier_core::relay::board::RelayBoard;
+use wasabipier_core::relay::duties::DutyKind;
 use wasabipier_core::relay::rows::TableId;
 
 use crate::batching::{self, PieceWaiters};
@@ -39,6 +40,7 @@
 use crate::state::{RelayNode, SharedNode};
 use crate::table_reader;
 use crate::unwritten::UnwrittenAnswers;
+use crate::usage;
 
 /// Maximum total in bytes of answers and parts of streams that are held. With the copies that growing makes, they fit a VM
 /// of 160 MB beside the bodies of requests.
@@ -153,14 +155,19 @@
     spawn_local(rollouts::run(node.clone()));
     spawn_local(maintenance::run(node.clone()));
     duties::start(&node);
+    usage::start(&node);
     let stop_timeout = watch_settings(&node, source, &mut terminate, &mut reload).await;
     stop_node(&node, stop_timeout).await;
     Ok(())
 }
 
 fn build_node(settings: RelaySettings, platform: Box<dyn PlatformPort>) -> Result<SharedNode, StartError> {
+    let mut board = RelayBoard::new(settings.identity, settings.tuning);
+    if let Some(duties) = settings.duties.as_ref().filter(|duties| duties.kinds.contains(&DutyKind::Metering)) {
+        board.usage = Some(usage::create_table(&board.identity, &duties.times, clock::now()));
+    }
     Ok(Rc::new(RelayNode {
-        board: RefCell::new(RelayBoard::new(settings.identity, settings.tuning)),
+        board: RefCell::new(board),
         platform,
         pool: TargetPool::default(),
         answer_memory: BufferMemory::new(MAX_ANSWER_MEMORY_BYTES),
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -23,7 +23,7 @@
 use wasabipier_core::relay::pieces::PieceJob;
 use wasabipier_wire::frame::{FrameError, MAX_FRAME_BYTES};
 use wasabipier_wire::relay::current::{
-    CallKind, CurrentCall, CurrentReply, decode_current, encode_current, is_current,
+    CallKind, CurrentCall, CurrentReply, decode_current, encode_current, is_current, reported_to_wire,
 };
 use wasabipier_wire::relay::extension::{
     HeartbeatExtension, decode_extended, encode_heartbeat, encode_heartbeat_reply,
@@ -47,6 +47,7 @@
 use crate::store;
 use crate::table_transfers;
 use crate::tunnels;
+use crate::usage;
 
 /// Timeout for connecting to a peer.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -285,7 +286,8 @@
 fn handle_current_call(node: &SharedNode, call: CallKind) -> CurrentReply {
     match call {
         CallKind::Place(request) => {
-            CurrentReply { grant: placement::grant(node, &request.into()).as_ref().map(Into::into) }
+            let grant = placement::grant(node, &request.into()).as_ref().map(Into::into);
+            CurrentReply { grant, ..CurrentReply::default() }
         }
         CallKind::GrantEvents(events) => {
             for (id, event) in events.into_events() {
@@ -298,6 +300,10 @@
             node.board.borrow_mut().targets.set_peer_grants(&hub, loads);
             CurrentReply::default()
         }
+        CallKind::Usage(update) => {
+            let reported = usage::apply_update(node, update.into());
+            CurrentReply { reported_end: reported_to_wire(reported), ..CurrentReply::default() }
+        }
     }
 }
 
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -247,6 +247,6 @@
     hub: SocketAddr,
 ) -> Result<Option<PlacementGrant>, peers::PeerError> {
     let call = CallKind::Place(WirePlacement::from(request));
-    let CurrentReply { grant } = node.peers.call_current(hub, call, PLACEMENT_TIMEOUT).await?;
+    let CurrentReply { grant, .. } = node.peers.call_current(hub, call, PLACEMENT_TIMEOUT).await?;
     Ok(grant.map(PlacementGrant::from))
 }
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -29,6 +29,7 @@
 use crate::metering;
 use crate::ports::{RefusalKind, RequestHead};
 use crate::prepare::{PreparedInputs, StageRun};
+use crate::run_counter::RunCounter;
 use crate::state::{OpenRequest, SharedNode};
 use refusals::{RunStop, build_refusal, reject_at_process_end};
 use target_attempt::RequestAnswer;
@@ -125,12 +126,16 @@
     has_attempt_in_flight: bool,
     /// Progress of the newest attempt.
     progress: Rc<CallProgress>,
+    /// Counts the request for metering; `None` if it is not to be counted.
+    run_counter: Option<Rc<RunCounter>>,
 }
 
 impl RelayRequest {
     fn new(node: SharedNode, head: RequestHead, parts: http::request::Parts, admitted: AdmittedRequest) -> Self {
         let (tally, tried_targets) = (AttemptTally::default(), Vec::new());
         let (is_proven, has_attempt_in_flight) = (false, false);
+        let is_stream = admitted.grant.route.retry_policy.is_stream();
+        let run_counter = RunCounter::new(&node, admitted.grant.org.as_ref(), is_stream);
         Self {
             node,
             head,
@@ -143,6 +148,7 @@
             is_proven,
             has_attempt_in_flight,
             progress: Rc::default(),
+            run_counter,
         }
     }
 
--- a/crates/relay/src/request/open_attempts.rs
+++ b/crates/relay/src/request/open_attempts.rs
@@ -21,6 +21,7 @@
 use crate::load_exchange;
 use crate::log_prefixes::REQUEST;
 use crate::ports::TargetRequest;
+use crate::run_counter::RunGuard;
 
 /// An attempt that has not ended.
 struct OpenAttempt {
@@ -160,6 +161,7 @@
             entry: entry.clone(),
             guard,
             progress: self.progress.clone(),
+            run: RunGuard::new(self.run_counter.clone()),
         };
         Ok(OpenAttempt { run: Box::pin(attempt.run(request)), entry, silence_timeout })
     }
--- a/crates/relay/src/request/target_attempt.rs
+++ b/crates/relay/src/request/target_attempt.rs
@@ -19,6 +19,7 @@
 use crate::call_progress::CallProgress;
 use crate::clock;
 use crate::log_prefixes::REQUEST;
+use crate::run_counter::RunGuard;
 use crate::state::SharedNode;
 use crate::stream::{OpenStream, StreamPart};
 
@@ -79,14 +80,17 @@
     pub(super) entry: TargetEntry,
     pub(super) guard: CallGuard,
     pub(super) progress: Rc<CallProgress>,
+    /// Counts the request once its target may have run it.
+    pub(super) run: RunGuard,
 }
 
 impl TargetAttempt {
     /// Sends the request to the target, and reads its answer or the first part of a stream.
     pub(super) async fn run(mut self, request: Request<Bytes>) -> AttemptResult {
-        let answer = match attempt::send_request(&self.node, &self.entry, request, &self.progress).await {
+        let answer = match attempt::send_request(&self.node, &self.entry, request, &self.progress, &self.run).await {
             Ok(answer) => answer,
             Err(end) => {
+                self.run.record_end(end);
                 self.guard.set_result(attempt::call_result(end, None));
                 self.handle_failure(end).await;
                 return Err(end.into());
@@ -97,6 +101,7 @@
         }
         match attempt::classify_head(answer.status, &answer.head, &self.id, answer.connection.is_reused) {
             HeadVerdict::Ended(end) => {
+                self.run.record_end(end);
                 self.guard.set_result(attempt::call_result(end, Some(&answer.head)));
                 Err(end.into())
             }
@@ -139,7 +144,7 @@
     /// Opens a stream and waits for its first part. A failure before that counts as a failed attempt, which another
     /// target may repeat.
     async fn open_stream(self, answer: OpenAnswer) -> AttemptResult {
-        let Self { node, id, keys, started, is_proven, last_event, entry, guard, .. } = self;
+        let Self { node, id, keys, started, is_proven, last_event, entry, guard, run, .. } = self;
         let memory = StreamMemory::new(&node.answer_memory);
         let mut stream = OpenStream::new(answer, entry, guard, last_event, memory);
         let part = stream.read_first_part(&node).await;
@@ -152,6 +157,9 @@
             }
             return Err(AttemptEnd::Lost.into());
         }
+        if matches!(part, StreamPart::Events(_)) {
+            run.record_first_event();
+        }
         let now = clock::now();
         if node.log_limiter.allows(now) {
             let (id, after_ms) = (&*id, now.since(started).as_millis() as u64);
--- a/crates/wire/src/relay/current.rs
+++ b/crates/wire/src/relay/current.rs
@@ -7,11 +7,12 @@
 use std::time::Duration;
 
 use prost::{Message, Oneof};
-use wasabipier_core::names::{DcName, NodeName, ServiceName, TargetName, VersionName};
+use wasabipier_core::names::{DcName, InstanceId, NodeName, OrgName, ServiceName, TargetName, VersionName};
 use wasabipier_core::relay::choice::{PromptPart, PromptSpec};
 use wasabipier_core::relay::members::{CallVersion, TargetLoad};
 use wasabipier_core::relay::placement::{GrantEnd, GrantEvent, GrantId, PlacementGrant, PlacementRequest};
 use wasabipier_core::relay::rollout::VersionLane;
+use wasabipier_core::relay::usage::{RunCounts, UsageUpdate};
 
 use crate::frame::{FrameError, MAX_FRAME_BYTES};
 
@@ -19,7 +20,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct CurrentCall {
     /// Kind of the call; `None` if the receiver does not know it.
-    #[prost(oneof = "CallKind", tags = "1, 2, 3")]
+    #[prost(oneof = "CallKind", tags = "1, 2, 3, 4")]
     pub kind: Option<CallKind>,
 }
 
@@ -36,6 +37,9 @@
     /// Tells another hub the load of the sender's grants.
     #[prost(message, tag = "3")]
     GrantLoads(WireGrantLoads),
+    /// Tells a candidate of the duty of metering what the sender counted. Only nodes of [`CallVersion::DUTIES`] read it.
+    #[prost(message, tag = "4")]
+    Usage(WireUsage),
 }
 
 /// Reply to a [`CurrentCall`].
@@ -44,6 +48,10 @@
     /// The chosen target. `None` if no target may get the call, and in replies to other kinds of calls.
     #[prost(message, optional, tag = "1")]
     pub grant: Option<WireGrant>,
+    /// One more than the number of the newest window that is known as reported; 0 if none is, and in replies to other
+    /// kinds of calls than `Usage`.
+    #[prost(uint64, tag = "2")]
+    pub reported_end: u64,
 }
 
 /// Encoded form of [`PlacementRequest`].
@@ -136,6 +144,45 @@
     pending_prompt_tokens: u32,
 }
 
+/// Encoded form of [`UsageUpdate`].
+#[derive(Clone, PartialEq, Message)]
+pub struct WireUsage {
+    /// One more than the number of the newest window that is known as reported; 0 if none is.
+    #[prost(uint64, tag = "1")]
+    reported_end: u64,
+    #[prost(message, repeated, tag = "2")]
+    runs: Vec<WireRunCounts>,
+}
+
+/// Encoded form of [`RunCounts`].
+#[derive(Clone, PartialEq, Message)]
+struct WireRunCounts {
+    #[prost(string, tag = "1")]
+    node: String,
+    #[prost(fixed64, tag = "2")]
+    instance: u64,
+    #[prost(message, repeated, tag = "3")]
+    windows: Vec<WireWindow>,
+}
+
+/// Counts of a window.
+#[derive(Clone, PartialEq, Message)]
+struct WireWindow {
+    #[prost(uint64, tag = "1")]
+    window: u64,
+    #[prost(message, repeated, tag = "2")]
+    counts: Vec<WireOrgCount>,
+}
+
+/// Number of requests of an organisation.
+#[derive(Clone, PartialEq, Message)]
+struct WireOrgCount {
+    #[prost(string, tag = "1")]
+    org: String,
+    #[prost(uint64, tag = "2")]
+    count: u64,
+}
+
 impl From<&PlacementRequest> for WirePlacement {
     fn from(request: &PlacementRequest) -> Self {
         let (lane, version) = match &request.lane {
@@ -253,6 +300,53 @@
     }
 }
 
+impl From<&UsageUpdate> for WireUsage {
+    fn from(update: &UsageUpdate) -> Self {
+        let runs = update.runs.iter().map(WireRunCounts::from);
+        Self { reported_end: reported_to_wire(update.reported), runs: runs.collect() }
+    }
+}
+
+impl From<WireUsage> for UsageUpdate {
+    fn from(update: WireUsage) -> Self {
+        let runs = update.runs.into_iter().map(RunCounts::from);
+        Self { reported: reported_from_wire(update.reported_end), runs: runs.collect() }
+    }
+}
+
+impl From<&RunCounts> for WireRunCounts {
+    fn from(counts: &RunCounts) -> Self {
+        let windows = counts.windows.iter().map(|(window, counts)| {
+            let counts = counts.iter().map(|(org, count)| WireOrgCount { org: org.to_string(), count: *count });
+            WireWindow { window: *window, counts: counts.collect() }
+        });
+        let (node, instance) = &counts.run;
+        Self { node: node.to_string(), instance: instance.0, windows: windows.collect() }
+    }
+}
+
+impl From<WireRunCounts> for RunCounts {
+    fn from(counts: WireRunCounts) -> Self {
+        let windows = counts.windows.into_iter().map(|wire| {
+            let counts = wire.counts.into_iter().map(|wire| (OrgName::new(wire.org), wire.count));
+            (wire.window, counts.collect())
+        });
+        Self { run: (NodeName::new(counts.node), InstanceId(counts.instance)), windows: windows.collect() }
+    }
+}
+
+/// Encodes the newest window that is known as reported.
+#[must_use]
+pub fn reported_to_wire(reported: Option<u64>) -> u64 {
+    reported.map_or(0, |window| window.saturating_add(1))
+}
+
+/// Decodes the newest window that is known as reported.
+#[must_use]
+pub fn reported_from_wire(end: u64) -> Option<u64> {
+    end.checked_sub(1)
+}
+
 /// Version byte of these calls and replies. It stays the same for all later versions.
 const VERSION_BYTE: u8 = CallVersion::ROSTERS.0 as u8;
 
--- a/crates/wire/tests/call_versions.rs
+++ b/crates/wire/tests/call_versions.rs
@@ -3,21 +3,23 @@
 //! `messages` holds calls and replies as the release wrote them that read calls of version 6 only. Every later release must
 //! read and write them unchanged, and tell more only in fields that such a release does not look at.
 
+use std::collections::BTreeMap;
 use std::fs;
 use std::path::PathBuf;
 use std::time::Duration;
 
 use prost::Message;
-use wasabipier_core::names::{DcName, NodeName, ServiceName, TargetName, VersionName};
+use wasabipier_core::names::{DcName, InstanceId, NodeName, OrgName, ServiceName, TargetName, VersionName};
 use wasabipier_core::relay::choice::{PromptPart, PromptSpec};
 use wasabipier_core::relay::members::{CallVersion, RelayHeartbeat, TargetLoad};
 use wasabipier_core::relay::placement::{GrantEnd, GrantEvent, GrantId, PlacementGrant, PlacementRequest};
 use wasabipier_core::relay::rollout::VersionLane;
 use wasabipier_core::relay::rosters::{KnownRoster, RosterId, RosterUpdate};
+use wasabipier_core::relay::usage::{RunCounts, UsageUpdate};
 use wasabipier_wire::frame::FrameError;
 use wasabipier_wire::relay::current::{
-    CallKind, CurrentCall, CurrentReply, WireGrantEvents, WireGrantLoads, WirePlacement, decode_current,
-    encode_current, is_current,
+    CallKind, CurrentCall, CurrentReply, WireGrantEvents, WireGrantLoads, WirePlacement, WireUsage, decode_current,
+    encode_current, is_current, reported_from_wire, reported_to_wire,
 };
 use wasabipier_wire::relay::extension::{
     HeartbeatExtension, decode_extended, encode_heartbeat, encode_heartbeat_reply,
@@ -111,12 +113,39 @@
         CallKind::Place(WirePlacement::from(&request)),
         CallKind::GrantEvents(WireGrantEvents::new(&events)),
         CallKind::GrantLoads(WireGrantLoads::new(&NodeName::new("edge-1"), &[load])),
+        CallKind::Usage(WireUsage::from(&usage_update())),
     ]
 }
 
+fn usage_update() -> UsageUpdate {
+    let counts = [(OrgName::new("bozi300"), 412), (OrgName::new("nypu921"), 1)].into();
+    let windows = vec![(353_445_119, BTreeMap::new()), (353_445_120, counts)];
+    let ended = RunCounts { run: (NodeName::new("edge-2"), InstanceId(0xfade)), windows: windows.clone() };
+    let own = RunCounts { run: (NodeName::new("edge-1"), InstanceId(0xfeed)), windows };
+    UsageUpdate { reported: Some(353_445_118), runs: vec![own, ended] }
+}
+
+/// Guards against counts that arrive changed, and against replies that earlier releases cannot read: to them, the field
+/// that tells the reported window is one that they do not know.
+#[test]
+fn counts_and_the_newest_reported_window_are_decoded_as_they_were() {
+    let call = CurrentCall { kind: Some(CallKind::Usage(WireUsage::from(&usage_update()))) };
+    let reply = CurrentReply { reported_end: reported_to_wire(Some(0)), ..CurrentReply::default() };
+
+    let decoded: CurrentCall = decode_current(&encode_current(&call)).expect("it decodes");
+    let decoded_reply: CurrentReply = decode_current(&encode_current(&reply)).expect("it decodes");
+
+    let Some(CallKind::Usage(usage)) = decoded.kind else { panic!("counts") };
+    assert_eq!(UsageUpdate::from(usage), usage_update());
+    assert_eq!(reported_from_wire(decoded_reply.reported_end), Some(0));
+    assert_eq!(reported_from_wire(CurrentReply::default().reported_end), None);
+    assert_eq!(encode_current(&call)[..2], [7, 4 << 3 | 2], "the version byte of version 7, and the tag of the kind");
+    assert_eq!(encode_current(&CurrentReply::default()), [7], "replies to other kinds of calls are unchanged");
+}
+
 #[test]
 fn placements_and_what_follows_them_are_decoded_as_they_were() {
-    let [place, events, loads] = current_calls().try_into().expect("three kinds");
+    let [place, events, loads, _] = current_calls().try_into().expect("four kinds");
     let (CallKind::Place(place), CallKind::GrantEvents(events), CallKind::GrantLoads(loads)) = (place, events, loads)
     else {
         panic!("one of each kind")
@@ -124,7 +153,7 @@
     let grant = PlacementGrant { id: GrantId(9), target: TargetName::new("i-2"), unread_tokens: 900, tokens_ahead: 40 };
 
     let request = PlacementRequest::from(place);
-    let reply = encode_current(&CurrentReply { grant: Some((&grant).into()) });
+    let reply = encode_current(&CurrentReply { grant: Some((&grant).into()), ..CurrentReply::default() });
 
     assert_eq!(PlacementRequest::from(WirePlacement::from(&request)), request);
     assert_eq!((request.lane, request.prompt.tokens()), (VersionLane::Except(VersionName::new("v2")), 14_200));
