--- a/crates/core/src/relay/document.rs
+++ b/crates/core/src/relay/document.rs
@@ -131,6 +131,17 @@
     }
 }
 
+/// How many targets of a service the nodes may order.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ScalingSpec {
+    /// Minimum number of targets in a data centre.
+    pub min_targets: u32,
+    /// Maximum number of targets in a data centre. It is not below `min_targets`.
+    pub max_targets: u32,
+    /// Time from an order until a new target serves.
+    pub boot_time: Duration,
+}
+
 /// Settings of a service.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct RelayService {
@@ -140,6 +151,8 @@
     pub batch: Option<BatchSpec>,
     /// Whether the targets are engines, which process prompts.
     pub has_engines: bool,
+    /// Limits within which the nodes order the number of targets, or `None` if it is fixed.
+    pub scaling: Option<ScalingSpec>,
 }
 
 /// Limits on the size of requests and on the time for which connections may be silent.
