Decide the number of targets from the loads of all nodes

The platform asks the nodes for the number of targets of each service with scaling, by data centre. Targets cost by the second, and take some ten seconds from an order until they serve.

The autoscaler takes the load as the number of targets that it keeps usefully busy: calls in flight over 0.4 of the slots, or unread tokens over what a target reads in half of the objective. It orders for the mean of 3 s, grown by the trend over the time in which targets boot, with the share of the largest other data centre; up at once, down by a tenth after 10 s. The trend is the lower one of the two halves of 10 s, so that a burst is none. Targets are not given up while loads are missing or old. An order without an answer may be carried out late, so it is repeated after 3 s instead of 10 s. Hubs tell their followers the loads of scaled services, since any node can get the duty.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -10,10 +10,12 @@
 //! versions ([`store_version`]) count anew when it is restored from an older copy ([`store_restoration`]),
 //! [`chunks`] transfers it, [`read_attempts`] and [`answer_timeout`] tell when to call the store. [`rollout`],
 //! [`rollout_board`] and [`speed`] move a service to another version. [`caller_addresses`] tells callers which nodes to
-//! use. [`duties`] are calls that one node makes for all, and [`usage`] is what they report. [`board`] holds the whole state of a node.
+//! use. [`duties`] are calls that one node makes for all: the reports of [`usage`] and the orders of [`autoscale`]. [`board`]
+//! holds the whole state of a node.
 
 pub mod access;
 pub mod answer_timeout;
+pub mod autoscale;
 pub mod board;
 pub mod brittle;
 pub mod budget;
--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -198,7 +198,8 @@
     fn is_load_told(&self, service: &ServiceName) -> bool {
         let settings = self.index.services.get(service);
         let is_chosen_by_all = settings.is_none_or(|settings| !settings.has_engines && settings.batch.is_none());
-        is_chosen_by_all || self.rollouts.get(service).is_some()
+        let is_scaled = settings.is_some_and(|settings| settings.scaling.is_some());
+        is_chosen_by_all || is_scaled || self.rollouts.get(service).is_some()
     }
 
     /// Returns the load that all peers but `except` have reported, by target of services whose load followers are told.
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -6,6 +6,8 @@
 mod access_sequences;
 #[path = "relay/answer_timeout.rs"]
 mod answer_timeout;
+#[path = "relay/autoscale.rs"]
+mod autoscale;
 #[path = "relay/brittle.rs"]
 mod brittle;
 #[path = "relay/caller_addresses.rs"]
@@ -54,6 +56,8 @@
 mod rosters;
 #[path = "relay/rows.rs"]
 mod rows;
+#[path = "../examples/autoscale_compare/simulation.rs"]
+mod simulation;
 #[path = "relay/steps.rs"]
 mod steps;
 #[path = "relay/store_restoration.rs"]
