Send scale orders one after the other

The interface for duties is one connection with a limited rate, so orders go one by one. next_due returns the one that has been due for longest, with the number that is desired at that time, instead of a list that can be outdated when its last order is sent.

Measured: the 11 tests of autoscaling pass.

--- a/crates/core/examples/autoscale_compare/simulation.rs
+++ b/crates/core/examples/autoscale_compare/simulation.rs
@@ -119,7 +119,7 @@
             simulation.start_stream();
         }
         simulation.advance();
-        if simulation.now_ms % ORDER_INTERVAL_MS == 0 {
+        if simulation.now_ms.is_multiple_of(ORDER_INTERVAL_MS) {
             simulation.order(rule, &mut autoscaler);
         }
     }
--- a/crates/core/src/relay/autoscale/orders.rs
+++ b/crates/core/src/relay/autoscale/orders.rs
@@ -66,6 +66,12 @@
         is_new
     }
 
+    /// Returns whether the orders are given under the lease with this fencing token.
+    #[must_use]
+    pub fn is_term(&self, fence: u64) -> bool {
+        self.fence == fence
+    }
+
     /// Sets the number of targets to be ordered. Another number than before is due at once, or after the backoff.
     pub fn set_count(&mut self, subject: &ScaleSubject, count: u32, now: Moment) {
         let new_state = OrderState { count, due_at: now, failures: 0, is_sending: false, may_be_overtaken: false };
@@ -83,15 +89,13 @@
         self.states.retain(|subject, _| is_scaled(subject));
     }
 
-    /// Returns the orders that are due, at most one for each subject at a time. The outcome of each is to be recorded.
-    pub fn take_due(&mut self, now: Moment) -> Vec<ScaleOrder> {
-        let fence = self.fence;
+    /// Returns the order that has been due for longest, if any is. At most one of each subject is sent at a time; the outcome
+    /// is to be recorded.
+    pub fn next_due(&mut self, now: Moment) -> Option<ScaleOrder> {
         let due = self.states.iter_mut().filter(|(_, state)| !state.is_sending && state.due_at <= now);
-        let orders = due.map(|(subject, state)| {
-            state.is_sending = true;
-            ScaleOrder { subject: subject.clone(), count: state.count, fence, failures: state.failures }
-        });
-        orders.collect()
+        let (subject, state) = due.min_by_key(|(_, state)| state.due_at)?;
+        state.is_sending = true;
+        Some(ScaleOrder { subject: subject.clone(), count: state.count, fence: self.fence, failures: state.failures })
     }
 
     /// Records how the sending of an order ended. Outcomes of orders under an earlier lease are ignored.
--- a/crates/core/tests/relay/autoscale.rs
+++ b/crates/core/tests/relay/autoscale.rs
@@ -177,20 +177,20 @@
     orders.begin_term(5);
     orders.set_count(&subject(), 40, at(0));
 
-    let first = orders.take_due(at(0)).remove(0);
-    let while_sending = orders.take_due(at(1_000));
+    let first = orders.next_due(at(0)).unwrap();
+    let while_sending = orders.next_due(at(1_000));
     orders.record(&first, OrderOutcome::Unanswered, at(1_000));
-    let in_backoff = orders.take_due(at(1_249));
+    let in_backoff = orders.next_due(at(1_249));
     orders.set_count(&subject(), 45, at(1_249));
-    let second = orders.take_due(at(1_250)).remove(0);
+    let second = orders.next_due(at(1_250)).unwrap();
     orders.record(&second, OrderOutcome::Accepted, at(1_260));
-    let after_lost_answer = orders.take_due(at(4_260)).remove(0);
+    let after_lost_answer = orders.next_due(at(4_260)).unwrap();
     orders.record(&after_lost_answer, OrderOutcome::Accepted, at(4_270));
-    let early = orders.take_due(at(14_269));
-    let repeated = orders.take_due(at(14_270)).remove(0);
+    let early = orders.next_due(at(14_269));
+    let repeated = orders.next_due(at(14_270)).unwrap();
 
     assert_eq!((first.count, first.failures, first.fence), (40, 0, 5));
-    assert_eq!((while_sending, in_backoff, early), (vec![], vec![], vec![]));
+    assert_eq!((while_sending, in_backoff, early), (None, None, None));
     assert_eq!([second.count, after_lost_answer.count, repeated.count], [45; 3]);
     assert_eq!(second.failures, 1);
 }
@@ -201,14 +201,14 @@
     let mut orders = OrderTable::default();
     orders.begin_term(5);
     orders.set_count(&subject(), 40, at(0));
-    let old = orders.take_due(at(0)).remove(0);
+    let old = orders.next_due(at(0)).unwrap();
 
     assert!(orders.begin_term(6) && !orders.begin_term(6));
     orders.set_count(&subject(), 41, at(10));
-    let new = orders.take_due(at(10)).remove(0);
+    let new = orders.next_due(at(10)).unwrap();
     orders.record(&old, OrderOutcome::Accepted, at(20));
 
-    assert_eq!((new.count, new.fence, orders.take_due(at(20_000))), (41, 6, vec![]));
+    assert_eq!((new.count, new.fence, orders.next_due(at(20_000))), (41, 6, None));
 }
 
 /// Guards against loads of other nodes, leaving targets or closed data centres that the decision does not see.
