Order targets while the node has the duty

The decision had no one to act on it. Candidates of the duty decide every half second, so that a new holder knows the trend; the holder sends due orders over the duty link, with a line for each and its inputs. Hubs tell the loads of scaled services to the three candidates only, instead of to all followers. Followers whose hub is of an earlier release are not told them, and give no targets up. Gauges show the desired and present targets by service and data centre, and a counter the orders by outcome.

--- a/crates/core/src/relay/autoscale/inputs.rs
+++ b/crates/core/src/relay/autoscale/inputs.rs
@@ -6,9 +6,10 @@
 use super::ScalingLimits;
 use crate::clock::Moment;
 use crate::message::NodeState;
-use crate::names::{DcName, ServiceName};
+use crate::names::{DcName, NodeName, ServiceName};
 use crate::relay::board::RelayBoard;
 use crate::relay::document::{RelayRoute, ScalingSpec};
+use crate::relay::duties::DutyKind;
 use crate::relay::members::{CallVersion, PeerView};
 use crate::relay::rows::{TableCopy, TableId};
 
@@ -111,6 +112,12 @@
         FleetLoad { services, evidence: self.load_evidence(now) }
     }
 
+    /// Returns whether `node` competes for the duty, and so is told the loads of the services that can be scaled.
+    #[must_use]
+    pub fn is_scaling_candidate(&self, node: &NodeName, now: Moment) -> bool {
+        self.duty_candidates(DutyKind::Autoscale, now).iter().any(|(candidate, _)| candidate == node)
+    }
+
     fn service_load(&self, name: &ServiceName, spec: ScalingSpec) -> ServiceLoad {
         let mut dcs: BTreeMap<DcName, DcLoad> = BTreeMap::new();
         let mut cold_time = Duration::ZERO;
@@ -145,7 +152,8 @@
     fn load_evidence(&self, now: Moment) -> LoadEvidence {
         let is_follower = !self.is_small_fleet() && !self.is_hub(now);
         let hub = self.hub(&self.identity.dc, now).and_then(|hub| self.members.get(hub));
-        let is_told = !is_follower || hub.is_some_and(|view| view.heartbeat.call_version >= CallVersion::DUTIES);
+        let tells = |view: &PeerView| view.heartbeat.call_version >= CallVersion::DUTIES;
+        let is_told = !is_follower || (hub.is_some_and(tells) && self.is_scaling_candidate(&self.identity.node, now));
         let reporters = self.members.alive(now).filter(|view| self.counts_loads_of(&view.heartbeat.node, now));
         let load_age = reporters.map(|view| now.since(view.last_heartbeat_at)).max().unwrap_or_default();
         let confirmed_at = self.copies.get(&TableId::Targets).and_then(TableCopy::confirmed_at).unwrap_or_default();
--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -168,7 +168,7 @@
             return FleetReport::default();
         }
         if !self.is_other_hub(peer, dc, now) {
-            return FleetReport { loads: self.plain_peer_loads(peer), ..FleetReport::default() };
+            return FleetReport { loads: self.plain_peer_loads(peer, now), ..FleetReport::default() };
         }
         let represented = self.represented_nodes(peer, dc, now);
         let prompts = self.prompts.forwardable_updates(|node| represented.contains(node), now);
@@ -193,18 +193,19 @@
         view.has_direct_contact(now) && view.heartbeat.dc == self.identity.dc
     }
 
-    /// Returns whether followers choose targets of `service` by themselves, or judge it, and so are told its load. Hubs
-    /// place prompts, and the nodes that batch pieces know the calls of stages.
-    fn is_load_told(&self, service: &ServiceName) -> bool {
+    /// Returns whether the follower `node` is told the load of `service`: followers choose its targets by themselves or judge
+    /// it, or the node may come to order its targets. Hubs place prompts, and the nodes that batch pieces know the calls of
+    /// stages.
+    fn is_load_told(&self, service: &ServiceName, node: &NodeName, now: Moment) -> bool {
         let settings = self.index.services.get(service);
         let is_chosen_by_all = settings.is_none_or(|settings| !settings.has_engines && settings.batch.is_none());
         let is_scaled = settings.is_some_and(|settings| settings.scaling.is_some());
-        is_chosen_by_all || is_scaled || self.rollouts.get(service).is_some()
+        is_chosen_by_all || self.rollouts.get(service).is_some() || (is_scaled && self.is_scaling_candidate(node, now))
     }
 
-    /// Returns the load that all peers but `except` have reported, by target of services whose load followers are told.
-    fn plain_peer_loads(&self, except: &NodeName) -> Vec<TargetLoad> {
-        let services = self.targets.services().filter(|service| self.is_load_told(service));
+    /// Returns the load that all peers but the follower `except` have reported, by target of services whose load it is told.
+    fn plain_peer_loads(&self, except: &NodeName, now: Moment) -> Vec<TargetLoad> {
+        let services = self.targets.services().filter(|service| self.is_load_told(service, except, now));
         let views = services.flat_map(|service| self.targets.of(service));
         let loads = views.map(|view| {
             let target = &view.entry.target;
@@ -228,7 +229,7 @@
             heartbeat.prompts.clear();
             let is_told = |load: &TargetLoad| {
                 let view = self.targets.get(&load.target);
-                view.is_some_and(|view| self.is_load_told(&view.entry.service))
+                view.is_some_and(|view| self.is_load_told(&view.entry.service, peer, now))
             };
             heartbeat.loads.retain(is_told);
         }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -42,6 +42,7 @@
 mod tunnels;
 mod unwritten;
 
+mod autoscale;
 mod duties;
 mod duty_link;
 mod heartbeats;
--- a/crates/relay/src/metering.rs
+++ b/crates/relay/src/metering.rs
@@ -173,6 +173,21 @@
     counter!("wasabipier_relay_usage_windows_dropped_total").increment(count as u64);
 }
 
+/// Updates the gauges of a service's targets in a data centre: those that the holder of the duty desires, and those
+/// that are present and not leaving. NaN where the node does not know them.
+pub fn publish_scaling(service: &str, dc: &str, desired: f64, present: f64) {
+    let (service, dc) = (service.to_owned(), dc.to_owned());
+    gauge!("wasabipier_relay_scaling_desired_targets", "service" => service.clone(), "dc" => dc.clone()).set(desired);
+    gauge!("wasabipier_relay_scaling_present_targets", "service" => service, "dc" => dc).set(present);
+}
+
+/// Counts an order of targets that ended with `outcome`.
+pub fn record_scale_order(service: &str, dc: &str, outcome: &str) {
+    let (service, dc, outcome) = (service.to_owned(), dc.to_owned(), outcome.to_owned());
+    counter!("wasabipier_relay_scaling_orders_total", "service" => service, "dc" => dc, "outcome" => outcome)
+        .increment(1);
+}
+
 /// Records how much later than planned the node's thread ran a timer, because it was busy.
 pub fn record_loop_delay(delay: Duration) {
     histogram!("wasabipier_relay_loop_delay_seconds").record(delay.as_secs_f64());
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -17,6 +17,7 @@
 use wasabipier_core::relay::duties::DutyKind;
 use wasabipier_core::relay::rows::TableId;
 
+use crate::autoscale;
 use crate::batching::{self, PieceWaiters};
 use crate::buffer_memory::BufferMemory;
 use crate::clock;
@@ -156,6 +157,7 @@
     spawn_local(maintenance::run(node.clone()));
     duties::start(&node);
     usage::start(&node);
+    autoscale::start(&node);
     let stop_timeout = watch_settings(&node, source, &mut terminate, &mut reload).await;
     stop_node(&node, stop_timeout).await;
     Ok(())
