--- a/crates/relay/src/autoscale.rs
+++ b/crates/relay/src/autoscale.rs
@@ -160,7 +160,7 @@
             targets_age_ms, decided_ms, fence, attempt, took_ms
         });
     } else {
-        warn!("{DUTIES} order of targets not accepted; trying again.", kv: {
+        warn!("{DUTIES} order of targets not accepted.", kv: {
             service, dc, desired, need, present, leaving, closed, in_flight, unread_tokens, load, known, nodes, load_age_ms,
             targets_age_ms, decided_ms, fence, attempt, took_ms, reply
         });
