Test that candidates of a large fleet know the calls of all nodes

Hubs tell followers only the loads that these choose targets by, so a holder that is a follower saw none of the calls of engines, and would have given up targets. The test has 61 nodes with a call each. A sum of no loads was -0.00 in the log; it starts from 0 now.

Measured: the three candidates know 61 calls and 6,100 tokens.

--- a/crates/core/src/relay/autoscale.rs
+++ b/crates/core/src/relay/autoscale.rs
@@ -186,7 +186,7 @@
         let closed: Vec<bool> = states.iter().map(|(_, state)| state.last.is_closed).collect();
         let open_count = closed.iter().filter(|is_closed| !**is_closed).count();
         let closed_load: f64 =
-            means.iter().zip(&closed).filter(|(_, is_closed)| **is_closed).map(|(mean, _)| mean).sum();
+            means.iter().zip(&closed).filter(|(_, is_closed)| **is_closed).fold(0.0, |sum, (mean, _)| sum + mean);
         let lead_time = service.spec.boot_time + service.cold_time;
         let plans = states.iter_mut().enumerate().map(|(index, (subject, state))| {
             let others =
--- a/crates/core/tests/relay/autoscale.rs
+++ b/crates/core/tests/relay/autoscale.rs
@@ -13,6 +13,7 @@
 use wasabipier_core::relay::members::TargetLoad;
 
 use crate::fixtures::{at, board, config, document_index, heartbeat, route, target_entry};
+use crate::fleet_simulation::FleetSimulation;
 use crate::simulation::{PATTERNS, RunCost, ScalingRule, run};
 
 const DCS: [&str; 3] = ["khomas-a", "khomas-b", "khomas-c"];
@@ -239,3 +240,33 @@
     assert_eq!((fleet.evidence.known_nodes, fleet.evidence.live_nodes), (2, 2));
     assert_eq!((fleet.evidence.load_age, fleet.evidence.is_told), (Duration::from_millis(500), true));
 }
+
+/// Guards against a holder that gives up targets because its hub does not tell it the calls of engines, as those are
+/// placed by hubs.
+#[test]
+fn candidates_of_a_large_fleet_know_the_calls_of_all_nodes() {
+    let mut fleet = FleetSimulation::new(61);
+    let mut index = document_index(vec![route("/", "model")]);
+    let service = RelayService { has_engines: true, scaling: Some(SPEC), ..RelayService::default() };
+    index.services.insert(ServiceName::new("model"), service);
+    fleet.run_rounds(8);
+    for board in fleet.boards.values_mut() {
+        let now = at(fleet.now_ms);
+        board.apply_order(OrderChange::Document(index.clone()), now);
+        board.upsert_target(target_entry("t1", "model", DCS[0]), now);
+        board.targets.record_call_start(&TargetName::new("t1"), 100, now);
+    }
+
+    fleet.run_rounds(8);
+
+    let now = at(fleet.now_ms);
+    let (candidates, others): (Vec<_>, Vec<_>) =
+        fleet.live_boards().partition(|(name, board)| board.is_scaling_candidate(name, now));
+    assert_eq!(candidates.len(), 3);
+    for (name, board) in candidates {
+        let load = board.fleet_load(now);
+        let dc = &load.services[&ServiceName::new("model")].dcs[&DcName::new(DCS[0])];
+        assert_eq!((dc.in_flight, dc.unread_tokens, load.evidence.is_told), (61, 6_100, true), "{name}");
+    }
+    assert!(others.iter().all(|(_, board)| board.is_hub(now) || !board.fleet_load(now).evidence.is_told));
+}
