--- a/crates/core/src/relay/usage.rs
+++ b/crates/core/src/relay/usage.rs
@@ -405,10 +405,8 @@
         let listens_since = self.candidate_since.filter(|since| now.since(*since) >= Self::LEARN_TIME)?;
         let newest = self.clock.window_at(now - Self::SETTLE_TIME).checked_sub(1)?;
         let after = self.reported.max(fixed).map_or(0, |done| done + 1);
-        // Windows without counts are reported, too, unless they ended long before this node could learn of counts.
-        let horizon = self.report_timeout + self.clock.length * 2;
-        let first = self.clock.window_at((now - horizon).min(listens_since));
-        let first = first.max(newest.saturating_sub(Self::MAX_WINDOWS)).max(after);
+        // A window that no node told of ended before all nodes that are alive began, unless this node has listened since.
+        let first = self.clock.window_at(listens_since).max(newest.saturating_sub(Self::MAX_WINDOWS)).max(after);
         let first_with_counts = self.windows.range(after..).next().map(|(window, _)| *window);
         Some(first_with_counts.map_or(first, |window| window.min(first))).filter(|window| *window <= newest)
     }
