Prefer targets with room while they start or recover

Targets that share their VMs and have just started, have recovered or have turned cold were flooded or left idle: the choice knew their slots only.

Decode X-Wasabipier-Server-Load, keep a fast and a slow average of the stated work time, and limit the calls of all nodes at such targets by how their answers keep to the usual time. A limit is a preference of the choice and refuses no call. Services without the work-time figure are served as before.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -9,7 +9,8 @@
 //! ([`rate_limits`]) and no more than fit while they are brittle ([`brittle`]). [`members`], [`fleet`], [`rosters`] and [`rows`] hold what nodes know of each other and of the store, whose
 //! versions ([`store_version`]) count anew when it is restored from an older copy ([`store_restoration`]),
 //! [`chunks`] transfers it, [`read_attempts`] and [`answer_timeout`] tell when to call the store. [`rollout`],
-//! [`rollout_board`] and [`speed`] move a service to another version. [`caller_addresses`] tells callers which nodes to
+//! [`rollout_board`] and [`speed`] move a service to another version. [`target_load`] holds what targets say of their load,
+//! and [`slow_start`] limits the calls to those that start or recover. [`caller_addresses`] tells callers which nodes to
 //! use. [`duties`] are calls that one node makes for all: the reports of [`usage`] and the orders of [`autoscale`]. [`board`]
 //! holds the whole state of a node.
 
@@ -43,10 +44,12 @@
 pub mod rollout_board;
 pub mod rosters;
 pub mod rows;
+pub mod slow_start;
 pub mod speed;
 pub mod steps;
 pub mod store_restoration;
 pub mod store_version;
 pub mod suspects;
+pub mod target_load;
 pub mod targets;
 pub mod usage;
--- a/crates/core/src/relay/board.rs
+++ b/crates/core/src/relay/board.rs
@@ -28,6 +28,7 @@
 use crate::relay::rollout_board::VersionSightings;
 use crate::relay::rosters::RosterTable;
 use crate::relay::rows::{TableCopy, TableId};
+use crate::relay::slow_start::{LimitCause, UsualTimeTable};
 use crate::relay::speed::SpeedTable;
 use crate::relay::steps::SilenceTimeouts;
 use crate::relay::store_restoration::StoreRestoration;
@@ -133,6 +134,8 @@
     pub(super) sightings: VersionSightings,
     /// Usual speeds of calls.
     pub(super) speeds: SpeedTable,
+    /// Usual times of answers, for services whose targets state their work time.
+    pub(super) usual_times: UsualTimeTable,
     /// Peers: the other nodes, by their heartbeats.
     pub members: PeerTable,
     /// The roster that this node keeps as a hub, and those of other hubs.
@@ -191,6 +194,7 @@
             rollouts: RolloutTable::default(),
             sightings: VersionSightings::default(),
             speeds: SpeedTable::default(),
+            usual_times: UsualTimeTable::default(),
             members: PeerTable::default(),
             rosters: RosterTable::default(),
             grants: GrantLedger::default(),
@@ -371,7 +375,13 @@
                 true
             }
             OrderChange::Close(dc) => self.closed_dcs.insert(dc),
-            OrderChange::Open(dc) => self.closed_dcs.remove(&dc),
+            OrderChange::Open(dc) => {
+                let is_opened = self.closed_dcs.remove(&dc);
+                if is_opened {
+                    self.targets.start_limits(|view| view.entry.dc == dc, LimitCause::DcOpened, now);
+                }
+                is_opened
+            }
             // A starting node may read an order that has had its final state for long.
             OrderChange::Rollout(order) => self.rollouts.begin(order, self.state == NodeState::Starting, now),
             OrderChange::RolloutWithdrawn(service) => self.rollouts.withdraw(&service),
--- a/crates/core/src/relay/choice.rs
+++ b/crates/core/src/relay/choice.rs
@@ -177,6 +177,10 @@
     if candidates.is_empty() {
         candidates = eligible;
     }
+    // A limit refuses no call: where no target has room under its limit, the cost decides among all.
+    if candidates.iter().any(|view| has_room(context, view)) {
+        candidates.retain(|view| has_room(context, view));
+    }
     let costs = candidates.iter().map(|view| {
         let is_preferred = preferred.as_ref() == Some(&view.entry.target);
         let prompt_ms = call.prompt.map_or(0.0, |prompt| prompt_cost_ms(context, prompt, &keys, view, is_preferred));
@@ -209,6 +213,19 @@
         && context.members.rendezvous_position(view.entry.target.as_str(), context.node, context.now) < caller_count
 }
 
+/// Returns whether a call fits under the limit of a target that starts or recovers, if it has one.
+fn has_room(context: &ChoiceContext<'_>, view: &TargetView) -> bool {
+    let Some(limit) = view.start_limit() else { return true };
+    match context.scope {
+        // A hub knows the calls of all nodes.
+        ChoiceScope::Fleet => f64::from(view.total_in_flight()) + 1.0 <= limit,
+        ChoiceScope::Node => {
+            let position = context.members.rendezvous_position(view.entry.target.as_str(), context.node, context.now);
+            view.call_counts(position, context.now).has_room(limit)
+        }
+    }
+}
+
 /// Returns the preferred target for a shared prompt prefix, by rendezvous hash. Nodes with the same eligible targets
 /// compute the same one, so that the prefix is usually processed by one engine only.
 pub(super) fn preferred_target(eligible: &[&TargetView], key: &str) -> Option<TargetName> {
@@ -277,8 +294,12 @@
         cost += PROMPT_JITTER_MS * jitter;
     } else {
         let response_ms = if view.average_first_byte_ms > 0.0 { view.average_first_byte_ms } else { DEFAULT_CALL_MS };
+        let response_ms =
+            response_ms * view.work_time_ratio_over(Duration::from_secs_f64(response_ms / 1e3), context.now);
         // The jitter keeps nodes with the same outdated view from all choosing the same target.
-        let load_per_slot = f64::from(view.total_in_flight()) / f64::from(view.entry.slots.max(1));
+        let slots = f64::from(view.entry.slots.max(1));
+        let load_per_slot =
+            f64::from(view.total_in_flight()) / view.start_limit().map_or(slots, |limit| limit.min(slots));
         cost += response_ms * (1.0 + load_per_slot + 0.5 * jitter);
     }
     cost
--- a/crates/core/src/relay/pieces/queue.rs
+++ b/crates/core/src/relay/pieces/queue.rs
@@ -281,8 +281,9 @@
         }
     }
 
-    /// Plans the next call and marks its pieces as running. The target is the one that can get the most pieces. Returns
-    /// `None` if no target is free or no piece may be started.
+    /// Plans the next call and marks its pieces as running. The target is the one that can get the most pieces. Of those
+    /// that can get equally many, it is one with room under its limit, and among these the one that works fastest now.
+    /// Returns `None` if no target is free or no piece may be started.
     pub fn plan(&mut self, spec: &BatchSpec, targets: &[&TargetView], now: Moment) -> Option<CallPlan> {
         if self.pending.is_empty() {
             self.busy_since = None;
@@ -303,7 +304,11 @@
                 // One piece shows whether the target works again.
                 positions.truncate(1);
             }
-            if best.as_ref().is_none_or(|(_, most)| positions.len() > most.len()) {
+            let is_better = best.as_ref().is_none_or(|(best_view, most)| {
+                let faster = || self.is_faster_now(spec, view, best_view, positions.len(), now);
+                positions.len() > most.len() || (positions.len() == most.len() && faster())
+            });
+            if is_better {
                 best = Some((view, positions));
             }
         }
@@ -311,6 +316,30 @@
         Some(self.start_call(spec, view, &positions, now))
     }
 
+    /// Returns whether a call with `count` pieces is preferably sent to `view` rather than to `other`: it alone has room
+    /// under its limit, or it is expected to work faster during the call. False for targets that do not state their work
+    /// time.
+    fn is_faster_now(
+        &self,
+        spec: &BatchSpec,
+        view: &TargetView,
+        other: &TargetView,
+        count: usize,
+        now: Moment,
+    ) -> bool {
+        let has_room = |view: &TargetView| {
+            let in_flight = self.usages.get(&view.entry.target).map_or(0, |usage| usage.in_flight);
+            view.start_limit().is_none_or(|limit| f64::from(in_flight.max(view.total_in_flight())) + 1.0 <= limit)
+        };
+        let call_time = spec.fixed_call_time + spec.piece_time * count as u32;
+        let ratio = |view: &TargetView| view.work_time_ratio_over(call_time, now);
+        match (has_room(view), has_room(other)) {
+            (true, false) => true,
+            (false, true) => false,
+            _ => ratio(view) < ratio(other),
+        }
+    }
+
     /// Returns whether a target may get a call now: it has a free slot and is in no backoff.
     fn has_free_slot(&self, spec: &BatchSpec, view: &TargetView, now: Moment) -> bool {
         let usage = self.usages.get(&view.entry.target);
--- a/crates/core/src/relay/placement.rs
+++ b/crates/core/src/relay/placement.rs
@@ -112,6 +112,9 @@
     target: TargetName,
     /// Prompt tokens that the target has not read yet.
     unread_tokens: u32,
+    /// Prompt tokens that the target has to read before its answer, including those of other calls.
+    tokens_to_read: u32,
+    granted_at: Moment,
     holder: NodeName,
     expires_at: Moment,
 }
@@ -200,6 +203,8 @@
         let grant = OpenGrant {
             target: target.clone(),
             unread_tokens,
+            tokens_to_read: unread_tokens.saturating_add(tokens_ahead),
+            granted_at: now,
             holder: request.holder.clone(),
             expires_at: now + request.hold_time,
         };
@@ -214,6 +219,11 @@
                 let Some(grant) = self.grants.grants.get_mut(&id) else { return };
                 let tokens = std::mem::take(&mut grant.unread_tokens);
                 self.targets.record_granted_prompt_read(&grant.target, tokens);
+                // This node times its own calls itself.
+                if grant.holder != self.identity.node {
+                    let (target, sent_at, tokens) = (grant.target.clone(), grant.granted_at, grant.tokens_to_read);
+                    self.record_granted_answer(&target, sent_at, tokens, now);
+                }
             }
             GrantEvent::Ended(end) => {
                 let Some(grant) = self.grants.grants.remove(&id) else { return };
--- a/crates/core/src/relay/rollout_board.rs
+++ b/crates/core/src/relay/rollout_board.rs
@@ -102,6 +102,7 @@
         let routes = self.index.routes().map(|route| route.name.clone());
         let routes = routes.chain(services.iter().map(ServiceName::to_shared_str)).collect();
         self.speeds.retain(&routes, &services);
+        self.usual_times.retain(|service, route| routes.contains(route) && services.contains(service));
     }
 
     /// Records the start of a call by this node to a target, which has to read `tokens` prompt tokens first.
--- a/crates/core/src/relay/targets.rs
+++ b/crates/core/src/relay/targets.rs
@@ -2,7 +2,7 @@
 
 mod grants;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -10,7 +10,9 @@
 use crate::names::{DcName, NodeName, ServiceName, TargetName, VersionName};
 use crate::relay::fleet::sum_loads;
 use crate::relay::members::TargetLoad;
+use crate::relay::slow_start::{LimitCause, LimitChange, StartLimiter};
 use crate::relay::store_version::StoreVersion;
+use crate::relay::target_load::LoadHistory;
 
 use self::grants::GrantedLoad;
 
@@ -137,6 +139,10 @@
     pub declines_until: Moment,
     /// Whether an answer has shown that the target leaves. Its entry may be from before.
     has_said_leaving: bool,
+    /// Load that the target stated, if it states its work time.
+    pub(super) load: Option<LoadHistory>,
+    /// Limit on the calls in flight while the target starts or recovers.
+    pub(super) limiter: StartLimiter,
     /// When the target is to be removed, if its entry is gone from the store, and the store version at which it was.
     removal: Option<(Moment, StoreVersion)>,
 }
@@ -167,6 +173,8 @@
             consecutive_failures: 0,
             declines_until: Moment::default(),
             has_said_leaving: false,
+            load: None,
+            limiter: StartLimiter::default(),
             removal: None,
         }
     }
@@ -185,7 +193,9 @@
 
     fn record_result(&mut self, result: CallResult, now: Moment) {
         match result {
-            CallResult::Good(first_byte_time) => self.record_success(first_byte_time),
+            CallResult::Good(first_byte_time) => {
+                self.record_success(first_byte_time.div_f64(self.work_time_ratio(now)))
+            }
             CallResult::Faulty => self.record_failure(),
             CallResult::Broken | CallResult::Garbled => {
                 self.record_failure();
@@ -229,6 +239,8 @@
     peer_grants: BTreeMap<NodeName, Vec<TargetLoad>>,
     /// Targets that were removed last. The store may come back with their entries.
     removed: BTreeMap<TargetName, RemovedTarget>,
+    /// Changes of limits that were not logged yet, oldest first.
+    pub(super) limit_changes: VecDeque<LimitChange>,
 }
 
 impl TargetRegistry {
@@ -248,6 +260,7 @@
             self.unindex(&old.entry.service.clone(), &entry.target);
         }
         self.by_service.entry(entry.service.clone()).or_default().insert(entry.target.clone());
+        let stated_load = known.as_ref().is_some_and(|old| old.load.is_some());
         let same_incarnation = known.filter(|old| old.entry.is_same_incarnation(&entry));
         let effect = if same_incarnation.is_some() { EntryEffect::Updated } else { EntryEffect::NewTarget };
         let view = match same_incarnation {
@@ -258,7 +271,11 @@
             }
             None => TargetView::new(entry, now),
         };
-        self.views.insert(view.entry.target.clone(), view);
+        let (target, service) = (view.entry.target.clone(), view.entry.service.clone());
+        self.views.insert(target.clone(), view);
+        if effect == EntryEffect::NewTarget && (stated_load || self.states_work_time(&service)) {
+            self.start_limit(&target, LimitCause::NewTarget, now);
+        }
         effect
     }
 
@@ -357,6 +374,7 @@
             view.in_flight = view.in_flight.saturating_sub(1);
             view.record_result(result, now);
         }
+        self.record_limit_result(target, result, now);
     }
 
     /// Records that a target has been silent for so long that others get its calls first. The call goes on.
@@ -365,6 +383,7 @@
             view.record_failure();
             view.back_off(now);
         }
+        self.record_limit_result(target, CallResult::Broken, now);
     }
 
     /// Records that a target reported at `now` to remain cold for `cold_for`.
--- a/crates/core/src/relay/targets/grants.rs
+++ b/crates/core/src/relay/targets/grants.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{TargetRegistry, TargetView};
+use super::{CallResult, TargetRegistry, TargetView};
 use crate::clock::Moment;
 use crate::names::{NodeName, TargetName};
 use crate::relay::members::TargetLoad;
@@ -124,5 +124,12 @@
             }
             GrantEnd::Full => view.back_off(now),
         }
+        let result = match end {
+            GrantEnd::Unknown | GrantEnd::Good => return,
+            GrantEnd::Faulty => CallResult::Faulty,
+            GrantEnd::Broken | GrantEnd::Unreachable => CallResult::Broken,
+            GrantEnd::Full => CallResult::Full,
+        };
+        self.record_limit_result(target, result, now);
     }
 }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -12,6 +12,7 @@
 use wasabipier_core::clock::Moment;
 use wasabipier_core::names::{ServiceName, TargetName};
 use wasabipier_core::relay::rollout_board::CallOrigin;
+use wasabipier_core::relay::slow_start::AnswerTiming;
 use wasabipier_core::relay::steps::AttemptEnd;
 use wasabipier_core::relay::suspects::RunStage;
 use wasabipier_core::relay::targets::{CallResult, TargetEntry, TargetView};
@@ -42,6 +43,8 @@
     origin: CallOrigin,
     /// Number of prompt tokens that the target has to process first, including those of other calls.
     tokens_ahead: u32,
+    /// Time that the work is expected to take, if it is known otherwise than by tokens.
+    expected_time: Option<Duration>,
     /// When the first and the last part of the answer arrived.
     first_part_at: Option<Moment>,
     last_part_at: Moment,
@@ -79,6 +82,7 @@
             target: entry.target.clone(),
             origin,
             tokens_ahead,
+            expected_time: None,
             first_part_at: None,
             last_part_at: started,
             later_events: (0, started),
@@ -97,6 +101,13 @@
         self
     }
 
+    /// Has the time of the answer compared with `expected`, the time that the work is expected to take.
+    #[must_use]
+    pub fn with_expected_time(mut self, expected: Duration) -> Self {
+        self.expected_time = Some(expected);
+        self
+    }
+
     /// Has the hub that granted the call told how it goes on.
     #[must_use]
     pub fn with_grant(mut self, grant: Option<GrantGuard>) -> Self {
@@ -116,7 +127,10 @@
         board.targets.record_prompt_processed(&self.target, unread_tokens);
         if self.first_part_at.is_none() {
             self.first_part_at = Some(now);
-            board.record_first_part(&self.origin, now.since(self.started), self.tokens_ahead);
+            let (took, tokens) = (now.since(self.started), self.tokens_ahead);
+            board.record_first_part(&self.origin, took, tokens);
+            let timing = AnswerTiming { sent_at: self.started, took, tokens, expected: self.expected_time };
+            board.record_answer_time(&self.target, &self.origin, timing, now);
             drop(board);
             if let Some(grant) = &self.grant {
                 grant.record_prompt_read();
--- a/crates/relay/src/batching.rs
+++ b/crates/relay/src/batching.rs
@@ -139,6 +139,8 @@
     plan: CallPlan,
     entry: TargetEntry,
     spec: BatchSpec,
+    /// Time that the call is expected to take.
+    expected: Duration,
     silence_timeout: Duration,
     /// Room that the call takes at a brittle target.
     room: Option<RoomGuard>,
@@ -176,14 +178,15 @@
     let is_brittle = board.grant_room(service, &entry.target, lease, max_call_time, now);
     drop(board);
     let room = is_brittle.then(|| RoomGuard::new(node, &entry.target, lease, None));
-    Some(PlannedCall { plan, entry, spec, silence_timeout, room })
+    Some(PlannedCall { plan, entry, spec, expected, silence_timeout, room })
 }
 
 /// Runs one planned call, delivers its outcomes, and starts the calls that can start afterwards.
 async fn run_call(node: SharedNode, service: ServiceName, planned: PlannedCall) {
-    let PlannedCall { plan, entry, spec, silence_timeout, room } = planned;
+    let PlannedCall { plan, entry, spec, expected, silence_timeout, room } = planned;
     let plan_service = service.clone();
-    let mut guard = CallGuard::new(&node, &entry, &service.to_shared_str(), 0).with_room(room);
+    let mut guard = CallGuard::new(&node, &entry, &service.to_shared_str(), 0);
+    guard = guard.with_room(room).with_expected_time(expected);
     let (outcomes, result) = match call_target_until_unused(&node, &service, &plan, &entry, silence_timeout).await {
         Ok(outcomes) => {
             guard.record_first_part();
--- a/crates/relay/src/maintenance.rs
+++ b/crates/relay/src/maintenance.rs
@@ -12,6 +12,7 @@
 use crate::limits;
 use crate::log_prefixes::{STORE, TARGETS};
 use crate::metering;
+use crate::notices;
 use crate::state::SharedNode;
 use crate::store;
 
@@ -44,6 +45,7 @@
         }
         self.node.pool.close_expired(&self.node.board.borrow());
         limits::publish_brittle_services(&self.node);
+        notices::publish_limit_changes(&self.node);
         store::start_serving_if_ready(&self.node);
         let orders = self.node.board.borrow_mut().apply_withheld_orders(clock::now());
         for order in &orders {
--- a/crates/relay/src/metering.rs
+++ b/crates/relay/src/metering.rs
@@ -8,6 +8,7 @@
 use wasabipier_core::relay::board::RelayBoard;
 use wasabipier_core::relay::duties::DutyChange;
 use wasabipier_core::relay::rollout::RolloutChange;
+use wasabipier_core::relay::slow_start::LimitChange;
 
 /// Upper bounds of the latency buckets in seconds, from the time of a plain call to the longest deadline.
 const BUCKETS: [f64; 12] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 20.0];
@@ -100,6 +101,17 @@
     counter!("wasabipier_relay_permits_total", "service" => service.to_owned(), "answer" => answer).increment(1);
 }
 
+/// Counts an answer whose statement of the target's load cannot be decoded.
+pub fn record_malformed_load() {
+    counter!("wasabipier_relay_malformed_loads_total").increment(1);
+}
+
+/// Counts that the limit of a target that starts or recovers started, fell or ended.
+pub fn record_limit_change(change: &LimitChange) {
+    let (step, cause): (&'static str, &'static str) = (change.step.into(), change.cause.into());
+    counter!("wasabipier_relay_slow_start_changes_total", "step" => step, "cause" => cause).increment(1);
+}
+
 /// Counts that targets of `service` became brittle, or ended to be.
 pub fn record_brittle_change(service: &str, is_brittle: bool) {
     let state = if is_brittle { "brittle" } else { "sound" };
@@ -218,5 +230,6 @@
     }
     gauge!("wasabipier_relay_targets_unreached").set(board.paths.failed_count() as f64);
     gauge!("wasabipier_relay_cut_off").set(f64::from(u8::from(board.paths.is_cut_off())));
+    gauge!("wasabipier_relay_targets_limited").set(board.targets.limited_count() as f64);
     gauge!("wasabipier_relay_targets").set(board.targets.iter().count() as f64);
 }
--- a/crates/relay/src/ports.rs
+++ b/crates/relay/src/ports.rs
@@ -19,6 +19,7 @@
 use wasabipier_core::relay::rollout::{RolloutRecord, RolloutWrite};
 use wasabipier_core::relay::rows::{OwnTable, RowBatch, RowWrite, SharedRow, TableId};
 use wasabipier_core::relay::store_version::StoreVersion;
+use wasabipier_core::relay::target_load::LoadNotice;
 use wasabipier_core::relay::targets::TargetEntry;
 
 /// Purpose of a listener.
@@ -163,6 +164,8 @@
     pub reject_tolerance: Option<RejectTolerance>,
     /// Time for which the target wants no calls from this node, if it refused the call and states one.
     pub declined_time: Option<Duration>,
+    /// What the target states of its load.
+    pub load: LoadNotice,
     /// Whether the target states that it leaves.
     pub is_leaving: bool,
     /// Time for which the target keeps an idle connection, if it states one.
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -294,7 +294,9 @@
     fn first_part_timeout(&self, entry: &TargetEntry, tokens: u32) -> Option<Duration> {
         let board = self.node.board.borrow();
         let view = board.targets.get(&entry.target);
-        let average_ms = view.map_or(0.0, |view| view.average_first_byte_ms);
+        // The average is that of the usual work time.
+        let average_ms =
+            view.map_or(0.0, |view| view.average_first_byte_ms * view.work_time_ratio(clock::now()).max(1.0));
         let read_time = Duration::from_secs_f64(f64::from(tokens) / board.tuning.weights.tokens_per_ms / 1e3);
         let route = &self.admitted.grant.route;
         // The last attempt has no timeout of its own, because no other attempt would follow it.
