Grow limits of starting targets by a quarter, with tests and design

A target of 1.6 usable slots that crashes at three times its room crashed 6 times in 10 s: limits grew by half of the calls before their effect was seen.

Grow by a quarter and 0.75 calls, keep the headroom of a fall apart, and cap a limit at the slots.

--- a/crates/core/src/relay/slow_start.rs
+++ b/crates/core/src/relay/slow_start.rs
@@ -1,7 +1,7 @@
 //! Limits on the calls in flight at targets that start, recover or have turned cold.
 //!
 //! The limit holds for the calls of all nodes together. It follows from the number of calls at which the target's answers
-//! keep to the usual time: an answer on time raises the limit by half of that number, a late one lowers it in proportion
+//! keep to the usual time: an answer on time raises the limit to a quarter above that number, a late one lowers it in proportion
 //! to the lateness. It applies to targets that state their work time only. A choice prefers targets with room under
 //! their limits; a limit refuses no call.
 
@@ -114,8 +114,13 @@
     const ON_TIME_RATIO: f64 = 1.2;
     /// Relative time above which an answer is late.
     const LATE_RATIO: f64 = 1.5;
+    /// Factor by which a lowered limit exceeds the calls that the target would serve on time. Without it, the target is idle
+    /// until the next answers raise the limit.
+    const FALL_HEADROOM: f64 = 1.3;
     /// Factor by which a limit exceeds the number of calls at which answers are on time.
-    const GROWTH_FACTOR: f64 = 1.5;
+    const GROWTH_FACTOR: f64 = 1.25;
+    /// Calls by which a limit grows besides, so that a limit of one call grows to two.
+    const GROWTH_STEP: f64 = 0.75;
     /// Weight of the newest answer in the pace.
     const PACE_WEIGHT: f64 = 0.3;
     /// Number of calls up to which the time of an answer shows the target's pace rather than its load.
@@ -192,13 +197,13 @@
                 self.pace = answer.relative_time;
                 return None;
             }
-            let lower = (concurrency / relative_time * Self::ON_TIME_RATIO).max(1.0);
+            let lower = (concurrency / relative_time * Self::FALL_HEADROOM).max(1.0);
             let has_fallen = lower < limit;
             self.set_limit(lower.min(limit), now);
             return has_fallen.then_some(LimitStep::Fell);
         }
         if relative_time <= Self::ON_TIME_RATIO {
-            let raised = (concurrency * Self::GROWTH_FACTOR + 1.0).min(slots * Self::GROWTH_FACTOR);
+            let raised = (concurrency * Self::GROWTH_FACTOR + Self::GROWTH_STEP).min(slots);
             self.limit = Some(limit.max(raised));
             self.on_time_at_slots = if limit >= slots { self.on_time_at_slots + 1 } else { 0 };
         } else {
@@ -228,7 +233,7 @@
 
 impl CallCounts {
     /// Number of nodes that call a target, as a multiple of the calls that others have there.
-    const JOIN_FACTOR: f64 = 1.25;
+    const JOIN_FACTOR: f64 = 1.1;
 
     /// Returns whether one more call of this node fits under `limit`, the limit for the calls of all nodes. A node that
     /// knows the calls at the target bounds their sum. Of the others, as many nodes send one call each as the limit
--- a/crates/core/src/relay/targets.rs
+++ b/crates/core/src/relay/targets.rs
@@ -194,7 +194,7 @@
     fn record_result(&mut self, result: CallResult, now: Moment) {
         match result {
             CallResult::Good(first_byte_time) => {
-                self.record_success(first_byte_time.div_f64(self.work_time_ratio(now)))
+                self.record_success(first_byte_time.div_f64(self.work_time_ratio(now)));
             }
             CallResult::Faulty => self.record_failure(),
             CallResult::Broken | CallResult::Garbled => {
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -58,6 +58,10 @@
 mod rows;
 #[path = "../examples/autoscale_compare/simulation.rs"]
 mod simulation;
+#[path = "relay/slow_start.rs"]
+mod slow_start;
+#[path = "support/slow_start_model.rs"]
+mod slow_start_model;
 #[path = "relay/steps.rs"]
 mod steps;
 #[path = "relay/store_restoration.rs"]
