--- a/crates/core/tests/support/slow_start_model.rs
+++ b/crates/core/tests/support/slow_start_model.rs
@@ -140,9 +140,9 @@
             let usable = usable_slots(&pattern, ms.saturating_sub(target.cold_since));
             let planned_start = pattern.cold_again_ms.filter(|at| *at <= ms).unwrap_or_default();
             let percent = work_percent(index, ms);
-            let speed = 100.0 / f64::from(percent) / pattern.pace;
+            let work_rate = 100.0 / f64::from(percent) / pattern.pace;
             // The oracle never crashes a target.
-            oracle_ms += usable_slots(&pattern, ms - planned_start) * speed;
+            oracle_ms += usable_slots(&pattern, ms - planned_start) * work_rate;
             if ms < target.down_until {
                 continue;
             }
@@ -161,7 +161,7 @@
                 }
                 continue;
             }
-            let step_ms = speed * (usable / count.max(1) as f64).min(1.0);
+            let step_ms = work_rate * (usable / count.max(1) as f64).min(1.0);
             for call in &mut target.calls {
                 call.work_left_ms -= step_ms;
             }
