Name the kinds of leases in their controller

A controller without fields makes clippy reject `LeaseController::default()` in the tests of leases, which stay as they are. The controller now has the kinds that it competes for. A loop in the simulation of duties is written out. Measured: duties (5 tests) and leases (2) pass.

--- a/crates/core/src/leases.rs
+++ b/crates/core/src/leases.rs
@@ -45,11 +45,19 @@
 }
 
 /// Acquires, renews and releases leases.
-#[derive(Debug, Default)]
-pub struct LeaseController;
+#[derive(Debug)]
+pub struct LeaseController {
+    /// Kinds of leases that the node competes for.
+    kinds: [LeaseKind; 2],
+}
+
+impl Default for LeaseController {
+    fn default() -> Self {
+        Self { kinds: [LeaseKind::Rollout, LeaseKind::Orders] }
+    }
+}
 
 impl LeaseController {
-    const KINDS: [LeaseKind; 2] = [LeaseKind::Rollout, LeaseKind::Orders];
     /// Number of serving nodes, the first by name, that compete for leases. It is small so that not every node sends
     /// requests to the table service.
     const MAX_CANDIDATES: usize = 3;
@@ -58,8 +66,8 @@
 impl Controller for LeaseController {
     fn on_event(&mut self, board: &mut Blackboard, event: &Event, out: &mut Vec<Action>) {
         match event {
-            Event::Tick => handle_tick(board, out),
-            Event::StopRequested => release_all(board, out),
+            Event::Tick => handle_tick(board, self.kinds, out),
+            Event::StopRequested => release_all(board, self.kinds, out),
             _ => {}
         }
     }
@@ -74,11 +82,11 @@
 }
 
 /// Renews or reads each lease whose check is due, if this node competes for leases.
-fn handle_tick(board: &mut Blackboard, out: &mut Vec<Action>) {
+fn handle_tick(board: &mut Blackboard, kinds: [LeaseKind; 2], out: &mut Vec<Action>) {
     if !is_candidate(board) || !board.store.is_backoff_over(board.now) {
         return;
     }
-    for kind in LeaseController::KINDS {
+    for kind in kinds {
         if !has_open_operation(board, kind) {
             let now = board.now;
             let step = with_claim(board, kind, |lease, claim| lease.due_step(claim, now));
@@ -116,8 +124,8 @@
 }
 
 /// Releases the leases of a node that stops, so that successors need not wait until they expire.
-fn release_all(board: &mut Blackboard, out: &mut Vec<Action>) {
-    for kind in LeaseController::KINDS {
+fn release_all(board: &mut Blackboard, kinds: [LeaseKind; 2], out: &mut Vec<Action>) {
+    for kind in kinds {
         let step = board.leases.lease(kind).release(board.now);
         send_step(board, kind, step, out);
     }
--- a/crates/core/tests/duties/world.rs
+++ b/crates/core/tests/duties/world.rs
@@ -208,7 +208,9 @@
                 std::mem::take(&mut self.late_calls).into_iter().partition(|call| call.due_ms <= self.time_ms);
             self.late_calls = late;
             let due: Vec<LateCall> = due;
-            due.iter().for_each(|call| self.carry_out(call.node, call.number, &call.step));
+            for call in &due {
+                self.carry_out(call.node, call.number, &call.step);
+            }
             for number in 0..self.nodes.len() {
                 if self.nodes[number].paused_until_ms <= self.time_ms {
                     self.run_node(number);
