Serve pieces that can still be on time before less urgent ranks

Pieces that had lost their margin of half the needed time counted as late, one and a half ranks less urgent. A class with a long pipeline and a short objective loses the margin on arrival, so that punctual pieces of the next rank overtook it until its requests expired. Between ranks, such a piece now counts as less urgent by half a rank while it can meet its objective. Pieces that cannot meet it keep their place, and so does the order while all pending pieces have one rank. The wait of a punctual piece includes those at risk while several ranks are pending.

--- a/crates/core/src/relay/pieces/queue.rs
+++ b/crates/core/src/relay/pieces/queue.rs
@@ -64,14 +64,29 @@
 }
 
 /// Returns the priority class of a piece. Lower classes are processed first. A late piece is worth less and must not
-/// make others late, so it counts as less urgent by one and a half ranks.
-fn priority_class(rank: u8, is_late: bool) -> u32 {
-    u32::from(rank) * 2 + if is_late { 3 } else { 0 }
+/// make others late, so it counts as less urgent by one and a half ranks. One that has lost its margin, but can still be on
+/// time, counts as less urgent by half a rank: behind a less urgent rank it would become late.
+fn priority_class(rank: u8, punctuality: Punctuality) -> u32 {
+    u32::from(rank) * 2 + punctuality as u32
 }
 
-/// Returns the key by which a piece is ordered for processing at `now`.
-fn processing_order(progress: StageProgress, job: &PieceJob, now: Moment) -> ProcessingOrder {
-    let class = if progress == StageProgress::Started { 0 } else { priority_class(job.rank, !job.is_on_time(now)) };
+/// Whether the request of a piece can be on time, with the number of half ranks by which it is less urgent for that.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Punctuality {
+    OnTime = 0,
+    AtRisk = 1,
+    Late = 3,
+}
+
+/// Returns the key by which a piece is ordered for processing at `now`. While all pieces have one rank, those at risk count
+/// as late: an order among them serves no other rank.
+fn processing_order(progress: StageProgress, job: &PieceJob, has_ranks: bool, now: Moment) -> ProcessingOrder {
+    let punctuality = match job.is_on_time(now) {
+        true => Punctuality::OnTime,
+        false if has_ranks && now + job.time_needed <= job.objective => Punctuality::AtRisk,
+        false => Punctuality::Late,
+    };
+    let class = if progress == StageProgress::Started { 0 } else { priority_class(job.rank, punctuality) };
     ProcessingOrder { progress, class }
 }
 
@@ -246,13 +261,23 @@
     #[must_use]
     pub fn expected_wait(&self, spec: &BatchSpec, target_count: usize, rank: u8, now: Moment) -> QueueWait {
         let (mut ahead_if_on_time, mut ahead_if_late) = (0, 0);
+        let has_ranks = self.pending.values().any(|piece| piece.job.rank != rank);
+        let still_on_time = if has_ranks { Punctuality::AtRisk } else { Punctuality::OnTime };
         for (position, piece) in &self.pending {
-            let order = processing_order(position.0, &piece.job, now);
+            let order = processing_order(position.0, &piece.job, has_ranks, now);
             ahead_if_on_time += usize::from(
-                order <= ProcessingOrder { progress: StageProgress::NotStarted, class: priority_class(rank, false) },
+                order
+                    <= ProcessingOrder {
+                        progress: StageProgress::NotStarted,
+                        class: priority_class(rank, still_on_time),
+                    },
             );
             ahead_if_late += usize::from(
-                order <= ProcessingOrder { progress: StageProgress::NotStarted, class: priority_class(rank, true) },
+                order
+                    <= ProcessingOrder {
+                        progress: StageProgress::NotStarted,
+                        class: priority_class(rank, Punctuality::Late),
+                    },
             );
         }
         let full_interval = full_call_time(spec) / (spec.max_pieces.max(1) * target_count.max(1)) as u32;
@@ -394,7 +419,9 @@
         let mut free_storage_bytes = spec.storage_bytes.saturating_sub(usage.stored_bytes(now) + usage.reserved_bytes);
         let mut positions = Vec::new();
         let mut order: Vec<_> = self.pending.iter().collect();
-        order.sort_by_key(|(position, piece)| (processing_order(position.0, &piece.job, now), position.2));
+        let first_rank = order.first().map(|(_, piece)| piece.job.rank);
+        let has_ranks = order.iter().any(|(_, piece)| Some(piece.job.rank) != first_rank);
+        order.sort_by_key(|(position, piece)| (processing_order(position.0, &piece.job, has_ranks, now), position.2));
         for (position, piece) in order {
             let wanted_dc = piece.job.wanted_in.as_ref();
             let is_local = wanted_dc.is_none_or(|dc| *dc == view.entry.dc);
