Keep ranks in order at admission under overload

Admission compares each request with the objective of its own route. In a burst, requests with a short pipeline and a long objective were accepted and kept the shared stages full, while more urgent ones with a longer pipeline were accepted as punctual and expired in the queues.

A request that competes with other ranks for a stage is now accepted only if it keeps the margin by which the queues tell late requests, or if its wait is a small fraction of the acceptable one. While a more urgent rank is refused for load, less urgent ones that share a stage are refused as often, less 2 in 100. Refusals by the guard are not evidence, and neither are requests that would be refused without load.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -1,8 +1,8 @@
 //! Decisions about relayed requests, without I/O. A relay node passes a request unchanged to one of the targets.
 //!
 //! The modules in the order in which a request uses them: the document, which is the configuration that operators
-//! promote and can check before ([`document_check`]), defines its route ([`document`], [`access`]). Admission control accepts or refuses it ([`overload`],
-//! [`departure`]). Its preparation stages run ([`graph`], [`pieces`],
+//! promote and can check before ([`document_check`]), defines its route ([`document`], [`access`]). Admission control
+//! accepts or refuses it ([`overload`], [`rank_guard`], [`departure`]). Its preparation stages run ([`graph`], [`pieces`],
 //! [`piece_nodes`]), a target is chosen ([`targets`], [`prompts`],
 //! [`choice`], [`placement`]) and connected to ([`paths`]), and the answer is passed on or the request is retried ([`steps`], [`budget`], [`events`]). Content that
 //! crashes targets is refused ([`suspects`]), and targets get no more requests than they say they take
@@ -37,6 +37,7 @@
 pub mod pieces;
 pub mod placement;
 pub mod prompts;
+pub mod rank_guard;
 pub mod rate_limits;
 pub mod read_attempts;
 pub mod refusals;
--- a/crates/core/src/relay/board.rs
+++ b/crates/core/src/relay/board.rs
@@ -23,6 +23,7 @@
 use crate::relay::pieces::PieceTable;
 use crate::relay::placement::GrantLedger;
 use crate::relay::prompts::PromptCacheTable;
+use crate::relay::rank_guard::RankGuard;
 use crate::relay::rate_limits::{PermitBuckets, RateLimitTable};
 use crate::relay::rollout::{RolloutLimits, RolloutOrder, RolloutTable, VersionLane};
 use crate::relay::rollout_board::VersionSightings;
@@ -152,6 +153,8 @@
     pub retry_ledger: RetryLedger,
     /// Pieces of preparation stages that this node batches.
     pub pieces: PieceTable,
+    /// Recent admissions and refusals for load by rank.
+    pub rank_guard: RankGuard,
     /// Content that may have crashed targets.
     pub suspects: SuspectTable,
     /// Limits that targets name on their requests per second.
@@ -204,6 +207,7 @@
             tuning,
             retry_ledger: RetryLedger::default(),
             pieces: PieceTable::default(),
+            rank_guard: RankGuard::default(),
             suspects,
             rate_limits: RateLimitTable::default(),
             brittle: BrittleTable::default(),
--- a/crates/core/src/relay/pieces.rs
+++ b/crates/core/src/relay/pieces.rs
@@ -55,7 +55,7 @@
 impl PieceJob {
     /// Safety margin as a fraction of the time that the request still needs. Without a margin, any further wait would
     /// make a request late whose piece is started at the last moment.
-    const MARGIN_RATIO: f64 = 0.5;
+    pub(super) const MARGIN_RATIO: f64 = 0.5;
 
     /// Returns whether the request can be answered by its objective, with the margin, if the piece is started at `now`.
     fn is_on_time(&self, now: Moment) -> bool {
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -44,6 +44,8 @@
 mod pieces;
 #[path = "relay/placement.rs"]
 mod placement;
+#[path = "relay/rank_guard.rs"]
+mod rank_guard;
 #[path = "relay/rate_limits.rs"]
 mod rate_limits;
 #[path = "relay/read_attempts.rs"]
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -13,7 +13,7 @@
 use wasabipier_core::relay::board::{ContentVerdict, RelayBoard};
 use wasabipier_core::relay::departure::DepartureVerdict;
 use wasabipier_core::relay::document::RelayRoute;
-use wasabipier_core::relay::overload::{RequestPlan, estimate_times, refuse_for_load};
+use wasabipier_core::relay::overload::{LoadRefusal, RequestPlan, refuse_for_load};
 use wasabipier_core::relay::suspects::{HarmfulContent, SuspectKey, suspect_keys};
 
 use crate::blame;
@@ -129,21 +129,43 @@
         time_left,
     };
     let overload = board.tuning.overload;
-    if let Some(pause) = refuse_for_load(&mut board, &plan, &overload, started) {
-        if node.log_limiter.allows(started) {
-            let times = estimate_times(&board, &plan, started);
-            let (id, route, rank) = (&*head.request, &*grant.route.name, grant.rank);
-            let (on_time_ms, late_ms) = (times.on_time.as_millis() as u64, times.late.as_millis() as u64);
-            let objective_ms = grant.route.objective.as_millis() as u64;
-            info!("{REQUEST} refused for load.", kv: { id, route, rank, on_time_ms, late_ms, objective_ms });
-        }
-        return Err(Rejection::not_run("stages are busy", pause));
+    if let Some(refusal) = refuse_for_load(&mut board, &plan, &overload, started) {
+        return Err(reject_for_load(node, &head.request, &plan, &refusal, started));
     }
     let bounds = board.tuning.retry_limits;
     board.retry_ledger.record_request(&service, &bounds, started);
     Ok(AdmittedRequest { service, body, keys, trial, started, deadline: started + time_left, grant })
 }
 
+/// Counts and logs a refusal for load, and returns the rejection.
+fn reject_for_load(
+    node: &SharedNode,
+    id: &str,
+    plan: &RequestPlan<'_>,
+    refusal: &LoadRefusal,
+    now: Moment,
+) -> Rejection {
+    let (route, rank, is_logged) = (&*plan.route.name, plan.rank, node.log_limiter.allows(now));
+    let (on_time_ms, late_ms) = (refusal.times.on_time.as_millis() as u64, refusal.times.late.as_millis() as u64);
+    let objective_ms = plan.route.objective.as_millis() as u64;
+    let retry_ms = refusal.retry_after.as_millis() as u64;
+    let Some(urgent) = &refusal.urgent else {
+        if is_logged {
+            info!("{REQUEST} refused for load.", kv: { id, route, rank, on_time_ms, late_ms, objective_ms });
+        }
+        return Rejection::not_run("stages are busy", refusal.retry_after);
+    };
+    metering::record_rank_refusal(route);
+    if is_logged {
+        let (urgent_rank, urgent_requests) = (urgent.rank, urgent.requests);
+        let (refused_ratio, basis): (_, &str) = (urgent.refused_ratio, urgent.basis.into());
+        let urgent_on_time_ms = urgent.times.on_time.as_millis() as u64;
+        let urgent_objective_ms = urgent.objective.as_millis() as u64;
+        info!("{REQUEST} refused because more urgent ones are.", kv: { id, route, rank, on_time_ms, urgent_rank, urgent_requests, refused_ratio, basis, urgent_on_time_ms, urgent_objective_ms, retry_ms });
+    }
+    Rejection::not_run("more urgent requests are refused", refusal.retry_after)
+}
+
 /// Rejects a request that may take longer than the process of a leaving node lasts.
 fn check_departure(
     node: &SharedNode,
--- a/crates/relay/src/metering.rs
+++ b/crates/relay/src/metering.rs
@@ -43,6 +43,11 @@
     counter!("wasabipier_relay_departure_refusals_total", "route" => route.to_owned()).increment(1);
 }
 
+/// Counts a request that was refused because more urgent requests that share a stage with it are refused for load.
+pub fn record_rank_refusal(route: &str) {
+    counter!("wasabipier_relay_rank_refusals_total", "route" => route.to_owned()).increment(1);
+}
+
 /// Counts a call to a target that ended with `outcome`, and records its duration.
 pub fn record_target_call(service: &str, outcome: &str, elapsed: Duration) {
     counter!("wasabipier_relay_calls_total", "service" => service.to_owned(), "outcome" => outcome.to_owned())
