Put the comment of the planning interval back together

The doc comment of PLAN_INTERVAL was split by another constant that had been inserted into it, so that both read wrongly. Comments only; the order of two constants changes, nothing else.

--- a/crates/relay/src/batching.rs
+++ b/crates/relay/src/batching.rs
@@ -28,10 +28,10 @@
 use crate::run_counter::RunGuard;
 use crate::state::SharedNode;
 
-/// Interval at which calls are planned while pieces are queued: after some time in the queue, a piece may go to targets
 /// Maximum size in bytes of what a target says of one piece, and of the rest of its answer. Decoded, an outcome can take
 /// many times the memory of its text.
 const MAX_OUTCOME_BYTES: usize = 4 * 1024;
+/// Interval at which calls are planned while pieces are queued: after some time in the queue, a piece may go to targets
 /// that were not allowed for it before.
 const PLAN_INTERVAL: Duration = Duration::from_millis(10);
 /// Multiple of the expected time of a call after which its target counts as silent.
