--- a/crates/core/tests/relay/document_check.rs
+++ b/crates/core/tests/relay/document_check.rs
@@ -76,6 +76,7 @@
     }
 }
 
+/// Guards against documents that are rejected for entries that work, and against contradictions that nobody is told of.
 #[test]
 fn limits_that_contradict_each_other_are_warnings() {
     let mut document = sound_document();
@@ -89,6 +90,7 @@
     assert!(warnings[1].contains("service `unused`: no route uses it"), "{warnings:?}");
 }
 
+/// Guards against a change that is overlooked, and against API keys in the output.
 #[test]
 fn differences_name_entries_and_never_keys() {
     let (in_force, mut next) = (sound_document(), sound_document());
--- a/crates/core/tests/relay/rank_guard.rs
+++ b/crates/core/tests/relay/rank_guard.rs
@@ -330,11 +330,13 @@
     check_burst(1.0, 602);
 }
 
+/// Guards against the same starvation, and against requests on time that the guard costs, at 1.5 times what fits.
 #[test]
 fn the_more_urgent_class_is_served_as_often_in_a_burst_of_1_5_times_what_fits() {
     check_burst(1.5, 599);
 }
 
+/// Guards against the same starvation, and against requests on time that the guard costs, at 2.5 times what fits.
 #[test]
 fn the_more_urgent_class_is_served_as_often_in_a_burst_of_2_5_times_what_fits() {
     check_burst(2.5, 935);
