Count crashes of one moment one by one unless they may be an outage

Cause: crashes within 250 ms count as one incident, and three make a part harmful. The window stands for the outage of a data centre, but the count looked at time alone.

When the window is over, the node whose call broke now looks whether another target of the data centre accepts a connection, if two crashes of one moment are held against a part that no run has proven sound. If so, the crash is isolated. Isolated crashes count one by one against a part that is in most crashes of the moment and that no run has proven sound. A data centre that fails leaves no such target; parts that many calls have have been proven sound. Which crashes are isolated follows heartbeats in a new field, which nodes of earlier builds skip.

--- a/crates/core/src/relay/refusals.rs
+++ b/crates/core/src/relay/refusals.rs
@@ -1,7 +1,10 @@
-//! Refused connections: tells a target that has crashed from a partition, which may refuse this node's connections alike.
+//! Refused connections: tells a target that has crashed from a partition, which may refuse this node's connections alike,
+//! and from an outage of its data centre.
 
+use crate::clock::Moment;
 use crate::relay::board::RelayBoard;
-use crate::relay::targets::TargetEntry;
+use crate::relay::suspects::CrashId;
+use crate::relay::targets::{TargetEntry, TargetView};
 
 /// What attempts to connect show after a target has refused a connection of this node.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -37,4 +40,20 @@
         random.shuffle(&mut controls);
         controls.into_iter().take(max_count).cloned().collect()
     }
+
+    /// Returns up to `max_count` random targets in the data centre of `crashed` that tell whether the data centre goes on:
+    /// those that are not known to have crashed, the ones of the same service first. Cold ones may have started after an
+    /// outage.
+    pub fn outage_controls(&mut self, crashed: &TargetEntry, max_count: usize, now: Moment) -> Vec<TargetEntry> {
+        let Self { targets, suspects, random, .. } = self;
+        let is_control = |view: &&TargetView| {
+            let (entry, is_cold) = (&view.entry, view.cold_until > now);
+            let is_other = entry.target != crashed.target && entry.dc == crashed.dc;
+            is_other && !entry.leaving && !is_cold && !suspects.is_known_crash(CrashId::from(entry))
+        };
+        let mut controls: Vec<&TargetEntry> = targets.iter().filter(is_control).map(|view| &view.entry).collect();
+        random.shuffle(&mut controls);
+        controls.sort_by_key(|entry| entry.service != crashed.service);
+        controls.into_iter().take(max_count).cloned().collect()
+    }
 }
--- a/crates/core/src/relay/suspects.rs
+++ b/crates/core/src/relay/suspects.rs
@@ -7,9 +7,13 @@
 //! that stays suspected of several crashes is harmful and must not run (`verdicts`). A crash that harmful content explains
 //! is held against no other content.
 //!
+//! Crashes of several targets at one moment may also be the outage of a data centre, which breaks all calls there
+//! whatever they hold. They count one by one only if other targets of their data centres go on (`moments`).
+//!
 //! Nodes exchange their tables. Merging is a union in which an exoneration prevails, so that order, repetition and loss
 //! of messages don't matter.
 
+mod moments;
 mod verdicts;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -69,6 +73,8 @@
     pub age: Duration,
     /// Whether the content was proven sound afterwards.
     pub is_exonerated: bool,
+    /// Whether another target of the data centre went on after the crash, so that it was no outage of the data centre.
+    pub is_isolated: bool,
 }
 
 /// What a node knows of one suspect, as it is sent to peers.
@@ -112,7 +118,8 @@
     /// Time for which an answer goes on until it proves its content sound. Content crashes targets that begin to run it;
     /// the end of the connection takes some round trips at most to be seen.
     pub proof_time: Duration,
-    /// Crashes within this time are one incident: a data centre or domain that fails takes all its targets at once.
+    /// Crashes within this time are one incident unless they are isolated: a data centre or domain that fails takes all its
+    /// targets at once.
     pub incident_window: Duration,
     /// Time after the last crash at which harmful content may run once, to find out whether it is blamed wrongly. Each
     /// further incident multiplies it by `TRIAL_PAUSE_FACTOR`.
@@ -141,6 +148,15 @@
 struct CrashRecord {
     at: Moment,
     is_exonerated: bool,
+    is_isolated: bool,
+}
+
+/// A crash that is held against a suspect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct OpenCrash {
+    at: Moment,
+    crash: CrashId,
+    is_isolated: bool,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -152,9 +168,11 @@
 
 impl SuspectRecord {
     /// Returns the crashes that are held against the suspect and that no content in `explained` caused, by time.
-    fn open_crashes(&self, explained: &BTreeSet<CrashId>) -> Vec<(Moment, CrashId)> {
+    fn open_crashes(&self, explained: &BTreeSet<CrashId>) -> Vec<OpenCrash> {
         let open = self.crashes.iter().filter(|(crash, record)| !record.is_exonerated && !explained.contains(crash));
-        let mut open: Vec<_> = open.map(|(crash, record)| (record.at, *crash)).collect();
+        let open =
+            open.map(|(crash, record)| OpenCrash { at: record.at, crash: *crash, is_isolated: record.is_isolated });
+        let mut open: Vec<OpenCrash> = open.collect();
         open.sort_unstable();
         open
     }
@@ -219,6 +237,8 @@
 pub struct SuspectTable {
     limits: SuspectLimits,
     records: BTreeMap<SuspectKey, SuspectRecord>,
+    /// When a run last proved a shared part sound, by the identifier of the part.
+    sound_parts: BTreeMap<u64, Moment>,
     /// Harmful content in the order in which it was found.
     harmful: Vec<HarmfulContent>,
     /// When this node last let harmful content run.
@@ -255,7 +275,7 @@
 
     /// Records that a target crashed during a call with `keys` that had not proven them sound.
     pub fn record_crash(&mut self, keys: &[SuspectKey], crash: CrashId, now: Moment) -> SuspectChange {
-        let report = CrashReport { crash, age: Duration::ZERO, is_exonerated: false };
+        let report = CrashReport { crash, age: Duration::ZERO, is_exonerated: false, is_isolated: false };
         let mut is_new = false;
         for key in keys {
             is_new |= self.merge_crash(*key, report, now);
@@ -267,6 +287,7 @@
     pub fn record_proof(&mut self, keys: &[SuspectKey], now: Moment) -> SuspectChange {
         let mut is_new = false;
         for key in keys {
+            self.record_sound_part(*key, now);
             let Some(record) = self.records.get_mut(key) else { continue };
             for crash in record.crashes.values_mut().filter(|crash| !crash.is_exonerated) {
                 crash.is_exonerated = true;
@@ -296,15 +317,17 @@
         let at = now - report.age;
         let record = self.records.entry(key).or_default();
         let known = record.crashes.get_mut(&report.crash);
-        let is_new = known.as_ref().is_none_or(|known| report.is_exonerated && !known.is_exonerated);
-        match known {
-            Some(known) => {
-                known.at = known.at.min(at);
-                known.is_exonerated |= report.is_exonerated;
-            }
-            None => {
-                record.crashes.insert(report.crash, CrashRecord { at, is_exonerated: report.is_exonerated });
-            }
+        let tells_more = |known: &CrashRecord| {
+            (report.is_exonerated && !known.is_exonerated) || (report.is_isolated && !known.is_isolated)
+        };
+        let is_new = known.as_deref().is_none_or(tells_more);
+        if let Some(known) = known {
+            known.at = known.at.min(at);
+            known.is_exonerated |= report.is_exonerated;
+            known.is_isolated |= report.is_isolated;
+        } else {
+            let CrashReport { crash, is_exonerated, is_isolated, .. } = report;
+            record.crashes.insert(crash, CrashRecord { at, is_exonerated, is_isolated });
         }
         record.limit_crashes();
         let is_new = is_new && record.crashes.contains_key(&report.crash);
@@ -345,6 +368,7 @@
                         crash: *crash,
                         age: now.since(known.at),
                         is_exonerated: known.is_exonerated,
+                        is_isolated: known.is_isolated,
                     })
                     .collect(),
             })
--- a/crates/core/src/relay/suspects/verdicts.rs
+++ b/crates/core/src/relay/suspects/verdicts.rs
@@ -2,19 +2,19 @@
 
 use std::collections::BTreeSet;
 
-use super::{CrashId, HarmfulContent, SuspectChange, SuspectKey, SuspectRecord, SuspectTable};
+use super::{CrashId, HarmfulContent, OpenCrash, SuspectChange, SuspectKey, SuspectRecord, SuspectTable};
 use crate::clock::Moment;
 
 /// A suspect with the crashes that are held against it, by time.
 struct Candidate {
     key: SuspectKey,
     incidents: usize,
-    crashes: Vec<(Moment, CrashId)>,
+    crashes: Vec<OpenCrash>,
 }
 
 impl Candidate {
     fn crash_ids(&self) -> BTreeSet<CrashId> {
-        self.crashes.iter().map(|(_, crash)| *crash).collect()
+        self.crashes.iter().map(|open| open.crash).collect()
     }
 }
 
@@ -41,9 +41,10 @@
         let harmful_parts = self.harmful.iter().flat_map(|content| &content.keys).filter(|key| is_part(key));
         let records = harmful_parts.filter_map(|key| self.records.get(key));
         let explained: BTreeSet<CrashId> =
-            records.flat_map(|record| record.open_crashes(&BTreeSet::new())).map(|(_, crash)| crash).collect();
-        let records = keys.iter().filter(|key| is_part(key)).filter_map(|key| self.records.get(key));
-        let mut incidents = records.map(|record| self.count_incidents(&record.open_crashes(&explained)));
+            records.flat_map(|record| record.open_crashes(&BTreeSet::new())).map(|open| open.crash).collect();
+        let parts = keys.iter().filter(|key| is_part(key));
+        let records = parts.filter_map(|key| self.records.get(key).map(|record| (*key, record)));
+        let mut incidents = records.map(|(key, record)| self.count_incidents(key, &record.open_crashes(&explained)));
         incidents.any(|count| count + 1 >= self.limits.part_incident_limit)
     }
 
@@ -72,7 +73,7 @@
     pub fn describe(&self, content: &HarmfulContent, now: Moment) -> (u64, String) {
         let records = content.keys.iter().filter_map(|key| self.records.get(key));
         let crashes = records.flat_map(|record| record.open_crashes(&BTreeSet::new()));
-        let crashes: BTreeSet<(Moment, CrashId)> = crashes.collect();
+        let crashes: BTreeSet<(Moment, CrashId)> = crashes.map(|open| (open.at, open.crash)).collect();
         let age = crashes.last().map(|(at, _)| now.since(*at)).unwrap_or_default();
         let crashes: Vec<String> = crashes.into_iter().map(|(_, crash)| format!("{:x}", crash.0)).collect();
         (age.as_millis() as u64, crashes.join(","))
@@ -138,24 +139,11 @@
     fn harmful_candidate(&self, key: SuspectKey, explained: &BTreeSet<CrashId>) -> Option<Candidate> {
         let crashes = self.records.get(&key)?.open_crashes(explained);
         let (incidents, limit) = match key {
-            SuspectKey::Part(_) => (self.count_incidents(&crashes), self.limits.part_incident_limit),
+            SuspectKey::Part(_) => (self.count_incidents(key, &crashes), self.limits.part_incident_limit),
             SuspectKey::Content(_) => (crashes.len(), self.limits.content_crash_limit),
         };
         (incidents >= limit).then_some(Candidate { key, incidents, crashes })
     }
-
-    /// Returns the number of incidents among `crashes`, which are sorted by time.
-    fn count_incidents(&self, crashes: &[(Moment, CrashId)]) -> usize {
-        let mut count = 0;
-        let mut window_end = Moment::default();
-        for (at, _) in crashes {
-            if count == 0 || *at >= window_end {
-                count += 1;
-                window_end = *at + self.limits.incident_window;
-            }
-        }
-        count
-    }
 }
 
 fn is_part(key: &SuspectKey) -> bool {
--- a/crates/core/tests/relay/refusals.rs
+++ b/crates/core/tests/relay/refusals.rs
@@ -3,9 +3,10 @@
 use wasabipier_core::names::TargetName;
 use wasabipier_core::relay::board::RelayBoard;
 use wasabipier_core::relay::refusals::RefusalEvidence;
+use wasabipier_core::relay::suspects::{CrashId, SuspectKey};
 use wasabipier_core::relay::targets::TargetEntry;
 
-use crate::fixtures::{at, board, target_entry};
+use crate::fixtures::{at, board, millis, target_entry};
 
 /// Returns a board that knows targets of services, by name and service.
 fn board_with_targets(targets: &[(&str, &str)]) -> RelayBoard {
@@ -54,3 +55,21 @@
     board.record_connect_failure(&TargetName::new("i-2"), at(2));
     assert_eq!(control_names(&mut board), ["i-3"]);
 }
+
+/// Guards against a crash that counts as an outage of its data centre since only targets are looked at that have crashed,
+/// too, and against an outage that seems none, since a target has started again after it.
+#[test]
+fn targets_of_the_data_centre_that_have_not_crashed_and_are_warm_show_whether_it_goes_on() {
+    let mut board = board_with_targets(&[("i-0", "coaches"), ("i-1", "coaches"), ("i-2", "coaches"), ("i-3", "clubs")]);
+    board.upsert_target(target_entry("i-4", "coaches", "khomas-b"), at(0));
+    board.upsert_target(TargetEntry { cold_time: millis(5_000), ..target_entry("i-5", "clubs", "khomas-a") }, at(0));
+    let crashed = [target_entry("i-0", "coaches", "khomas-a"), target_entry("i-1", "coaches", "khomas-a")];
+    for entry in &crashed {
+        board.suspects.record_crash(&[SuspectKey::Part(7)], CrashId::from(entry), at(1));
+    }
+
+    let controls = board.outage_controls(&crashed[0], 4, at(300));
+
+    let names: Vec<&str> = controls.iter().map(|entry| entry.target.as_str()).collect();
+    assert_eq!(names, ["i-2", "i-3"], "the same service first");
+}
--- a/crates/core/tests/relay/suspects.rs
+++ b/crates/core/tests/relay/suspects.rs
@@ -143,6 +143,144 @@
     assert!(!refuses(&node, &request_keys(&[COMMON_PART], 100)));
 }
 
+/// First parts of prompts, which sound requests have, too.
+const FIRST_PARTS: [u64; 5] = [0xa1, 0xa2, 0xa3, 0xa4, 0xa5];
+/// Number of targets that one burst of requests with the deadly part crashes.
+const BURST_CRASHES: u64 = 8;
+
+/// Lets requests with the deadly part crash targets at three nodes within 60 ms, from `ms` on. The crashes are numbered
+/// from `first_crash` on.
+fn crash_in_burst(nodes: &mut [SuspectTable], first_crash: u64, ms: u64) {
+    for number in 0..BURST_CRASHES {
+        let keys = request_keys(&[FIRST_PARTS[number as usize % 5], DEADLY_PART], ms + number);
+        nodes[number as usize % 3].record_crash(&keys, CrashId(first_crash + number), at(ms + number * 7));
+    }
+}
+
+/// Records that other targets in the data centres of these crashes went on.
+fn isolate_crashes(nodes: &mut [SuspectTable], crashes: std::ops::Range<u64>, ms: u64) {
+    for crash in crashes {
+        nodes[crash as usize % 3].record_isolated(CrashId(crash), at(ms));
+    }
+}
+
+// Guards against requests with a deadly part that come at once: all their crashes are of one moment, and the part was
+// blamed after three such bursts only (BUDGET).
+#[test]
+fn a_part_that_crashes_targets_of_data_centres_that_go_on_is_refused_after_one_burst() {
+    let mut nodes = tables(7);
+
+    crash_in_burst(&mut nodes, 0, 0);
+    exchange_reports(&mut nodes, 100);
+    let refused_early = refuses(&nodes[6], &request_keys(&[FIRST_PARTS[0], DEADLY_PART], 500));
+    isolate_crashes(&mut nodes, 0..BURST_CRASHES, 320);
+    exchange_reports(&mut nodes, 400);
+    exchange_reports(&mut nodes, 500);
+
+    assert!(!refused_early, "it may be an outage");
+    for node in &nodes {
+        for first in FIRST_PARTS {
+            assert!(refuses(node, &request_keys(&[first, DEADLY_PART], 600)));
+            assert!(!refuses(node, &request_keys(&[first], 601)), "the first part is not blamed");
+        }
+        assert!(refuses(node, &request_keys(&[9, DEADLY_PART], 602)), "the deadly part alone is blamed");
+        assert_eq!(node.harmful()[0].incidents, SuspectLimits::default().part_incident_limit);
+    }
+}
+
+// Guards against trials that crash targets every ten seconds, since bursts of one moment raise the pause no further.
+#[test]
+fn each_trial_after_a_burst_is_followed_by_a_longer_pause() {
+    let mut nodes = tables(3);
+    crash_in_burst(&mut nodes, 0, 0);
+    exchange_reports(&mut nodes, 100);
+    isolate_crashes(&mut nodes, 0..BURST_CRASHES, 320);
+    let node = &mut nodes[0];
+    exchange_reports(std::slice::from_mut(node), 400);
+
+    let mut trials = Vec::new();
+    for ms in (400..120_000).step_by(100) {
+        let Some(harmful) = node.harmful().first().cloned() else { continue };
+        if node.try_start_trial(&harmful, at(ms)) {
+            node.record_crash(&deadly_request(ms), CrashId(ms), at(ms + 50));
+            trials.push(ms);
+        }
+    }
+
+    assert!((1..=3).contains(&trials.len()), "{trials:?}");
+}
+
+// Guards against blame for a part that many calls have when a rack or some targets of each data centre fail at once.
+#[test]
+fn a_part_that_was_proven_sound_is_not_blamed_for_targets_that_fail_at_once() {
+    let mut node = SuspectTable::new(SuspectLimits::default());
+    node.record_proof(&request_keys(&[COMMON_PART], 1), at(0));
+
+    for number in 0..12 {
+        node.record_crash(&request_keys(&[COMMON_PART], 10 + number), CrashId(number), at(60_000 + number * 5));
+        node.record_isolated(CrashId(number), at(60_300));
+    }
+
+    assert!(!refuses(&node, &request_keys(&[COMMON_PART], 100)));
+}
+
+// Guards against blame for a part that few calls have when targets fail at once, a few of which held such calls.
+#[test]
+fn a_part_in_few_of_the_crashes_of_a_moment_is_not_blamed() {
+    let mut node = SuspectTable::new(SuspectLimits::default());
+
+    for number in 0..20 {
+        let parts = if number % 5 == 0 { &[COMMON_PART, 7][..] } else { &[COMMON_PART][..] };
+        node.record_crash(&request_keys(parts, number), CrashId(number), at(number * 5));
+    }
+    node.record_proof(&request_keys(&[COMMON_PART], 100), at(200));
+    for number in 0..20 {
+        node.record_isolated(CrashId(number), at(300));
+    }
+
+    assert!(!refuses(&node, &request_keys(&[COMMON_PART, 7], 101)));
+}
+
+// Guards against blame for a part that all calls of a data centre have when it fails, and nodes notice that one after the
+// other. Some nodes have never seen the part before.
+#[test]
+fn a_data_centre_that_fails_blames_nothing_whenever_nodes_notice_it() {
+    let mut nodes = tables(6);
+    nodes[5].record_proof(&request_keys(&[COMMON_PART], 1), at(0));
+
+    for number in 0..24_u64 {
+        let (index, ms) = (number as usize % 3, 1_000 + number % 3 * 400 + number);
+        nodes[index].record_crash(&request_keys(&[COMMON_PART], 10 + number), CrashId(number), at(ms));
+        if number % 3 == 0 {
+            // Requests go on at the other data centres.
+            nodes[4].record_proof(&request_keys(&[COMMON_PART], 100 + number), at(ms + 50));
+        }
+    }
+    exchange_reports(&mut nodes, 1_900);
+    exchange_reports(&mut nodes, 2_000);
+
+    for node in &nodes {
+        assert!(!refuses(node, &request_keys(&[COMMON_PART], 200)));
+        assert!(node.harmful().is_empty());
+    }
+}
+
+// Guards against connections that are opened for each crash to look for an outage, which cost targets and callers time.
+#[test]
+fn an_outage_is_looked_for_only_if_the_blame_depends_on_it() {
+    let mut node = SuspectTable::new(SuspectLimits::default());
+    node.record_crash(&deadly_request(1), CrashId(1), at(0));
+    let alone = node.is_isolation_sought(CrashId(1), at(250));
+    node.record_crash(&deadly_request(2), CrashId(2), at(100));
+    let together = [CrashId(1), CrashId(2)].map(|crash| node.is_isolation_sought(crash, at(350)));
+    node.record_isolated(CrashId(1), at(360));
+    let known = node.is_isolation_sought(CrashId(1), at(370));
+    node.record_proof(&deadly_request(3), at(400));
+
+    assert_eq!((alone, together, known), (false, [true; 2], false));
+    assert!(!node.is_isolation_sought(CrashId(2), at(410)));
+}
+
 // Guards against a whole request that reaches its lower limit first and so excuses the part that it contains.
 #[test]
 fn a_harmful_request_does_not_explain_the_crashes_of_its_parts() {
@@ -286,10 +424,12 @@
 }
 
 fn report_strategy() -> impl Strategy<Value = SuspectReport> {
-    let crash = (0_u64..6, 0_u64..5_000, any::<bool>()).prop_map(|(crash, age_ms, is_exonerated)| CrashReport {
+    let crash = (0_u64..6, 0_u64..5_000, any::<bool>(), any::<bool>());
+    let crash = crash.prop_map(|(crash, age_ms, is_exonerated, is_isolated)| CrashReport {
         crash: CrashId(crash),
         age: Duration::from_millis(age_ms),
         is_exonerated,
+        is_isolated,
     });
     (0_u64..4, prop::collection::vec(crash, 1..5))
         .prop_map(|(part, crashes)| SuspectReport { key: SuspectKey::Part(part), crashes })
--- a/crates/relay/src/blame.rs
+++ b/crates/relay/src/blame.rs
@@ -5,6 +5,8 @@
 
 use futures_util::future::join_all;
 use spdlog::{info, warn};
+use tokio::task::spawn_local;
+use tokio::time::sleep;
 use wasabipier_core::names::NodeName;
 use wasabipier_core::relay::refusals::RefusalEvidence;
 use wasabipier_core::relay::suspects::{CrashId, HarmfulContent, RunStage, SuspectChange, SuspectKey, SuspectReport};
@@ -23,6 +25,9 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 /// Maximum number of other targets that are connected to, to find out whether this node is partitioned.
 const MAX_CONTROLS: usize = 2;
+/// Maximum number of other targets of a data centre that are connected to, one after the other, to find out whether it is
+/// the data centre that has failed.
+const MAX_OUTAGE_CONTROLS: usize = 4;
 
 /// Suspects the content `keys` of the request `id`, whose call broke at the stage `run`, if that proves nothing and the
 /// target is down.
@@ -51,9 +56,51 @@
     handle_change(node, &change, entry.target.as_str());
     if change.is_new {
         node.heartbeat_now.notify_one();
+        spawn_local(look_for_outage(node.clone(), entry.clone()));
     }
 }
 
+/// Finds out whether other targets in the data centre of a target that has crashed go on, if the blame depends on it. An
+/// outage has taken them all when the time is over in which crashes are one incident.
+async fn look_for_outage(node: SharedNode, entry: TargetEntry) {
+    let crash = CrashId::from(&entry);
+    let window = node.board.borrow().tuning.suspect_limits.incident_window;
+    sleep(window).await;
+    let controls = {
+        let (mut board, now) = (node.board.borrow_mut(), clock::now());
+        if !board.suspects.is_isolation_sought(crash, now) {
+            return;
+        }
+        board.outage_controls(&entry, MAX_OUTAGE_CONTROLS, now)
+    };
+    let mut survivor = None;
+    for control in &controls {
+        if is_reached(&node, control).await {
+            survivor = Some(control.target.as_str());
+            break;
+        }
+    }
+    let now = clock::now();
+    if node.log_limiter.allows(now) {
+        let (target, dc, survivor) = (entry.target.as_str(), entry.dc.as_str(), survivor.unwrap_or("none"));
+        info!("{REQUEST} crash compared with its data centre.", kv: { target, dc, survivor, tried = controls.len() });
+    }
+    if survivor.is_none() {
+        return;
+    }
+    let change = node.board.borrow_mut().suspects.record_isolated(crash, now);
+    handle_change(&node, &change, entry.target.as_str());
+    if change.is_new {
+        node.heartbeat_now.notify_one();
+    }
+}
+
+/// Returns whether this node or a peer connects to a target.
+async fn is_reached(node: &SharedNode, entry: &TargetEntry) -> bool {
+    sockets::connect(entry.address, PROBE_TIMEOUT).await.is_ok()
+        || tunnels::ask_peers(node, entry, PROBE_TIMEOUT).await == Some(true)
+}
+
 /// Connects to a target, and if it refuses, finds out whether this node reaches others and peers reach the target. Returns
 /// `None` if it accepts, or does not respond in time, which may have another reason.
 async fn probe_target(node: &SharedNode, entry: &TargetEntry) -> Option<RefusalEvidence> {
--- a/crates/relay/src/heartbeats.rs
+++ b/crates/relay/src/heartbeats.rs
@@ -11,7 +11,7 @@
 use wasabipier_core::clock::Moment;
 use wasabipier_core::names::NodeName;
 use wasabipier_core::relay::fleet::{FleetPartners, FleetReport, MAX_SMALL_FLEET_NODES};
-use wasabipier_core::relay::members::{CallVersion, RelayHeartbeat};
+use wasabipier_core::relay::members::CallVersion;
 use wasabipier_wire::relay::extension::HeartbeatExtension;
 use wasabipier_wire::relay::{WireCall, WireReply};
 
@@ -196,12 +196,13 @@
             None => board.next_heartbeat(called_at),
         };
         let call = WireCall::Heartbeat(Box::new((&heartbeat).into()), (&report).into());
-        (call, HeartbeatExtension::of_call(CallVersion::CURRENT, &board.rosters.known()))
+        let extension = HeartbeatExtension::of_call(CallVersion::CURRENT, &board.rosters.known());
+        (call, extension.with_suspects(&heartbeat.suspects))
     };
     let reply = node.peers.call_heartbeat(address, &call, &extension, HEARTBEAT_TIMEOUT).await;
     let has_answered = match reply {
         Ok((WireReply::Heartbeat(heartbeat, known_addresses, report), extension)) => {
-            let heartbeat = RelayHeartbeat { call_version: extension.call_version(), ..(*heartbeat).into() };
+            let heartbeat = extension.complete(*heartbeat);
             let proofs = heartbeat.proofs.clone();
             let mut report = FleetReport::from(report);
             let (rosters, members) = extension.into_report();
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -315,7 +315,7 @@
     extension: &HeartbeatExtension,
 ) -> (WireReply, HeartbeatExtension) {
     let now = clock::now();
-    let heartbeat = RelayHeartbeat { call_version: extension.call_version(), ..heartbeat.into() };
+    let heartbeat = extension.complete(heartbeat);
     let caller = FleetCaller {
         node: heartbeat.node.clone(),
         instance: heartbeat.instance,
@@ -402,5 +402,6 @@
     let members = if reads_rosters { std::mem::take(&mut report.members) } else { Vec::new() };
     let extension = HeartbeatExtension::of_reply(CallVersion::CURRENT, &report.rosters, &members);
     let heartbeat = board.next_heartbeat_to(&caller.node, &caller.dc, now);
+    let extension = extension.with_suspects(&heartbeat.suspects);
     (WireReply::Heartbeat(Box::new((&heartbeat).into()), known_addresses, (&report).into()), extension)
 }
--- a/crates/wire/src/relay/extension.rs
+++ b/crates/wire/src/relay/extension.rs
@@ -3,6 +3,7 @@
 //! Nodes that read calls of version 6 only take no notice of bytes after the body, and nodes of all later versions skip
 //! fields that they do not know.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use bincode::config;
@@ -10,6 +11,7 @@
 use wasabipier_core::names::NodeName;
 use wasabipier_core::relay::members::{CallVersion, RelayHeartbeat};
 use wasabipier_core::relay::rosters::{KnownRoster, RosterId, RosterUpdate};
+use wasabipier_core::relay::suspects::SuspectReport;
 
 use super::{WireCall, WireHeartbeat, WireReply, decode_with_rest, encode};
 use crate::frame::{FrameError, MAX_FRAME_BYTES};
@@ -29,6 +31,9 @@
     /// Live nodes that no roster lists, in replies.
     #[prost(message, repeated, tag = "4")]
     members: Vec<WireMember>,
+    /// Isolated crashes among those of the heartbeat's suspects.
+    #[prost(fixed64, repeated, tag = "5")]
+    isolated_crashes: Vec<u64>,
 }
 
 /// Encoded form of [`KnownRoster`].
@@ -136,12 +141,30 @@
     ) -> Self {
         Self {
             call_version: call_version.0,
-            known: Vec::new(),
             rosters: rosters.iter().map(Into::into).collect(),
             members: members.iter().map(|(heartbeat, age)| WireMember::new(heartbeat, *age)).collect(),
+            ..Self::default()
         }
     }
 
+    /// Adds which crashes of the heartbeat's `suspects` are isolated.
+    #[must_use]
+    pub fn with_suspects(self, suspects: &[SuspectReport]) -> Self {
+        let isolated = suspects.iter().flat_map(|suspect| &suspect.crashes).filter(|report| report.is_isolated);
+        let isolated: BTreeSet<u64> = isolated.map(|report| report.crash.0).collect();
+        Self { isolated_crashes: isolated.into_iter().collect(), ..self }
+    }
+
+    /// Returns the heartbeat that this message follows, with what it tells of the sender itself.
+    #[must_use]
+    pub fn complete(&self, heartbeat: WireHeartbeat) -> RelayHeartbeat {
+        let mut heartbeat = RelayHeartbeat { call_version: self.call_version(), ..heartbeat.into() };
+        for report in heartbeat.suspects.iter_mut().flat_map(|suspect| &mut suspect.crashes) {
+            report.is_isolated = self.isolated_crashes.contains(&report.crash.0);
+        }
+        heartbeat
+    }
+
     /// Returns the highest version of calls that the sender reads.
     #[must_use]
     pub fn call_version(&self) -> CallVersion {
--- a/crates/wire/src/suspects.rs
+++ b/crates/wire/src/suspects.rs
@@ -1,4 +1,5 @@
-//! Suspects in heartbeats between relay nodes: content that may have crashed targets.
+//! Suspects in heartbeats between relay nodes: content that may have crashed targets. Which crashes are isolated follows
+//! in the [extension](crate::relay::extension).
 
 use std::time::Duration;
 
@@ -35,6 +36,7 @@
             crash: CrashId(crash),
             age: Duration::from_millis(u64::from(age_ms)),
             is_exonerated,
+            is_isolated: false,
         });
         Self {
             key: if is_part { SuspectKey::Part(key) } else { SuspectKey::Content(Fingerprint(key)) },
--- a/crates/wire/tests/call_versions.rs
+++ b/crates/wire/tests/call_versions.rs
@@ -15,6 +15,7 @@
 use wasabipier_core::relay::placement::{GrantEnd, GrantEvent, GrantId, PlacementGrant, PlacementRequest};
 use wasabipier_core::relay::rollout::VersionLane;
 use wasabipier_core::relay::rosters::{KnownRoster, RosterId, RosterUpdate};
+use wasabipier_core::relay::suspects::{CrashId, CrashReport, SuspectKey, SuspectReport};
 use wasabipier_core::relay::usage::{RunCounts, UsageUpdate};
 use wasabipier_wire::frame::FrameError;
 use wasabipier_wire::relay::current::{
@@ -24,7 +25,7 @@
 use wasabipier_wire::relay::extension::{
     HeartbeatExtension, decode_extended, encode_heartbeat, encode_heartbeat_reply,
 };
-use wasabipier_wire::relay::{WireCall, WireReply, decode, encode};
+use wasabipier_wire::relay::{WireCall, WireFleetReport, WireReply, decode, encode};
 
 /// Returns the recorded messages of a kind, `call` or `reply`, with their file names.
 fn recorded(kind: &str) -> Vec<(String, Vec<u8>)> {
@@ -89,6 +90,32 @@
     assert_eq!(decoded.into_report(), (vec![update], members.to_vec()));
 }
 
+/// Guards against nodes that disagree about content, since one of them does not learn which crashes were no outages, and
+/// against heartbeats that the earlier release cannot read.
+#[test]
+fn isolated_crashes_of_suspects_follow_the_heartbeat_of_the_earlier_release() {
+    let report = |crash, is_isolated| CrashReport {
+        crash: CrashId(crash),
+        age: Duration::from_millis(70),
+        is_exonerated: false,
+        is_isolated,
+    };
+    let suspects = vec![SuspectReport { key: SuspectKey::Part(5), crashes: vec![report(1, true), report(2, false)] }];
+    let heartbeat = RelayHeartbeat { suspects: suspects.clone(), ..member("edge-1") };
+    let call = WireCall::Heartbeat(Box::new((&heartbeat).into()), WireFleetReport::default());
+    let extension = HeartbeatExtension::of_call(CallVersion::CURRENT, &[]).with_suspects(&heartbeat.suspects);
+
+    let bytes = encode_heartbeat(&call, &extension);
+
+    assert!(bytes.starts_with(&encode(&call)));
+    let (WireCall::Heartbeat(wire, _), extension) = decode_extended(&bytes).expect("it decodes") else {
+        panic!("a heartbeat")
+    };
+    assert_eq!(extension.complete(*wire.clone()), heartbeat);
+    let from_earlier = HeartbeatExtension::default().complete(*wire);
+    assert!(from_earlier.suspects[0].crashes.iter().all(|crash| !crash.is_isolated));
+}
+
 #[test]
 fn a_node_that_tells_no_version_reads_the_base_version() {
     let (_, extension) = decode_extended::<WireCall>(&encode(&recorded_heartbeat())).expect("it decodes");
--- a/crates/wire/tests/relay.rs
+++ b/crates/wire/tests/relay.rs
@@ -134,7 +134,7 @@
 
 /// Returns the report that a suspect with `key` is held responsible for one crash.
 fn suspect_report(key: SuspectKey, is_exonerated: bool) -> SuspectReport {
-    let crash = CrashReport { crash: CrashId(9), age: Duration::from_millis(1_250), is_exonerated };
+    let crash = CrashReport { crash: CrashId(9), age: Duration::from_millis(1_250), is_exonerated, is_isolated: false };
     SuspectReport { key, crashes: vec![crash] }
 }
 
