Check the size of heads and bodies against the document in force

Callers of a node that knew no document yet got 431 and 413 by defaults that nobody had set, and a head of more than 100 fields got 431 whatever the limit.

Cause: the HTTP library got the limit as the connection opened and keeps it for good; defaults stood in for a document that was not known; the library bounds the number of fields at 100.

The library now reads heads of up to 1 MB and 4,096 fields, and admission checks sizes against the document in force, so that a smaller limit holds on kept connections, too. Without a document, or with one that is too old to deny anything, a request that seems too large is refused as not run. Incomplete heads above 16 KB count in the memory of the bodies of requests.

--- a/crates/core/src/relay/access.rs
+++ b/crates/core/src/relay/access.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::names::OrgName;
-use crate::relay::document::{DocumentIndex, RelayRoute};
+use crate::relay::document::{DocumentIndex, MAX_REQUEST_HEAD_BYTES, RelayRoute};
 
 /// Maximum ages of the document, by the decision that it is used for. The age is the time since the document was last
 /// known to be the newest.
@@ -12,7 +12,7 @@
 pub struct FreshnessLimits {
     /// Maximum age for accepting an API key. A revoked key must not be accepted for longer than this.
     pub max_document_age_for_keys: Duration,
-    /// Maximum age for reporting that a route or key does not exist. With an older document the denial is
+    /// Maximum age for reporting that a route or key does not exist or a request is too large. With an older document the denial is
     /// [`AccessDenial::StaleDocument`].
     pub max_document_age_for_absence: Duration,
     /// Maximum time for which requests are served although a peer is known to have a newer document.
@@ -41,6 +41,19 @@
     NoRoute,
     /// The request has no API key, or one that no organisation holds.
     UnknownKey,
+    /// The head is larger than the document allows.
+    HeadTooLarge,
+    /// The body is larger than the document allows.
+    BodyTooLarge,
+}
+
+/// Size of a request in bytes, as far as it is known.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RequestSize {
+    /// Size of the head.
+    pub head: usize,
+    /// Size of the body, or of what has arrived of it.
+    pub body: usize,
 }
 
 /// Result of a successful access check.
@@ -65,6 +78,32 @@
     pub key: Option<&'a str>,
 }
 
+/// Checks whether the size of a request is within the limits of the document. `age` is the time since the document was last
+/// known to be the newest, or `None` if there is no document, so that the limits are unknown.
+///
+/// # Errors
+///
+/// Returns the reason for the denial.
+pub fn check_size(
+    index: &DocumentIndex,
+    age: Option<Duration>,
+    limits: &FreshnessLimits,
+    size: RequestSize,
+) -> Result<(), AccessDenial> {
+    let denial = if size.head > index.caller_limits.max_header_bytes.min(MAX_REQUEST_HEAD_BYTES) {
+        AccessDenial::HeadTooLarge
+    } else if size.body > index.caller_limits.max_body_bytes {
+        AccessDenial::BodyTooLarge
+    } else {
+        return Ok(());
+    };
+    match age {
+        None => Err(AccessDenial::NoDocument),
+        Some(age) if age > limits.max_document_age_for_absence => Err(AccessDenial::StaleDocument),
+        Some(_) => Err(denial),
+    }
+}
+
 /// Checks whether a request may be served. `age` is the time since the document was last known to be the newest, or
 /// `None` if there is no document. A request that needs no key is accepted whatever the age.
 ///
--- a/crates/core/src/relay/board.rs
+++ b/crates/core/src/relay/board.rs
@@ -10,7 +10,9 @@
 use crate::clock::Moment;
 use crate::message::NodeState;
 use crate::names::{DcName, ServiceName, TargetName};
-use crate::relay::access::{AccessClaim, AccessDenial, AccessGrant, FreshnessLimits, check_access};
+use crate::relay::access::{
+    AccessClaim, AccessDenial, AccessGrant, FreshnessLimits, RequestSize, check_access, check_size,
+};
 use crate::relay::brittle::{BrittleTable, RoomLedger};
 use crate::relay::budget::{RetryLedger, RetryLimits};
 use crate::relay::choice::{CallRequirements, ChoiceContext, ChoiceScope, ChoiceWeights, choose_target};
@@ -262,6 +264,15 @@
         check_access(&self.index, self.document_age(now), &self.tuning.freshness_limits, claim)
     }
 
+    /// Checks whether the size of a request is within the limits in force.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason for the denial.
+    pub fn check_size(&self, size: RequestSize, now: Moment) -> Result<(), AccessDenial> {
+        check_size(&self.index, self.document_age(now), &self.tuning.freshness_limits, size)
+    }
+
     /// Draws the service for a request of `route` at random by weight. Returns `None` if all weights are 0.
     pub fn draw_service(&mut self, route: &RelayRoute) -> Option<ServiceName> {
         let total: u32 = route.services.iter().map(|entry| entry.weight).sum();
--- a/crates/core/src/relay/document.rs
+++ b/crates/core/src/relay/document.rs
@@ -155,6 +155,9 @@
     pub scaling: Option<ScalingSpec>,
 }
 
+/// Largest head of a request in bytes that nodes read, whatever the document allows.
+pub const MAX_REQUEST_HEAD_BYTES: usize = 1024 * 1024;
+
 /// Limits on the size of requests and on the time for which connections may be silent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CallerLimits {
--- a/crates/core/src/relay/document_check.rs
+++ b/crates/core/src/relay/document_check.rs
@@ -7,7 +7,9 @@
 use std::time::Duration;
 
 use crate::names::{OrgName, ServiceName};
-use crate::relay::document::{CallerLimits, KeyHolder, RelayDocument, RelayRoute, RelayService, StageSpec};
+use crate::relay::document::{
+    CallerLimits, KeyHolder, MAX_REQUEST_HEAD_BYTES, RelayDocument, RelayRoute, RelayService, StageSpec,
+};
 
 /// How much a finding matters.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, strum::Display)]
@@ -204,6 +206,12 @@
         if limits.max_header_bytes == 0 || limits.header_timeout.is_zero() {
             self.error(place(), "no request fits a head of 0 bytes or ms; raise the limit");
         }
+        if limits.max_header_bytes > MAX_REQUEST_HEAD_BYTES {
+            self.warn(
+                place(),
+                format!("heads above {MAX_REQUEST_HEAD_BYTES} bytes are refused all the same; lower the limit"),
+            );
+        }
         if limits.max_body_bytes == 0 {
             self.warn(place(), "no request may have a body; raise the limit unless that is meant");
         }
--- a/crates/core/tests/relay/access.rs
+++ b/crates/core/tests/relay/access.rs
@@ -3,9 +3,13 @@
 use std::sync::Arc;
 
 use wasabipier_core::names::OrgName;
-use wasabipier_core::relay::access::{AccessClaim, AccessDenial, FreshnessLimits, check_access};
+use wasabipier_core::relay::access::{
+    AccessClaim, AccessDenial, FreshnessLimits, RequestSize, check_access, check_size,
+};
 use wasabipier_core::relay::board::RelayBoard;
-use wasabipier_core::relay::document::{DocumentIndex, KeyHolder, RelayDocument, RelayRoute};
+use wasabipier_core::relay::document::{
+    CallerLimits, DocumentIndex, KeyHolder, MAX_REQUEST_HEAD_BYTES, RelayDocument, RelayRoute,
+};
 use wasabipier_core::relay::rows::{RowBatch, SharedRow, TableId};
 
 use crate::fixtures::{at, board, document_index, millis, route, version};
@@ -115,6 +119,37 @@
     assert_eq!(denial, Some(AccessDenial::NoDocument));
 }
 
+/// Guards against a refusal for the size of a request by limits that are not those in force: a node without a document has
+/// default ones, and the newest may allow more than an old one (DENIED).
+#[test]
+fn sizes_are_checked_against_a_document_that_is_known_to_be_in_force() {
+    let caller_limits = CallerLimits { max_header_bytes: 1_000, max_body_bytes: 2_000, ..CallerLimits::default() };
+    let index = DocumentIndex::new(RelayDocument { version: 1, caller_limits, ..RelayDocument::default() });
+    let check = |age: Option<u64>, head, body| {
+        check_size(&index, age.map(millis), &FreshnessLimits::default(), RequestSize { head, body }).err()
+    };
+
+    assert_eq!(check(Some(10), 1_000, 2_000), None);
+    assert_eq!(check(Some(10), 1_001, 0), Some(AccessDenial::HeadTooLarge));
+    assert_eq!(check(Some(10), 0, 2_001), Some(AccessDenial::BodyTooLarge));
+    for (head, body) in [(1_001, 0), (0, 2_001)] {
+        assert_eq!(check(None, head, body), Some(AccessDenial::NoDocument));
+        assert_eq!(check(Some(3_001), head, body), Some(AccessDenial::StaleDocument));
+    }
+}
+
+/// Guards against heads that the document allows and a node cannot hold.
+#[test]
+fn a_head_above_what_nodes_read_is_too_large_whatever_the_document_allows() {
+    let caller_limits = CallerLimits { max_header_bytes: usize::MAX, ..CallerLimits::default() };
+    let index = DocumentIndex::new(RelayDocument { version: 1, caller_limits, ..RelayDocument::default() });
+    let check =
+        |head| check_size(&index, Some(millis(10)), &FreshnessLimits::default(), RequestSize { head, body: 0 }).err();
+
+    assert_eq!(check(MAX_REQUEST_HEAD_BYTES), None);
+    assert_eq!(check(MAX_REQUEST_HEAD_BYTES + 1), Some(AccessDenial::HeadTooLarge));
+}
+
 /// Converts organisation names to text, for comparison.
 trait OrgText {
     fn to_text(&self) -> Option<String>;
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -9,7 +9,7 @@
 use tokio::time::timeout;
 use wasabipier_core::clock::Moment;
 use wasabipier_core::names::{Fingerprint, ServiceName, stable_hash};
-use wasabipier_core::relay::access::{AccessClaim, AccessDenial, AccessGrant};
+use wasabipier_core::relay::access::{AccessClaim, AccessDenial, AccessGrant, RequestSize};
 use wasabipier_core::relay::board::{ContentVerdict, RelayBoard};
 use wasabipier_core::relay::departure::DepartureVerdict;
 use wasabipier_core::relay::document::RelayRoute;
@@ -90,6 +90,8 @@
     body: Incoming,
 ) -> Result<AdmittedRequest, Rejection> {
     let started = clock::now();
+    let size = RequestSize { head: head_bytes(parts), body: 0 };
+    node.board.borrow().check_size(size, started).map_err(rejection_from_denial)?;
     let body = read_body(node, head, body).await?;
     let claim = AccessClaim { host: &head.host, path: parts.uri.path(), key: head.key.as_deref() };
     let mut board = node.board.borrow_mut();
@@ -203,32 +205,53 @@
         AccessDenial::StaleDocument => Rejection::not_run("document may be old", RETRY_AFTER),
         AccessDenial::NoRoute => Rejection::new(RefusalKind::NoRoute, "no route"),
         AccessDenial::UnknownKey => Rejection::new(RefusalKind::UnknownKey, "unknown key"),
+        AccessDenial::HeadTooLarge => Rejection::new(RefusalKind::HeadTooLarge, "head too large"),
+        AccessDenial::BodyTooLarge => Rejection::new(RefusalKind::TooLarge, "body too large"),
     }
 }
 
+/// Returns the size of a head in bytes, without optional spaces.
+fn head_bytes(parts: &http::request::Parts) -> usize {
+    const VERSION: &str = " HTTP/1.1\r\n";
+    let uri = &parts.uri;
+    let uri_bytes = uri.path_and_query().map_or(0, |path| path.as_str().len())
+        + uri.authority().map_or(0, |authority| authority.as_str().len())
+        + uri.scheme_str().map_or(0, |scheme| scheme.len() + "://".len());
+    let fields = parts.headers.iter().map(|(name, value)| name.as_str().len() + value.len() + ":\r\n".len());
+    parts.method.as_str().len() + " ".len() + uri_bytes + VERSION.len() + fields.sum::<usize>() + "\r\n".len()
+}
+
 async fn read_body(node: &SharedNode, head: &RequestHead, body: Incoming) -> Result<Bytes, Rejection> {
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
-    let limits = node.board.borrow().index.caller_limits;
-    if body.size_hint().lower() > limits.max_body_bytes as u64 {
-        return Err(Rejection::new(RefusalKind::TooLarge, "body too large"));
-    }
+    let (limits, now) = (node.board.borrow().index.caller_limits, clock::now());
+    let least = RequestSize { body: usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX), head: 0 };
+    node.board.borrow().check_size(least, now).map_err(rejection_from_denial)?;
     let body_timeout = head.time_left.unwrap_or(limits.idle_timeout);
     let buffer = BodyBuffer::new(&node.request_memory, limits.max_body_bytes);
-    let read = timeout(body_timeout, collect_body(body, buffer));
+    let read = timeout(body_timeout, collect_body(node, body, buffer));
     read.await.unwrap_or(Err(Rejection::new(RefusalKind::TooSlow, "body too slow")))
 }
 
-async fn collect_body(mut body: Incoming, mut buffer: BodyBuffer) -> Result<Bytes, Rejection> {
+async fn collect_body(node: &SharedNode, mut body: Incoming, mut buffer: BodyBuffer) -> Result<Bytes, Rejection> {
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| Rejection::new(RefusalKind::Malformed, "body broke off"))?;
         if let Ok(data) = frame.into_data() {
             buffer.push(&data).map_err(|overflow| match overflow {
-                BufferOverflow::Body => Rejection::new(RefusalKind::TooLarge, "body too large"),
+                BufferOverflow::Body => reject_body(node, buffer.byte_count() + data.len()),
                 BufferOverflow::Total => Rejection::not_run("bodies of requests fill the memory", RETRY_AFTER),
             })?;
         }
     }
     Ok(buffer.into_bytes())
 }
+
+/// Returns the rejection of a request whose body has exceeded its maximum with its first `body_bytes` bytes.
+fn reject_body(node: &SharedNode, body_bytes: usize) -> Rejection {
+    let size = RequestSize { body: body_bytes, head: 0 };
+    let denial = node.board.borrow().check_size(size, clock::now()).err();
+    // The limit has been raised while the body arrived.
+    let raised = || Rejection::not_run("limit on bodies has changed", RETRY_AFTER);
+    denial.map_or_else(raised, rejection_from_denial)
+}
--- a/crates/relay/src/buffer_memory.rs
+++ b/crates/relay/src/buffer_memory.rs
@@ -1,5 +1,5 @@
-//! Bounds the memory of what callers and targets have sent and this node still holds: bodies that are read completely
-//! before they are used or forwarded, and parts of streams.
+//! Bounds the memory of what callers and targets have sent and this node still holds: heads that are incomplete, bodies that
+//! are read completely before they are used or forwarded, and parts of streams.
 //!
 //! A bound on each buffer is not enough, since a node has hundreds of connections. Buffers beyond a small size count in a
 //! total, so that large ones do not keep usual ones out.
@@ -15,6 +15,8 @@
 
 /// Size in bytes up to which a body is not counted.
 const UNCOUNTED_BODY_BYTES: usize = 64 * 1024;
+/// Size in bytes up to which a head is not counted.
+const UNCOUNTED_HEAD_BYTES: usize = 16 * 1024;
 /// Number of bytes up to which a stream is not counted. Its events hold a few tokens each.
 const UNCOUNTED_STREAM_BYTES: usize = 16 * 1024;
 /// Size in bytes from which on a part of a stream is counted until its caller has taken it.
@@ -104,6 +106,12 @@
         Ok(())
     }
 
+    /// Returns the number of bytes in the buffer.
+    #[must_use]
+    pub fn byte_count(&self) -> usize {
+        self.bytes.len()
+    }
+
     /// Returns the body.
     #[must_use]
     pub fn into_bytes(self) -> Bytes {
@@ -123,6 +131,51 @@
     }
 }
 
+/// Bytes of a request's head that is incomplete.
+#[derive(Debug)]
+pub struct HeadMemory {
+    memory: BufferMemory,
+    bytes: usize,
+    counted: usize,
+}
+
+impl HeadMemory {
+    /// Creates a head of which nothing has arrived and that counts in `memory`.
+    #[must_use]
+    pub fn new(memory: &BufferMemory) -> Self {
+        Self { memory: memory.clone(), bytes: 0, counted: 0 }
+    }
+
+    /// Counts bytes that have arrived.
+    ///
+    /// # Errors
+    ///
+    /// `Total` if all buffers together exceed their maximum.
+    pub fn add(&mut self, bytes: usize) -> Result<(), BufferOverflow> {
+        self.bytes += bytes;
+        // The buffer of a head doubles as it grows.
+        let counted = self.bytes.saturating_sub(UNCOUNTED_HEAD_BYTES) * 2;
+        if counted > self.counted && self.memory.total() + counted - self.counted > self.memory.max_total {
+            return Err(BufferOverflow::Total);
+        }
+        self.memory.replace(self.counted, counted);
+        self.counted = counted;
+        Ok(())
+    }
+
+    /// Counts nothing any more: the head is complete.
+    pub fn clear(&mut self) {
+        self.memory.replace(self.counted, 0);
+        (self.bytes, self.counted) = (0, 0);
+    }
+}
+
+impl Drop for HeadMemory {
+    fn drop(&mut self) {
+        self.clear();
+    }
+}
+
 /// Bytes that one stream holds: those of the event that is incomplete, and of parts that its caller has not taken.
 #[derive(Clone, Debug)]
 pub struct StreamMemory {
--- a/crates/relay/src/head_timer.rs
+++ b/crates/relay/src/head_timer.rs
@@ -1,18 +1,21 @@
-//! Closes a connection if a request head takes too long to arrive, or if the connection is idle for too long.
+//! Closes a connection if a request head takes too long to arrive or too much memory, or if the connection is idle for too
+//! long.
 
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll, Waker};
+use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf, Take};
 use tokio::time::{Instant, Sleep, sleep};
 
 use crate::body::{AnswerBody, StreamCut};
+use crate::buffer_memory::HeadMemory;
+use crate::unsent::UnsentBytes;
 use crate::unwritten::PendingWrite;
 
 /// Time after which an overdue connection is looked at again before it is closed. When the system resumes a process that was
@@ -23,9 +26,13 @@
 #[derive(Clone, Debug, Default)]
 pub struct HeadSignal {
     is_serving: Rc<Cell<bool>>,
+    /// Number of heads that were read.
+    head_count: Rc<Cell<u64>>,
     /// Wakes the connection when a request has been served and its answer written, so that the timer of an idle
     /// connection starts.
     waker: Rc<RefCell<Option<Waker>>>,
+    /// Bytes of the answer that is being sent.
+    unsent: Rc<UnsentBytes>,
 }
 
 impl HeadSignal {
@@ -33,6 +40,7 @@
     #[must_use]
     pub fn record_head_read(&self) -> ServingGuard {
         self.is_serving.set(true);
+        self.head_count.set(self.head_count.get() + 1);
         ServingGuard(self.clone())
     }
 
@@ -55,13 +63,14 @@
     }
 }
 
-/// A response body with the guard of its request, which is dropped when the whole body has been written.
+/// A response body with the guard of its request, which is dropped when the whole body has been written. It gives no more
+/// than the connection writes.
 #[derive(Debug)]
 pub struct GuardedBody {
     /// The response body.
     pub body: AnswerBody,
     /// Guard of the request, dropped with the body.
-    pub _guard: ServingGuard,
+    pub guard: ServingGuard,
 }
 
 impl Body for GuardedBody {
@@ -69,7 +78,14 @@
     type Error = StreamCut;
 
     fn poll_frame(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, StreamCut>>> {
-        Pin::new(&mut self.get_mut().body).poll_frame(cx)
+        let Self { body, guard } = self.get_mut();
+        let unsent = &guard.0.unsent;
+        ready!(unsent.poll_room(cx));
+        let frame = ready!(Pin::new(body).poll_frame(cx));
+        if let Some(Ok(frame)) = &frame {
+            unsent.add(frame.data_ref().map_or(0, Bytes::len));
+        }
+        Poll::Ready(frame)
     }
 
     fn is_end_stream(&self) -> bool {
@@ -99,12 +115,18 @@
     Head(Instant),
 }
 
-/// A stream whose reads fail with `TimedOut` if a request head is not complete, or none begins, within its timeout. The
+/// Maximum number of bytes that are read at once. The buffer of a connection grows with the size of its reads, up to that of
+/// the largest head.
+const MAX_READ_BYTES: u64 = 8 * 1024;
+
+/// A stream whose reads fail with `OutOfMemory` if heads and bodies of requests take too much memory, and with `TimedOut` if a request head is not complete, or none begins, within its timeout. The
 /// timeouts are those of the start or those in force when they are over, whichever are longer: callers rely on either.
 /// The stream tells whether a write to it is pending.
 pub struct TimedStream<S> {
-    stream: S,
+    stream: Take<S>,
     signal: HeadSignal,
+    /// Memory of the head that is incomplete, and the number of heads before it.
+    head: (HeadMemory, u64),
     first_timeouts: ReadTimeouts,
     current_timeouts: Box<dyn Fn() -> ReadTimeouts>,
     timer: Pin<Box<Sleep>>,
@@ -114,18 +136,29 @@
     pending_write: PendingWrite,
 }
 
-impl<S> TimedStream<S> {
+impl<S: AsyncRead> TimedStream<S> {
     /// Wraps `stream`. The server of its requests reports each complete head through `signal`. `current_timeouts` returns
     /// the timeouts in force.
     pub fn new(
         stream: S,
         signal: HeadSignal,
+        head: HeadMemory,
         pending_write: PendingWrite,
         current_timeouts: Box<dyn Fn() -> ReadTimeouts>,
     ) -> Self {
         let first_timeouts = current_timeouts();
         let timer = Box::pin(sleep(first_timeouts.idle));
-        Self { stream, signal, first_timeouts, current_timeouts, timer, wait: None, is_overdue: false, pending_write }
+        Self {
+            stream: stream.take(MAX_READ_BYTES),
+            signal,
+            head: (head, 0),
+            first_timeouts,
+            current_timeouts,
+            timer,
+            wait: None,
+            is_overdue: false,
+            pending_write,
+        }
     }
 
     fn start_wait(&mut self, wait: ReadWait) {
@@ -143,9 +176,21 @@
         }
     }
 
+    /// Counts bytes that have arrived while no request is served, as those of the next head.
+    fn count_head(&mut self, bytes: usize) -> io::Result<()> {
+        let (head, count) = &mut self.head;
+        if std::mem::replace(count, self.signal.head_count.get()) != *count {
+            head.clear();
+        }
+        head.add(bytes).map_err(|_| io::ErrorKind::OutOfMemory.into())
+    }
+
     /// Records the result of a write. The connection is not idle while its peer still reads an answer.
     fn record_write(&mut self, written: &Poll<io::Result<usize>>) {
         self.pending_write.set(written.is_pending());
+        if let Poll::Ready(Ok(bytes)) = written {
+            self.signal.unsent.record_written(*bytes);
+        }
         if written.is_ready() && !self.signal.is_serving.get() {
             self.signal.wake();
         }
@@ -169,13 +214,19 @@
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let this = self.get_mut();
         let before = buf.filled().len();
+        this.stream.set_limit(MAX_READ_BYTES);
         let read = Pin::new(&mut this.stream).poll_read(cx, buf);
         if this.signal.is_serving.get() || this.pending_write.is_pending() {
             this.wait = None;
+            this.head.0.clear();
             *this.signal.waker.borrow_mut() = Some(cx.waker().clone());
             return read;
         }
-        let has_read = buf.filled().len() > before;
+        let read_bytes = buf.filled().len() - before;
+        let has_read = read_bytes > 0;
+        if let Err(error) = this.count_head(read_bytes) {
+            return Poll::Ready(Err(error));
+        }
         match this.wait {
             None | Some(ReadWait::Idle(_)) if has_read => this.start_wait(ReadWait::Head(Instant::now())),
             None => this.start_wait(ReadWait::Idle(Instant::now())),
@@ -191,20 +242,20 @@
     }
 }
 
-impl<S: AsyncWrite + Unpin> AsyncWrite for TimedStream<S> {
+impl<S: AsyncRead + AsyncWrite + Unpin> AsyncWrite for TimedStream<S> {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
-        let written = Pin::new(&mut this.stream).poll_write(cx, buf);
+        let written = Pin::new(this.stream.get_mut()).poll_write(cx, buf);
         this.record_write(&written);
         written
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_flush(cx)
+        Pin::new(self.get_mut().stream.get_mut()).poll_flush(cx)
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
+        Pin::new(self.get_mut().stream.get_mut()).poll_shutdown(cx)
     }
 
     fn poll_write_vectored(
@@ -213,12 +264,12 @@
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
-        let written = Pin::new(&mut this.stream).poll_write_vectored(cx, bufs);
+        let written = Pin::new(this.stream.get_mut()).poll_write_vectored(cx, bufs);
         this.record_write(&written);
         written
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        self.stream.get_ref().is_write_vectored()
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -40,6 +40,7 @@
 mod read_budget;
 mod stream;
 mod tunnels;
+mod unsent;
 mod unwritten;
 
 mod autoscale;
--- a/crates/relay/src/listeners.rs
+++ b/crates/relay/src/listeners.rs
@@ -16,8 +16,10 @@
 use wasabipier_core::message::NodeState;
 use wasabipier_core::names::DcName;
 use wasabipier_core::relay::caller_addresses::AddressQuery;
+use wasabipier_core::relay::document::MAX_REQUEST_HEAD_BYTES;
 
 use crate::body::AnswerBody;
+use crate::buffer_memory::HeadMemory;
 use crate::caller_stream::{CallerStream, UnframedMark};
 use crate::clock;
 use crate::head_timer::{GuardedBody, HeadSignal, ReadTimeouts, TimedStream};
@@ -29,8 +31,8 @@
 
 /// Delay after a failed accept, for instance without free file descriptors, before the next one.
 const ACCEPT_RETRY_INTERVAL: std::time::Duration = std::time::Duration::from_millis(50);
-/// Smallest read buffer that hyper accepts.
-const MIN_BUFFER_BYTES: usize = 8 * 1024;
+/// Maximum number of header fields of a request. A head of 64 KB holds as many fields of 16 bytes.
+const MAX_HEAD_FIELDS: usize = 4 * 1024;
 
 /// Serves the connections of a listener until the node ends.
 pub async fn serve_listener(node: SharedNode, kind: ListenKind, listener: TcpListener) {
@@ -54,7 +56,6 @@
         debug!("{CALLERS} connection closed before it was served: {error}.");
         return;
     }
-    let limits = node.board.borrow().index.caller_limits;
     let signal = HeadSignal::default();
     let pending_write = node.unwritten_answers.begin_connection();
     let timed_node = node.clone();
@@ -64,22 +65,24 @@
     };
     let unframed = UnframedMark::default();
     let stream = CallerStream::new(stream, unframed.clone());
-    let timed = TimedStream::new(stream, signal.clone(), pending_write, Box::new(current_timeouts));
+    let head = HeadMemory::new(&node.request_memory);
+    let timed = TimedStream::new(stream, signal.clone(), head, pending_write, Box::new(current_timeouts));
     let service = service_fn(move |request: Request<Incoming>| {
         let (node, guard, unframed) = (node.clone(), signal.record_head_read(), unframed.clone());
         let knows_chunks = request.version() >= Version::HTTP_11;
         async move {
             let response = answer_request(node, kind, caller, request).await;
             unframed.set(!knows_chunks && matches!(response.body(), AnswerBody::Stream(_)));
-            Ok::<_, Infallible>(response.map(|body| GuardedBody { body, _guard: guard }))
+            Ok::<_, Infallible>(response.map(|body| GuardedBody { body, guard }))
         }
     });
     let mut builder = hyper::server::conn::http1::Builder::new();
-    // `TimedStream` has the timeouts.
+    // `TimedStream` has the timeouts. The limit on heads in force is checked by admission: a connection outlasts documents.
     builder
         .timer(TokioTimer::new())
         .header_read_timeout(None)
-        .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES));
+        .max_buf_size(MAX_REQUEST_HEAD_BYTES)
+        .max_headers(MAX_HEAD_FIELDS);
     if let Err(error) = builder.serve_connection(TokioIo::new(timed), service).await {
         debug!("{CALLERS} connection failed: {error}.");
     }
--- a/crates/relay/src/ports.rs
+++ b/crates/relay/src/ports.rs
@@ -80,6 +80,8 @@
 pub enum RefusalKind {
     /// The head or body is malformed.
     Malformed,
+    /// The head is larger than allowed.
+    HeadTooLarge,
     /// The body is larger than allowed.
     TooLarge,
     /// The body did not arrive in time.
--- a/crates/relay/src/unwritten/tests.rs
+++ b/crates/relay/src/unwritten/tests.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use super::UnwrittenAnswers;
+use crate::buffer_memory::{BufferMemory, HeadMemory};
 use crate::head_timer::{HeadSignal, ReadTimeouts, TimedStream};
 
 /// Returns the connection of a caller, counted by `answers`, that takes eight bytes before its reader has read any, and
@@ -13,7 +14,8 @@
     let (reader, writer) = duplex(8);
     let timeouts = || ReadTimeouts { head: Duration::from_secs(1), idle: Duration::from_secs(1) };
     let pending_write = answers.begin_connection();
-    (reader, TimedStream::new(writer, HeadSignal::default(), pending_write, Box::new(timeouts)))
+    let head = HeadMemory::new(&BufferMemory::new(1_000));
+    (reader, TimedStream::new(writer, HeadSignal::default(), head, pending_write, Box::new(timeouts)))
 }
 
 /// Guards against a process that ends while the answer to a slow reader waits in its memory.
