Let peers with paths tell a node without paths that a target crashed

Callers of sound streams saw them cut at all nodes for as long as one node was partitioned from all targets: requests with a part that crashes targets came there, went through tunnels and were never refused.

Cause: a node that reaches no other target took each crash for its own partition, whatever its peers told. By the code, a node whose attempts time out asked no peer, and one behind a partition that opens and resets connections took each target for sound.

Such a node now goes by its peers: one that does not reach the target, but another one that is asked for afterwards, shows a crash; one that reaches the target shows that there is none. Targets known to have crashed are not tried to find out whether this node is partitioned. Calls between nodes are unchanged: a witness is asked for tunnels, as before.

--- a/crates/core/tests/relay/refusals.rs
+++ b/crates/core/tests/relay/refusals.rs
@@ -39,11 +39,44 @@
         (Some(false), Some(false), false),
     ];
     for (reaches_others, is_reached_by_peer, expected) in cases {
-        let evidence = RefusalEvidence { reaches_others, is_reached_by_peer };
+        let evidence =
+            RefusalEvidence { is_refused: true, reaches_others, is_reached_by_peer, is_missed_by_witness: false };
         assert_eq!(evidence.shows_crash(), expected, "{evidence:?}");
     }
 }
 
+/// Guards against a node without paths that takes each crash for its partition, although a peer with paths sees it, and
+/// against one that takes the partition of its peers, or a target that is silent, for a crash.
+#[test]
+fn a_node_without_paths_goes_by_what_a_peer_with_paths_sees() {
+    let cases =
+        [(Some(false), true, true), (Some(true), true, false), (Some(false), false, false), (None, false, false)];
+    for (is_reached_by_peer, is_missed_by_witness, expected) in cases {
+        for is_refused in [false, true] {
+            let reaches_others = Some(false);
+            let evidence = RefusalEvidence { is_refused, reaches_others, is_reached_by_peer, is_missed_by_witness };
+            assert_eq!(evidence.shows_crash(), expected, "{evidence:?}");
+        }
+    }
+    let silent = RefusalEvidence { reaches_others: Some(true), ..RefusalEvidence::default() };
+    assert!(!silent.shows_crash(), "it does not answer in time, and nobody else tells");
+}
+
+/// Guards against a crash that seems a partition, since the other targets that are tried have crashed, too.
+#[test]
+fn targets_that_have_crashed_are_not_tried_to_find_out_whether_this_node_is_partitioned() {
+    let mut board = board_with_targets(&[("i-0", "coaches"), ("i-1", "coaches"), ("i-2", "coaches"), ("i-3", "clubs")]);
+    board.upsert_target(target_entry("i-4", "coaches", "khomas-b"), at(0));
+    let crashed = CrashId::from(&target_entry("i-1", "coaches", "khomas-a"));
+    board.suspects.record_crash(&[SuspectKey::Part(7)], crashed, at(1));
+
+    assert_eq!(control_names(&mut board), ["i-2", "i-4"]);
+    let missed = target_entry("i-0", "coaches", "khomas-a");
+    let controls = board.witness_controls(&missed, 3, at(300));
+    let names: Vec<&str> = controls.iter().map(|entry| entry.target.as_str()).collect();
+    assert_eq!(names, ["i-2", "i-3", "i-4"], "the same data centre first, and the same service in it");
+}
+
 /// Guards against a partition from one service that is not noticed, since targets of other services are tried.
 #[test]
 fn targets_of_the_same_service_whose_paths_have_not_failed_are_tried_first() {
--- a/crates/relay/src/blame.rs
+++ b/crates/relay/src/blame.rs
@@ -1,30 +1,20 @@
 //! Finds out whether a target crashed while it held a call, blames the content of the call, and tells peers. Content that
 //! a run has proven sound is exonerated.
 
-use std::time::Duration;
-
-use futures_util::future::join_all;
 use spdlog::{info, warn};
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 use wasabipier_core::names::NodeName;
-use wasabipier_core::relay::refusals::RefusalEvidence;
 use wasabipier_core::relay::suspects::{CrashId, HarmfulContent, RunStage, SuspectChange, SuspectKey, SuspectReport};
 use wasabipier_core::relay::targets::TargetEntry;
 
 use crate::clock;
+use crate::crash_probe::{self, TargetProbe};
 use crate::heartbeats;
 use crate::log_prefixes::REQUEST;
 use crate::metering;
-use crate::sockets;
 use crate::state::SharedNode;
-use crate::tunnels;
 
-/// Timeout of the attempts to connect that show whether a target is down. A running VM accepts or refuses a connection
-/// within a round trip.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
-/// Maximum number of other targets that are connected to, to find out whether this node is partitioned.
-const MAX_CONTROLS: usize = 2;
 /// Maximum number of other targets of a data centre that are connected to, one after the other, to find out whether it is
 /// the data centre that has failed.
 const MAX_OUTAGE_CONTROLS: usize = 4;
@@ -35,18 +25,32 @@
     if node.board.borrow().suspects.is_proof(run) {
         return;
     }
-    let refusal = probe_target(node, entry).await;
-    let is_down = refusal.is_some_and(RefusalEvidence::shows_crash);
+    let probe = crash_probe::probe_target(node, entry).await;
+    suspect_content(node, id, keys, entry, run, probe);
+}
+
+/// Suspects the content `keys` of the request `id`, whose call broke at the stage `run`, if `probe` shows that the target is
+/// down.
+fn suspect_content(
+    node: &SharedNode,
+    id: &str,
+    keys: &[SuspectKey],
+    entry: &TargetEntry,
+    run: RunStage,
+    probe: TargetProbe,
+) {
+    let (is_down, evidence) = (probe.shows_crash(), probe.evidence());
     metering::record_broken_call(entry.service.as_str(), is_down);
     let now = clock::now();
     if node.log_limiter.allows(now) {
         let (target, incarnation, content) =
             (entry.target.as_str(), entry.incarnation.unwrap_or_default(), join_keys(keys));
-        let (content, is_refused, evidence) = (content.as_str(), refusal.is_some(), refusal.unwrap_or_default());
+        let (content, is_refused) = (content.as_str(), evidence.is_refused);
         let (others, peer) = (describe(evidence.reaches_others), describe(evidence.is_reached_by_peer));
+        let witness = evidence.is_missed_by_witness;
         let answering_ms = run.answering_time().as_millis() as u64;
         info!("{REQUEST} call broke early.",
-            kv: { id, target, incarnation, answering_ms, is_down, is_refused, reaches_others = others, peer_reaches = peer, content });
+            kv: { id, target, incarnation, answering_ms, is_down, is_refused, reaches_others = others, peer_reaches = peer, witness, content });
     }
     // The crash of a target that is leaving is no surprise: it may have been stopped with calls open.
     if !is_down || entry.leaving {
@@ -75,7 +79,7 @@
     };
     let mut survivor = None;
     for control in &controls {
-        if is_reached(&node, control).await {
+        if crash_probe::is_reached(&node, control).await {
             survivor = Some(control.target.as_str());
             break;
         }
@@ -95,38 +99,6 @@
     }
 }
 
-/// Returns whether this node or a peer connects to a target.
-async fn is_reached(node: &SharedNode, entry: &TargetEntry) -> bool {
-    sockets::connect(entry.address, PROBE_TIMEOUT).await.is_ok()
-        || tunnels::ask_peers(node, entry, PROBE_TIMEOUT).await == Some(true)
-}
-
-/// Connects to a target, and if it refuses, finds out whether this node reaches others and peers reach the target. Returns
-/// `None` if it accepts, or does not respond in time, which may have another reason.
-async fn probe_target(node: &SharedNode, entry: &TargetEntry) -> Option<RefusalEvidence> {
-    let error = sockets::connect(entry.address, PROBE_TIMEOUT).await.err()?;
-    if error.kind() != std::io::ErrorKind::ConnectionRefused {
-        return None;
-    }
-    let (reaches_others, is_reached_by_peer) =
-        tokio::join!(reaches_others(node, entry), tunnels::ask_peers(node, entry, PROBE_TIMEOUT));
-    Some(RefusalEvidence { reaches_others, is_reached_by_peer })
-}
-
-/// Returns whether this node reaches targets other than `refused`; `None` if there are none to try.
-async fn reaches_others(node: &SharedNode, refused: &TargetEntry) -> Option<bool> {
-    let controls = {
-        let mut board = node.board.borrow_mut();
-        if board.paths.is_cut_off() {
-            return Some(false);
-        }
-        board.control_targets(refused, MAX_CONTROLS)
-    };
-    let attempts = controls.iter().map(|control| sockets::connect(control.address, PROBE_TIMEOUT));
-    let connected = join_all(attempts).await;
-    (!connected.is_empty()).then(|| connected.iter().any(Result::is_ok))
-}
-
 /// Returns what attempts to connect have shown, for the log.
 fn describe(shown: Option<bool>) -> &'static str {
     match shown {
@@ -160,11 +132,11 @@
     if !node.board.borrow().suspects.is_suspected(keys) {
         return;
     }
-    match sockets::connect(entry.address, PROBE_TIMEOUT).await {
-        Ok(_) => {
-            handle_run(node, keys, entry.target.as_str(), RunStage::Complete);
-        }
-        Err(_) => handle_broken_call(node, id, keys, entry, RunStage::Waiting).await,
+    let probe = crash_probe::probe_target(node, entry).await;
+    if probe.is_up() {
+        handle_run(node, keys, entry.target.as_str(), RunStage::Complete);
+    } else {
+        suspect_content(node, id, keys, entry, RunStage::Waiting, probe);
     }
 }
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -33,6 +33,7 @@
 mod attempt;
 mod blame;
 mod body;
+mod crash_probe;
 mod limits;
 mod notices;
 mod paths;
--- a/crates/relay/src/tunnels.rs
+++ b/crates/relay/src/tunnels.rs
@@ -73,16 +73,57 @@
     Err(io::ErrorKind::HostUnreachable.into())
 }
 
-/// Returns whether a peer reaches a target: `None` if none of those that are asked tells within `limit`.
-pub async fn ask_peers(node: &SharedNode, entry: &TargetEntry, limit: Duration) -> Option<bool> {
+/// What peers tell of a target.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct PeerReport {
+    /// Whether one of them reaches the target; `None` if none tells.
+    pub is_reached: Option<bool>,
+    /// Whether one of them does not reach it, but another target.
+    pub is_missed_by_witness: bool,
+}
+
+/// Asks peers whether they reach a target, and those that do not whether they reach one of `controls`. Each answer takes
+/// `limit` at most.
+pub async fn ask_peers(
+    node: &SharedNode,
+    entry: &TargetEntry,
+    controls: &[TargetEntry],
+    limit: Duration,
+) -> PeerReport {
     let peers = node.board.borrow_mut().tunnel_peers(&entry.service, MAX_WITNESSES, clock::now());
-    let requests = peers.iter().map(|peer| timeout(limit, request(node, peer.peer_address, entry)));
-    let replies = join_all(requests).await.into_iter().filter_map(|asked| match asked {
+    let asked = peers.iter().map(|peer| ask_peer(node, peer.peer_address, entry, controls, limit));
+    join_all(asked).await.into_iter().fold(PeerReport::default(), |all, one| PeerReport {
+        is_reached: all.is_reached.into_iter().chain(one.is_reached).reduce(|one, other| one || other),
+        is_missed_by_witness: all.is_missed_by_witness || one.is_missed_by_witness,
+    })
+}
+
+async fn ask_peer(
+    node: &SharedNode,
+    address: SocketAddr,
+    entry: &TargetEntry,
+    controls: &[TargetEntry],
+    limit: Duration,
+) -> PeerReport {
+    let is_reached = reaches(node, address, entry, limit).await;
+    if is_reached == Some(false) {
+        // Asked afterwards: a partition of the peer that has begun in between must not look like a crash.
+        for control in controls {
+            if reaches(node, address, control, limit).await == Some(true) {
+                return PeerReport { is_reached, is_missed_by_witness: true };
+            }
+        }
+    }
+    PeerReport { is_reached, is_missed_by_witness: false }
+}
+
+/// Returns whether the peer at `address` reaches a target, or `None` if it does not tell within `limit`.
+async fn reaches(node: &SharedNode, address: SocketAddr, entry: &TargetEntry, limit: Duration) -> Option<bool> {
+    match timeout(limit, request(node, address, entry)).await {
         Ok(Ok((_, TunnelReply::Open))) => Some(true),
         Ok(Ok((_, TunnelReply::Unreached))) => Some(false),
         _ => None,
-    });
-    replies.reduce(|one, other| one || other)
+    }
 }
 
 /// Asks the peer at `address` for a tunnel.
