Take no answer whose status HTTP does not have

Callers got answers like `HTTP/1.1 600` of targets in trouble, signed and with the target's body, as if they were answers.

Cause: the HTTP library reads any status from 100 to 999, and classify_head excluded some and passed the rest on as failures.

The statuses that may be passed on are now named: 2xx with a signature, 4xx and 5xx but those that would promise that a request has not run. After any other the request goes on at another target if it may be repeated, and its outcome is unknown otherwise.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -410,10 +410,11 @@
     }
     if status.is_success() {
         if head.is_signed { HeadVerdict::Success } else { HeadVerdict::Ended(AttemptEnd::Garbled) }
-    } else if NOT_RUN_STATUSES.contains(&status) || status.is_informational() || status.is_redirection() {
-        HeadVerdict::Ended(AttemptEnd::Garbled)
-    } else {
+    } else if (status.is_client_error() || status.is_server_error()) && !NOT_RUN_STATUSES.contains(&status) {
         HeadVerdict::Failure
+    } else {
+        // The HTTP library reads statuses up to 999, and HTTP has none from 600 on.
+        HeadVerdict::Ended(AttemptEnd::Garbled)
     }
 }
 
