Count samples of metrics although nobody fetches them

Cause: the library keeps each sample of a histogram until the metrics are rendered or its upkeep is called, and nothing called it. More and more labels are ruled out: with the metrics fetched the memory stayed the same.

The maintenance of a relaying node now counts the samples once a second.

The trial with a whole node was not repeated.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -16,7 +16,7 @@
 mod log_prefixes;
 mod logging;
 mod maintenance;
-mod metering;
+pub mod metering;
 mod sockets;
 mod state;
 
--- a/crates/relay/src/maintenance.rs
+++ b/crates/relay/src/maintenance.rs
@@ -18,7 +18,7 @@
 
 /// Interval at which expired targets and idle connections are removed.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(100);
-/// Interval at which gauges are updated.
+/// Interval at which gauges are updated and samples are counted.
 const GAUGE_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum sleep between two checks of the actor's timers.
 const MAX_SLEEP: Duration = Duration::from_secs(1);
@@ -58,6 +58,7 @@
     fn publish_gauges(&mut self, cx: CX![]) {
         metering::publish_gauges(&self.node.board.borrow(), self.node.open_requests.get(), clock::now());
         metering::publish_busy_time(Handle::current().metrics().worker_total_busy_duration(0));
+        metering::count_samples(&self.node.metrics);
         after!(GAUGE_INTERVAL, [cx], publish_gauges());
     }
 }
--- a/crates/relay/src/metering.rs
+++ b/crates/relay/src/metering.rs
@@ -26,6 +26,12 @@
     Ok(handle)
 }
 
+/// Counts the recorded samples of histograms in their buckets. Samples take memory until then, or until the metrics are
+/// rendered.
+pub fn count_samples(handle: &PrometheusHandle) {
+    handle.run_upkeep();
+}
+
 /// Counts a caller's request that ended with `outcome`, and records its duration.
 pub fn record_request(route: &str, outcome: &str, elapsed: Duration) {
     counter!("wasabipier_relay_requests_total", "route" => route.to_owned(), "outcome" => outcome.to_owned())
