Look for an outage after each crash that unproven parts are suspected of

In a large fleet requests with a deadly part that come at once reach many nodes, and each sees one crash.

Found by reading, not seen in a run. The condition is dropped: what remains is that the crash is held against a part that no run has proven sound. The new test plays five nodes of 61 with one crash each; it asks each of them at the end of the window whether it looks, which the earlier condition answers with no.

--- a/crates/core/src/relay/access.rs
+++ b/crates/core/src/relay/access.rs
@@ -12,8 +12,8 @@
 pub struct FreshnessLimits {
     /// Maximum age for accepting an API key. A revoked key must not be accepted for longer than this.
     pub max_document_age_for_keys: Duration,
-    /// Maximum age for reporting that a route or key does not exist or a request is too large. With an older document the denial is
-    /// [`AccessDenial::StaleDocument`].
+    /// Maximum age for reporting that a route or key does not exist, or that a request is too large. With an older document
+    /// the denial is [`AccessDenial::StaleDocument`].
     pub max_document_age_for_absence: Duration,
     /// Maximum time for which requests are served although a peer is known to have a newer document.
     pub max_outdated_time: Duration,
--- a/crates/core/src/relay/suspects/moments.rs
+++ b/crates/core/src/relay/suspects/moments.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use super::{CrashId, OpenCrash, SuspectChange, SuspectKey, SuspectTable};
+use super::{CrashId, CrashRecord, OpenCrash, SuspectChange, SuspectKey, SuspectTable};
 use crate::clock::Moment;
 
 impl SuspectTable {
@@ -21,18 +21,14 @@
         self.update_harmful(is_new, now)
     }
 
-    /// Returns whether it matters for the blame if `crash` is isolated: it is held against a part that no run has proven
-    /// sound, together with others of the same moment.
+    /// Returns whether it may matter for the blame if `crash` is isolated: it is held against a part that no run has proven
+    /// sound. Other crashes of the same moment may become known later.
     #[must_use]
     pub fn is_isolation_sought(&self, crash: CrashId, now: Moment) -> bool {
         self.records.iter().any(|(key, record)| {
-            let Some(known) = record.crashes.get(&crash) else { return false };
-            let is_open = !known.is_exonerated && !known.is_isolated;
-            let window = self.limits.incident_window;
-            let is_concurrent = |at: Moment| at < known.at + window && known.at < at + window;
-            let others = record.crashes.iter().filter(|(other, _)| **other != crash);
-            let mut others = others.filter(|(_, other)| !other.is_exonerated && is_concurrent(other.at));
-            matches!(key, SuspectKey::Part(_)) && is_open && !self.is_known_sound(*key, now) && others.next().is_some()
+            let is_open = |known: &CrashRecord| !known.is_exonerated && !known.is_isolated;
+            let is_held = record.crashes.get(&crash).is_some_and(is_open);
+            matches!(key, SuspectKey::Part(_)) && is_held && !self.is_known_sound(*key, now)
         })
     }
 
--- a/crates/core/tests/relay/fleet.rs
+++ b/crates/core/tests/relay/fleet.rs
@@ -37,6 +37,29 @@
     assert!(refusing(&fleet.boards[&late]), "the node that was down has learned it");
 }
 
+/// Guards against requests with a deadly part that come to many nodes of a large fleet at once, each of which sees one crash
+/// and learns of the others later.
+#[test]
+fn a_part_that_crashes_targets_at_many_nodes_at_once_is_refused_by_all_nodes_of_a_large_fleet_within_three_rounds() {
+    let mut fleet = FleetSimulation::new(61);
+    fleet.run_rounds(8);
+    let deadly = [SuspectKey::Part(0xdead)];
+    let moment = at(fleet.now_ms);
+    let followers = ["edge-010", "edge-031", "edge-050", "edge-051", "edge-052"].map(NodeName::new);
+
+    for (number, name) in followers.iter().enumerate() {
+        let board = fleet.boards.get_mut(name).expect("the node is in the fleet");
+        board.suspects.record_crash(&deadly, CrashId(number as u64), moment);
+        let later = moment + board.tuning.suspect_limits.incident_window;
+        assert!(board.suspects.is_isolation_sought(CrashId(number as u64), later), "{name} knows no other crash");
+        board.suspects.record_isolated(CrashId(number as u64), later);
+    }
+    fleet.run_rounds(3);
+
+    let refusing = fleet.live_boards().filter(|(_, board)| board.suspects.find_harmful(&deadly).next().is_some());
+    assert_eq!(refusing.count(), 61);
+}
+
 /// Guards against a number of heartbeats that grows with the square of the fleet size. If all of 61 nodes called all
 /// others, that would be 3,660 calls a round.
 #[test]
--- a/crates/core/tests/relay/suspects.rs
+++ b/crates/core/tests/relay/suspects.rs
@@ -269,16 +269,16 @@
 #[test]
 fn an_outage_is_looked_for_only_if_the_blame_depends_on_it() {
     let mut node = SuspectTable::new(SuspectLimits::default());
-    node.record_crash(&deadly_request(1), CrashId(1), at(0));
-    let alone = node.is_isolation_sought(CrashId(1), at(250));
-    node.record_crash(&deadly_request(2), CrashId(2), at(100));
-    let together = [CrashId(1), CrashId(2)].map(|crash| node.is_isolation_sought(crash, at(350)));
-    node.record_isolated(CrashId(1), at(360));
-    let known = node.is_isolation_sought(CrashId(1), at(370));
-    node.record_proof(&deadly_request(3), at(400));
-
-    assert_eq!((alone, together, known), (false, [true; 2], false));
-    assert!(!node.is_isolation_sought(CrashId(2), at(410)));
+    node.record_proof(&request_keys(&[COMMON_PART], 1), at(0));
+    node.record_crash(&request_keys(&[COMMON_PART], 2), CrashId(1), at(0));
+    node.record_crash(&deadly_request(3), CrashId(2), at(0));
+    node.record_crash(&deadly_request(4), CrashId(3), at(0));
+    node.record_isolated(CrashId(2), at(250));
+    let sought = [1, 2, 3].map(|crash| node.is_isolation_sought(CrashId(crash), at(260)));
+    node.record_proof(&deadly_request(5), at(400));
+
+    assert_eq!(sought, [false, false, true], "of a sound part, of a crash that is known to be isolated, of another");
+    assert!(!node.is_isolation_sought(CrashId(3), at(410)));
 }
 
 // Guards against a whole request that reaches its lower limit first and so excuses the part that it contains.
