Tell nodes of earlier releases about bursts in terms that they count

Nodes that read it tell so by their version of calls, 9. Others are told ages of a harmful part's crashes at which these count one by one. A part blamed so has longer pauses between trials while both releases run, since the ages come back.

--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -222,9 +222,12 @@
         loads.filter(|load| load.in_flight > 0).collect()
     }
 
-    /// Builds the next heartbeat for a peer of a large fleet. Only hubs get the prompts and all loads.
+    /// Builds the next heartbeat for a known peer. In a large fleet only hubs get the prompts and all loads.
     pub fn next_heartbeat_to(&mut self, peer: &NodeName, dc: &DcName, now: Moment) -> RelayHeartbeat {
         let mut heartbeat = self.next_heartbeat(now);
+        if self.members.get(peer).is_some_and(|view| view.heartbeat.call_version < CallVersion::ISOLATION) {
+            heartbeat.suspects = self.suspects.reports_by_time(now);
+        }
         if !self.is_small_fleet() && self.hub(dc, now) != Some(peer) {
             heartbeat.prompts.clear();
             let is_told = |load: &TargetLoad| {
--- a/crates/core/src/relay/members.rs
+++ b/crates/core/src/relay/members.rs
@@ -55,8 +55,10 @@
     pub const ROSTERS: Self = Self(7);
     /// Version from which on nodes tell the candidates of a duty what they counted.
     pub const DUTIES: Self = Self(8);
+    /// Version from which on nodes read which crashes are isolated.
+    pub const ISOLATION: Self = Self(9);
     /// Highest version that this release reads.
-    pub const CURRENT: Self = Self::DUTIES;
+    pub const CURRENT: Self = Self::ISOLATION;
 }
 
 impl Default for CallVersion {
--- a/crates/core/src/relay/suspects/moments.rs
+++ b/crates/core/src/relay/suspects/moments.rs
@@ -1,8 +1,8 @@
 //! Counts the incidents among the crashes of a part, and tells crashes at one moment that the part caused from an outage.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
-use super::{CrashId, CrashRecord, OpenCrash, SuspectChange, SuspectKey, SuspectTable};
+use super::{CrashId, CrashRecord, OpenCrash, SuspectChange, SuspectKey, SuspectReport, SuspectTable};
 use crate::clock::Moment;
 
 impl SuspectTable {
@@ -57,6 +57,31 @@
         moments.len() + extra.sum::<usize>().min(self.limits.part_incident_limit.saturating_sub(1))
     }
 
+    /// Returns the reports for a peer that does not read which crashes are isolated. It counts crashes by time alone, so
+    /// those that make a part harmful are reported as if they had come one after the other.
+    #[must_use]
+    pub fn reports_by_time(&self, now: Moment) -> Vec<SuspectReport> {
+        let mut reports = self.reports(now);
+        for report in &mut reports {
+            if matches!(report.key, SuspectKey::Part(_)) && self.is_part_of_harmful(&report.key) {
+                self.spread_crashes(report, now);
+            }
+        }
+        reports
+    }
+
+    /// Increases the ages of the first crashes that are held against a part, so that they count as enough incidents.
+    fn spread_crashes(&self, report: &mut SuspectReport, now: Moment) {
+        let Some(record) = self.records.get(&report.key) else { return };
+        let (open, limit) = (record.open_crashes(&BTreeSet::new()), self.limits.part_incident_limit);
+        let Some(first) = open.first().filter(|_| self.split_moments(&open).len() < limit) else { return };
+        let times = (1..limit).rev().map(|count| first.at - self.limits.incident_window * count as u32);
+        let times: BTreeMap<CrashId, Moment> = open.iter().map(|open| open.crash).zip(times).collect();
+        for crash in &mut report.crashes {
+            crash.age = times.get(&crash.crash).map_or(crash.age, |at| now.since(*at));
+        }
+    }
+
     /// Splits crashes, which are sorted by time, into those of each moment.
     fn split_moments<'a>(&self, crashes: &'a [OpenCrash]) -> Vec<&'a [OpenCrash]> {
         let mut moments = Vec::new();
--- a/crates/core/tests/relay/suspects.rs
+++ b/crates/core/tests/relay/suspects.rs
@@ -188,6 +188,32 @@
     }
 }
 
+// Guards against nodes of earlier releases that send a deadly part on beside nodes that refuse it: they count crashes by
+// time alone (BUDGET).
+#[test]
+fn a_node_that_does_not_read_which_crashes_are_isolated_refuses_the_part_of_a_burst_as_well() {
+    let mut nodes = tables(3);
+    crash_in_burst(&mut nodes, 0, 5_000);
+    exchange_reports(&mut nodes, 5_100);
+    isolate_crashes(&mut nodes, 0..BURST_CRASHES, 5_320);
+    exchange_reports(&mut nodes, 5_400);
+    let mut reports = nodes[0].reports_by_time(at(5_500));
+    for crash in reports.iter_mut().flat_map(|report| &mut report.crashes) {
+        crash.is_isolated = false;
+    }
+
+    let mut earlier = SuspectTable::new(SuspectLimits::default());
+    earlier.merge_reports(&reports, at(5_500));
+    nodes[1].merge_reports(&earlier.reports(at(5_600)), at(5_600));
+
+    for node in [&earlier, &nodes[1]] {
+        assert!(refuses(node, &request_keys(&[9, DEADLY_PART], 600)));
+        for first in FIRST_PARTS {
+            assert!(!refuses(node, &request_keys(&[first], 601)), "the first part is not blamed");
+        }
+    }
+}
+
 // Guards against trials that crash targets every ten seconds, since bursts of one moment raise the pause no further.
 #[test]
 fn each_trial_after_a_burst_is_followed_by_a_longer_pause() {
