--- a/crates/relay/src/head_timer.rs
+++ b/crates/relay/src/head_timer.rs
@@ -120,9 +120,8 @@
 const MAX_READ_BYTES: u64 = 8 * 1024;
 
 /// A stream whose reads fail with `OutOfMemory` if heads and bodies of requests take too much memory, and with `TimedOut` if
-/// a request head is not complete, or none begins, within its timeout. The
-/// timeouts are those of the start or those in force when they are over, whichever are longer: callers rely on either.
-/// The stream tells whether a write to it is pending.
+/// a request head is not complete, or none begins, within its timeout. The timeouts are those of the start or those in force
+/// when they are over, whichever are longer: callers rely on either. The stream tells whether a write to it is pending.
 pub struct TimedStream<S> {
     stream: Take<S>,
     signal: HeadSignal,
