--- a/crates/core/tests/proofs.rs
+++ b/crates/core/tests/proofs.rs
@@ -32,7 +32,7 @@
     // Arrange
     let page = fs::read_to_string(Path::new(ROOT).join("docs/PROOFS.md")).expect("the page can be read");
     let mut test_sources = String::new();
-    for package in ["core", "wire", "node", "ctl"] {
+    for package in ["core", "wire", "relay", "node", "ctl"] {
         append_sources(&PathBuf::from(ROOT).join("crates").join(package).join("tests"), |_| true, &mut test_sources);
     }
     append_sources(&PathBuf::from(ROOT).join("platform").join("tests"), |_| true, &mut test_sources);
