Keep the room of a brittle target for a while after its caller has left

Cause: the guard of a call released its room as soon as it was dropped. The target works on the call until it notices that its connection has closed, and the keeper leased the slot to the next one at once.

Change: a call whose connection is closed before its answer was complete ends its lease 200 ms later. The calling node waits, so that calls between nodes stay as they are.

--- a/crates/core/src/relay/brittle.rs
+++ b/crates/core/src/relay/brittle.rs
@@ -54,6 +54,12 @@
     pub is_rejected: bool,
 }
 
+impl LeaseEnd {
+    /// Time from which the room of a call counts as free after its connection was closed before the answer was complete.
+    /// Until a target notices that, it goes on with the call. No page of the users says how long that takes.
+    pub const ABANDONED_DELAY: Duration = Duration::from_millis(200);
+}
+
 #[derive(Clone, Debug)]
 struct RoomLease {
     target: TargetName,
--- a/crates/core/tests/relay/brittle.rs
+++ b/crates/core/tests/relay/brittle.rs
@@ -1,6 +1,6 @@
 //! Simulation of brittle targets under overload: they crash when all nodes together have them reject too many calls.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use wasabipier_core::message::NodeState;
@@ -35,6 +35,10 @@
 const OVERLOAD_FROM_MS: u64 = 4_000;
 /// Time from the begin of a node's leave to its end.
 const LEAVING_MS: u64 = 2_000;
+/// Time after which callers leave that leave early, and after which a target notices that a call's connection has closed,
+/// in milliseconds.
+const PATIENCE_MS: u64 = 40;
+const NOTICE_MS: u64 = 100;
 /// Time for which a target that crashed is down.
 const DOWN_MS: u64 = 2_000;
 /// Crashes that the users tolerate in one time in which targets are brittle.
@@ -46,6 +50,8 @@
 struct SimCall {
     node: usize,
     lease: Option<(LeaseId, usize)>,
+    /// When the caller leaves, if it leaves early.
+    left_at: Option<u64>,
 }
 
 #[derive(Debug, Default)]
@@ -61,6 +67,7 @@
 enum SimEvent {
     Arrival { target: usize, call: SimCall },
     Answer { target: usize, call: SimCall, result: CallResult, is_brittle: bool },
+    CallerLeft { node: usize, target: usize, lease: Option<(LeaseId, usize)> },
     LeaseEnded { keeper: usize, end: LeaseEnd },
     OwnShare { node: usize },
 }
@@ -76,6 +83,10 @@
     cut_off: Option<(usize, u64)>,
     /// Nodes that leave, and when each begins to.
     leaving: Vec<(usize, u64)>,
+    /// Fraction of the callers that leave early once the targets let none wait.
+    impatient_ratio: f64,
+    /// Leases of calls that were answered before their callers would have left.
+    answered: BTreeSet<LeaseId>,
     served_count: u64,
     rejection_count: u64,
     random: fastrand::Rng,
@@ -109,6 +120,8 @@
             tolerance,
             cut_off: None,
             leaving: Vec::new(),
+            impatient_ratio: 0.0,
+            answered: BTreeSet::new(),
             served_count: 0,
             rejection_count: 0,
             random: fastrand::Rng::with_seed(seed),
@@ -189,7 +202,12 @@
     fn send(&mut self, node: usize, target: &TargetName, lease: Option<(LeaseId, usize)>, ms: u64) {
         self.boards[node].targets.record_call_start(target, 0, at(ms));
         let index = (0..TARGET_COUNT).find(|index| target_name(*index) == *target).expect("the target is known");
-        let call = SimCall { node, lease };
+        let is_impatient = ms >= SHRUNK_FROM_MS && self.impatient_ratio > 0.0;
+        let left_at = (is_impatient && self.random.f64() < self.impatient_ratio).then_some(ms + PATIENCE_MS);
+        let call = SimCall { node, lease, left_at };
+        if let Some(left_at) = left_at {
+            self.schedule(left_at, SimEvent::CallerLeft { node, target: index, lease });
+        }
         self.schedule(ms + MESSAGE_MS, SimEvent::Arrival { target: index, call });
     }
 
@@ -201,7 +219,8 @@
         let result = if is_down {
             CallResult::Unreachable
         } else if target.running.len() < SLOT_COUNT {
-            target.running.push((ms + WORK_MS, call));
+            let noticed_at = call.left_at.map_or(u64::MAX, |left_at| left_at + MESSAGE_MS + NOTICE_MS);
+            target.running.push((noticed_at.min(ms + WORK_MS), call));
             return;
         } else if target.waiting.len() < max_waiting {
             target.waiting.push_back(call);
@@ -238,7 +257,7 @@
             target.running.push((ms + WORK_MS, call));
         }
         let ended: Vec<(u64, SimCall)> = ended;
-        for (_, call) in ended {
+        for (_, call) in ended.into_iter().filter(|(_, call)| call.left_at.is_none()) {
             self.served_count += u64::from(ms >= SHRUNK_FROM_MS);
             let (result, is_brittle) = (CallResult::Good(millis(WORK_MS)), ms >= BRITTLE_FROM_MS);
             self.schedule(ms + MESSAGE_MS, SimEvent::Answer { target: index, call, result, is_brittle });
@@ -248,9 +267,11 @@
     fn handle_event(&mut self, event: SimEvent, ms: u64) {
         match event {
             SimEvent::Arrival { target, call } => self.handle_arrival(target, call, ms),
+            SimEvent::Answer { call: SimCall { left_at: Some(left_at), .. }, .. } if ms >= left_at => {}
             SimEvent::Answer { target, call, result, is_brittle } => {
                 let (name, board) = (target_name(target), &mut self.boards[call.node]);
                 board.targets.record_call_end(&name, result, at(ms));
+                self.answered.extend(call.lease.filter(|_| call.left_at.is_some()).map(|(lease, _)| lease));
                 if is_brittle {
                     let tolerance = Some(RejectTolerance(self.tolerance));
                     board.brittle.record_answer(&name, tolerance, at(ms), at(ms));
@@ -262,6 +283,18 @@
                     self.schedule(ms + MESSAGE_MS, SimEvent::LeaseEnded { keeper, end });
                 }
             }
+            SimEvent::CallerLeft { lease: Some((lease, _)), .. } if self.answered.remove(&lease) => {}
+            SimEvent::CallerLeft { node, target, lease } => {
+                let name = target_name(target);
+                self.boards[node].targets.record_call_end(&name, CallResult::Unknown, at(ms));
+                if let Some((lease, keeper)) = lease
+                    && self.can_talk(node, keeper, ms)
+                {
+                    let end = LeaseEnd { lease, target: name, is_rejected: false };
+                    let ended_at = ms + LeaseEnd::ABANDONED_DELAY.as_millis() as u64 + MESSAGE_MS;
+                    self.schedule(ended_at, SimEvent::LeaseEnded { keeper, end });
+                }
+            }
             SimEvent::LeaseEnded { keeper, end } => self.boards[keeper].record_lease_end(&end, at(ms)),
             SimEvent::OwnShare { node } => {
                 let Some(request) = self.permit_request(node, ms) else { return };
@@ -336,6 +369,24 @@
     }
 }
 
+/// Guards against room that is leased again while the target still works on a call whose caller has left (LIMIT).
+#[test]
+fn brittle_targets_stay_up_while_callers_leave_early() {
+    for (node_count, tolerance, seed) in [(7, 5, 1), (7, 2, 2), (9, 3, 3), (61, 5, 4)] {
+        for impatient_ratio in [0.1, 0.3] {
+            let mut simulation = Simulation::new(node_count, tolerance, seed);
+            simulation.impatient_ratio = impatient_ratio;
+
+            let crashes = simulation.run(2.6);
+
+            let (ratio, rejections) = (simulation.served_ratio(), simulation.rejection_count);
+            let case = format!("{node_count} nodes, tolerance {tolerance}, {impatient_ratio} leave");
+            println!("{case}: {rejections} rejections, {crashes} crashes, {ratio:.3}");
+            assert_eq!((rejections, crashes), (0, 0), "{case}");
+        }
+    }
+}
+
 /// Guards against nodes that each have a brittle target reject a few calls, which together are too many.
 #[test]
 fn brittle_targets_do_not_crash_in_an_overload_and_are_used_nearly_in_full() {
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -54,6 +54,8 @@
     unread_tokens: u32,
     started: Moment,
     result: CallResult,
+    /// Whether the answer has arrived completely.
+    is_complete: bool,
     /// Room that the call takes at a brittle target.
     room: Option<RoomGuard>,
     /// Grant of the hub that chose the target.
@@ -89,6 +91,7 @@
             unread_tokens,
             started,
             result: CallResult::Unknown,
+            is_complete: false,
             room: None,
             grant: None,
         }
@@ -171,6 +174,18 @@
         self.result = result;
     }
 
+    /// Records that the answer has arrived completely, so that the target no longer works on the call.
+    pub fn record_complete(&mut self) {
+        self.is_complete = true;
+    }
+
+    /// Returns whether the target may go on with the call, since its connection is closed before the answer was complete.
+    fn may_run_on(&self) -> bool {
+        let may_run =
+            matches!(self.result, CallResult::Good(_) | CallResult::Garbled | CallResult::Broken | CallResult::Unknown);
+        may_run && !self.is_complete
+    }
+
     /// Counts and logs that the answer is not used.
     pub fn record_fault(&self, reason: &'static str) {
         record_fault(&self.node, &self.target, self.origin.service.as_str(), reason);
@@ -197,8 +212,10 @@
         if matches!(self.result, CallResult::Broken | CallResult::Replaced) {
             self.node.pool.close_idle(&self.target);
         }
+        let may_run_on = self.may_run_on();
         if let Some(room) = &mut self.room {
             room.set_rejected(self.result == CallResult::Full);
+            room.set_may_run_on(may_run_on);
         }
         if let Some(grant) = &mut self.grant {
             grant.set_result(self.result);
--- a/crates/relay/src/batching.rs
+++ b/crates/relay/src/batching.rs
@@ -190,6 +190,7 @@
     let (outcomes, result) = match call_target_until_unused(&node, &service, &plan, &entry, silence_timeout).await {
         Ok(outcomes) => {
             guard.record_first_part();
+            guard.record_complete();
             (outcomes, CallResult::Good(guard.elapsed()))
         }
         Err(result) => (vec![Err(PieceFailure::Failed); plan.pieces.len()], result),
--- a/crates/relay/src/limits.rs
+++ b/crates/relay/src/limits.rs
@@ -1,13 +1,14 @@
 //! Keeps to the limits that targets name on their requests: records them, and gets permits for limited targets.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use spdlog::{debug, info};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
+use tokio::time::sleep;
 use wasabipier_core::clock::Moment;
 use wasabipier_core::names::TargetName;
 use wasabipier_core::relay::brittle::{LeaseEnd, LeaseId, RejectTolerance};
@@ -104,34 +105,62 @@
     end: LeaseEnd,
     /// Address of the node that leased the room, or `None` for this node.
     keeper: Option<SocketAddr>,
+    may_run_on: bool,
 }
 
 impl RoomGuard {
     /// Returns the guard of a lease that has been granted.
     #[must_use]
     pub fn new(node: &SharedNode, target: &TargetName, lease: LeaseId, keeper: Option<SocketAddr>) -> Self {
-        Self { node: node.clone(), end: LeaseEnd { lease, target: target.clone(), is_rejected: false }, keeper }
+        let end = LeaseEnd { lease, target: target.clone(), is_rejected: false };
+        Self { node: node.clone(), end, keeper, may_run_on: false }
     }
 
     /// Sets whether the target rejected the call.
     pub fn set_rejected(&mut self, is_rejected: bool) {
         self.end.is_rejected = is_rejected;
     }
+
+    /// Sets whether the target may go on with the call, since its connection is closed before the answer was complete.
+    pub fn set_may_run_on(&mut self, may_run_on: bool) {
+        self.may_run_on = may_run_on;
+    }
 }
 
 impl Drop for RoomGuard {
     fn drop(&mut self) {
-        match self.keeper {
-            None => record_lease_end(&self.node, &self.end),
-            Some(keeper) => self.node.lease_ends.push(keeper, self.end.clone()),
+        if self.may_run_on {
+            let counts_from = clock::now() + LeaseEnd::ABANDONED_DELAY;
+            self.node.lease_ends.push_delayed(DelayedEnd { counts_from, keeper: self.keeper, end: self.end.clone() });
+        } else {
+            end_lease(&self.node, self.keeper, &self.end);
         }
     }
 }
 
+/// Records the end of a lease of this node, or queues it for `keeper`.
+fn end_lease(node: &SharedNode, keeper: Option<SocketAddr>, end: &LeaseEnd) {
+    match keeper {
+        None => record_lease_end(node, end),
+        Some(keeper) => node.lease_ends.push(keeper, end.clone()),
+    }
+}
+
+/// The end of a call that its target may go on with.
+#[derive(Debug)]
+struct DelayedEnd {
+    /// When the target has noticed that the connection is closed.
+    counts_from: Moment,
+    keeper: Option<SocketAddr>,
+    end: LeaseEnd,
+}
+
 /// Ends of leases that are to be reported to their keepers.
 #[derive(Debug, Default)]
 pub struct LeaseEndQueue {
     ends: RefCell<BTreeMap<SocketAddr, Vec<LeaseEnd>>>,
+    /// Ends that do not count yet, in the order in which they do.
+    delayed: RefCell<VecDeque<DelayedEnd>>,
     changed: Notify,
 }
 
@@ -140,14 +169,36 @@
         self.ends.borrow_mut().entry(keeper).or_default().push(end);
         self.changed.notify_one();
     }
+
+    fn push_delayed(&self, delayed: DelayedEnd) {
+        self.delayed.borrow_mut().push_back(delayed);
+        self.changed.notify_one();
+    }
+
+    /// Takes the next delayed end that counts at `now`.
+    fn take_due(&self, now: Moment) -> Option<DelayedEnd> {
+        self.delayed.borrow_mut().pop_front_if(|delayed| delayed.counts_from <= now)
+    }
+
+    /// Waits until an end has been queued or a delayed one counts.
+    async fn wait(&self, now: Moment) {
+        let next = self.delayed.borrow().front().map(|delayed| now.until(delayed.counts_from));
+        tokio::select! {
+            () = self.changed.notified() => {}
+            () = sleep(next.unwrap_or_default()), if next.is_some() => {}
+        }
+    }
 }
 
-/// Reports ends of leases to keepers until the node ends.
+/// Ends leases until the node ends: those of this node, and at their keepers those of others.
 pub async fn run(node: SharedNode) {
     loop {
-        node.lease_ends.changed.notified().await;
-        let ends = node.lease_ends.ends.take();
-        for (keeper, ends) in ends {
+        node.lease_ends.wait(clock::now()).await;
+        let now = clock::now();
+        while let Some(DelayedEnd { keeper, end, .. }) = node.lease_ends.take_due(now) {
+            end_lease(&node, keeper, &end);
+        }
+        for (keeper, ends) in node.lease_ends.ends.take() {
             spawn_local(report_lease_ends(node.clone(), keeper, ends));
         }
     }
--- a/crates/relay/src/request/target_attempt.rs
+++ b/crates/relay/src/request/target_attempt.rs
@@ -171,9 +171,12 @@
     /// Reads the body of an answer, and blames the content if it is cut.
     async fn read_body(&mut self, answer: &mut OpenAnswer) -> Result<Bytes, AttemptEnd> {
         let body = attempt::read_body(&self.node, answer).await;
-        if let Err(end) = &body {
-            self.guard.set_result(CallResult::Broken);
-            self.handle_failure(*end).await;
+        match &body {
+            Ok(_) => self.guard.record_complete(),
+            Err(end) => {
+                self.guard.set_result(CallResult::Broken);
+                self.handle_failure(*end).await;
+            }
         }
         body
     }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -200,6 +200,7 @@
             // A target that ends before its first event looks like one that has nothing to add.
             return StreamPart::Broken("ended without an event");
         }
+        self.guard.record_complete();
         if let Some(answer) = self.answer.take() {
             node.pool.release(answer.connection, answer.head.idle_timeout);
         }
