Take a target that starts again without an entry for a cold one

Cause: nodes knew from the entry alone whether a target is cold, and its new process cannot write one while the store is away. A target that accepted connections again counted as the same process. The failures of its calls also counted on, so that it got none later while others had room.

Change: a node finds out that the process of a target has ended (refused, no peer reaches it, another target is reached), takes it for cold for warmupS once it accepts connections again, and asks for its health if no entry has come after a second. Calls between nodes are as before. A warmupS or healthPath of another type than expected counts as none, as before.

Before: a_server_that_starts_again_while_the_store_is_away_gets_few_requests_while_it_is_cold 47 requests in a second.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -4,7 +4,7 @@
 //! promote and can check before ([`document_check`]), defines its route ([`document`], [`access`]). Admission control
 //! accepts or refuses it ([`overload`], [`rank_guard`], [`departure`]). Its preparation stages run ([`graph`], [`pieces`],
 //! [`piece_nodes`]), a target is chosen ([`targets`], [`prompts`],
-//! [`choice`], [`placement`]) and connected to ([`paths`]), and the answer is passed on or the request is retried ([`steps`], [`budget`], [`events`]). Content that
+//! [`choice`], [`placement`]) and connected to ([`paths`], [`restarts`]), and the answer is passed on or the request is retried ([`steps`], [`budget`], [`events`]). Content that
 //! crashes targets is refused ([`suspects`]), and targets get no more requests than they say they take
 //! ([`rate_limits`]) and no more than fit while they are brittle ([`brittle`]). [`members`], [`fleet`], [`rosters`] and [`rows`] hold what nodes know of each other and of the store, whose
 //! versions ([`store_version`]) count anew when it is restored from an older copy ([`store_restoration`]),
@@ -41,6 +41,7 @@
 pub mod rate_limits;
 pub mod read_attempts;
 pub mod refusals;
+pub mod restarts;
 pub mod rollout;
 pub mod rollout_board;
 pub mod rosters;
--- a/crates/core/src/relay/document.rs
+++ b/crates/core/src/relay/document.rs
@@ -147,6 +147,10 @@
 pub struct RelayService {
     /// Requests per second that a cold target can take from all nodes together. 0 means no limit.
     pub cold_rate: f64,
+    /// Time for which a target is cold after its start.
+    pub warm_up: Duration,
+    /// Path at which targets tell of their health, if they do.
+    pub health_path: Option<Arc<str>>,
     /// Batch settings if the targets process pieces of stages, otherwise `None`.
     pub batch: Option<BatchSpec>,
     /// Whether the targets are engines, which process prompts.
--- a/crates/core/src/relay/refusals.rs
+++ b/crates/core/src/relay/refusals.rs
@@ -27,6 +27,13 @@
         let is_seen_here = self.is_refused && self.reaches_others != Some(false);
         self.is_reached_by_peer != Some(true) && (is_seen_here || self.is_missed_by_witness)
     }
+
+    /// Returns whether the target's process has ended, and nothing that this node has lost looks like it: this node or a
+    /// peer reaches another target.
+    #[must_use]
+    pub fn shows_end(self) -> bool {
+        self.shows_crash() && (self.reaches_others == Some(true) || self.is_missed_by_witness)
+    }
 }
 
 impl RelayBoard {
--- a/crates/core/src/relay/targets.rs
+++ b/crates/core/src/relay/targets.rs
@@ -10,6 +10,7 @@
 use crate::names::{DcName, NodeName, ServiceName, TargetName, VersionName};
 use crate::relay::fleet::sum_loads;
 use crate::relay::members::TargetLoad;
+use crate::relay::restarts::ProcessState;
 use crate::relay::slow_start::{LimitCause, LimitChange, StartLimiter};
 use crate::relay::store_version::StoreVersion;
 use crate::relay::target_load::LoadHistory;
@@ -46,7 +47,7 @@
 }
 
 impl TargetEntry {
-    fn is_same_incarnation(&self, other: &Self) -> bool {
+    pub(super) fn is_same_incarnation(&self, other: &Self) -> bool {
         (self.incarnation, self.address) == (other.incarnation, other.address)
     }
 }
@@ -141,6 +142,8 @@
     has_said_leaving: bool,
     /// Load that the target stated, if it states its work time.
     pub(super) load: Option<LoadHistory>,
+    /// What is known of the target's process beside its entry.
+    pub(super) process: ProcessState,
     /// Limit on the calls in flight while the target starts or recovers.
     pub(super) limiter: StartLimiter,
     /// When the target is to be removed, if its entry is gone from the store, and the store version at which it was.
@@ -174,6 +177,7 @@
             declines_until: Moment::default(),
             has_said_leaving: false,
             load: None,
+            process: ProcessState::default(),
             limiter: StartLimiter::default(),
             removal: None,
         }
@@ -191,6 +195,14 @@
         now < self.cold_until
     }
 
+    /// Forgets what calls to an earlier process of the target have shown, and counts the new one as cold for `warm_up`.
+    pub(super) fn record_restart(&mut self, warm_up: Duration, now: Moment) {
+        self.process = ProcessState::Restarted;
+        self.cold_until = self.cold_until.max(now + warm_up);
+        (self.average_first_byte_ms, self.failure_ratio) = (0.0, 0.0);
+        (self.consecutive_failures, self.backoff_until) = (0, Moment::default());
+    }
+
     fn record_result(&mut self, result: CallResult, now: Moment) {
         match result {
             CallResult::Good(first_byte_time) => {
@@ -265,7 +277,10 @@
         let effect = if same_incarnation.is_some() { EntryEffect::Updated } else { EntryEffect::NewTarget };
         let view = match same_incarnation {
             Some(old) => {
-                let cold_until = now + entry.cold_time;
+                let stated = now + entry.cold_time;
+                // The entry of a process that has ended says nothing of the one that has started since.
+                let is_stale = old.process != ProcessState::Registered;
+                let cold_until = if is_stale { stated.max(old.cold_until) } else { stated };
                 let entry = TargetEntry { leaving: entry.leaving || old.has_said_leaving, ..entry };
                 TargetView { entry, cold_until, removal: None, ..old }
             }
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -52,6 +52,8 @@
 mod read_attempts;
 #[path = "relay/refusals.rs"]
 mod refusals;
+#[path = "relay/restarts.rs"]
+mod restarts;
 #[path = "relay/rollout.rs"]
 mod rollout;
 #[path = "relay/rosters.rs"]
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -39,6 +39,7 @@
 mod paths;
 mod pool;
 mod read_budget;
+mod restarts;
 mod stream;
 mod tunnels;
 mod unsent;
--- a/crates/relay/src/paths.rs
+++ b/crates/relay/src/paths.rs
@@ -13,6 +13,7 @@
 use crate::clock;
 use crate::log_prefixes::TARGETS;
 use crate::metering;
+use crate::restarts;
 use crate::sockets;
 use crate::state::SharedNode;
 
@@ -50,6 +51,7 @@
         if !was_failed {
             // A partition can leave idle connections open that nothing passes any more.
             node.pool.close_idle(target);
+            restarts::look_for_end(node, entry);
         }
         if !was_failed && node.log_limiter.allows(now) {
             let error = error.to_string();
@@ -58,6 +60,9 @@
     } else if was_failed && node.log_limiter.allows(now) {
         info!("{TARGETS} target is reached again.", kv: { target = target.as_str() });
     }
+    if error.is_none() {
+        restarts::handle_accepting(node, entry);
+    }
     handle_change(node, change);
 }
 
--- a/crates/relay/src/ports.rs
+++ b/crates/relay/src/ports.rs
@@ -150,6 +150,8 @@
 /// The decoded head of a target's answer.
 #[derive(Clone, Debug, Default)]
 pub struct AnswerHead {
+    /// Name of the target that answers, if it states it.
+    pub target: Option<TargetName>,
     /// Id of the request as the target echoes it, if it does.
     pub request: Option<String>,
     /// Whether the answer carries a signature of the target. The signature itself is not verified.
@@ -266,6 +268,9 @@
     fn read_pieces(&self, body: &[u8], count: usize) -> Option<Vec<Result<Arc<str>, PieceFailure>>>;
     /// Returns a request with the id `call` that frees the results with these handles at the target that holds them.
     fn free_request(&self, target: &TargetEntry, call: &str, handles: &[Arc<str>]) -> Request<Bytes>;
+    /// Returns a request for the health of a target at `path`, or `None` if the path is malformed. In its answer the target
+    /// names itself, and states how long it remains cold.
+    fn health_request(&self, target: &TargetEntry, path: &str) -> Option<Request<Bytes>>;
     /// Returns the address of the target that holds a result, or `None` if the handle is malformed.
     fn result_address(&self, handle: &str) -> Option<SocketAddr>;
 
--- a/crates/relay/src/tunnels.rs
+++ b/crates/relay/src/tunnels.rs
@@ -25,6 +25,7 @@
 use crate::log_prefixes::{PEERS, TARGETS};
 use crate::metering;
 use crate::paths;
+use crate::restarts;
 use crate::sockets::{self, PAUSED_READER_TIMEOUT};
 use crate::state::SharedNode;
 
@@ -64,6 +65,7 @@
         if let Some(stream) = stream {
             let change = node.board.borrow_mut().record_relayed(&entry.target, now);
             paths::handle_change(node, change);
+            restarts::handle_accepting(node, entry);
             return Ok((stream, name));
         }
     }
