--- a/crates/core/src/relay/restarts.rs
+++ b/crates/core/src/relay/restarts.rs
@@ -31,11 +31,7 @@
     /// Returns whether cold targets of `service` get calls at a limited rate.
     #[must_use]
     pub fn limits_cold_calls(&self, service: &ServiceName) -> bool {
-        self.cold_rate(service) > 0.0
-    }
-
-    fn cold_rate(&self, service: &ServiceName) -> f64 {
-        self.index.services.get(service).map_or(0.0, |settings| settings.cold_rate)
+        self.index.services.get(service).is_some_and(|settings| settings.cold_rate > 0.0)
     }
 
     /// Returns the path at which targets of `service` tell of their health, if they do.
--- a/crates/relay/src/limits.rs
+++ b/crates/relay/src/limits.rs
@@ -105,6 +105,7 @@
     end: LeaseEnd,
     /// Address of the node that leased the room, or `None` for this node.
     keeper: Option<SocketAddr>,
+    /// Whether the target may go on with the call after its end here.
     may_run_on: bool,
 }
 
