--- a/crates/core/src/relay/brittle.rs
+++ b/crates/core/src/relay/brittle.rs
@@ -55,8 +55,8 @@
 }
 
 impl LeaseEnd {
-    /// Time from which the room of a call counts as free after its connection was closed before the answer was complete.
-    /// Until a target notices that, it goes on with the call. No page of the users says how long that takes.
+    /// Time after which the room of a call counts as free if its connection was closed before the answer was complete. A target
+    /// goes on with such a call until it notices that. The time is an assumption: targets do not state theirs.
     pub const ABANDONED_DELAY: Duration = Duration::from_millis(200);
 }
 
