Probe a failed path in time after several calls have failed at once

What callers saw: a target that hung for a moment while several calls opened connections to it got none for up to two seconds after it.

Cause: each failure to connect doubled the pause before the next probe, also those of calls that had begun before the first of them had failed.

Change: only the first failure, and the first one after each probe, count.

Before: calls_that_fail_at_the_same_time_do_not_delay_the_first_probe failed, no probe was due after 300 ms. After: it passes, with the tests of paths before.

--- a/crates/core/src/relay/paths.rs
+++ b/crates/core/src/relay/paths.rs
@@ -62,10 +62,12 @@
 struct FailedPath {
     /// When the first of these attempts failed.
     failed_at: Moment,
-    /// Attempts that failed in a row.
+    /// Probes that failed in a row, with the attempt before them. Calls that fail at the same time count as one attempt.
     failures: u32,
     /// When the next attempt is made to find out whether the path works again.
     probe_at: Moment,
+    /// Whether the next failure counts: the first one, or the first one after a probe was sent.
+    counts_failure: bool,
 }
 
 /// What a node knows of its paths to targets.
@@ -145,11 +147,13 @@
         if !self.failed.contains_key(target) && !self.is_down(target, now) {
             self.failed_in_row.insert(target.clone());
         }
-        let new = FailedPath { failed_at: now, failures: 0, probe_at: now };
+        let new = FailedPath { failed_at: now, failures: 0, probe_at: now, counts_failure: true };
         let path = self.failed.entry(target.clone()).or_insert(new);
-        let pause = Self::MIN_PROBE_PAUSE * 2_u32.pow(path.failures.min(4));
-        path.failures += 1;
-        path.probe_at = now + pause.min(Self::MAX_PROBE_PAUSE);
+        if std::mem::take(&mut path.counts_failure) {
+            let pause = Self::MIN_PROBE_PAUSE * 2_u32.pow(path.failures.min(4));
+            path.failures += 1;
+            path.probe_at = now + pause.min(Self::MAX_PROBE_PAUSE);
+        }
         self.check_cut_off(target_count, now)
     }
 
@@ -207,7 +211,7 @@
         let due: Vec<TargetName> = due.into_iter().take(max_count).map(|(_, target)| target.clone()).collect();
         for target in &due {
             if let Some(path) = self.failed.get_mut(target) {
-                path.probe_at = now + Self::MAX_PROBE_PAUSE;
+                (path.probe_at, path.counts_failure) = (now + Self::MAX_PROBE_PAUSE, true);
             }
         }
         due
--- a/crates/core/tests/relay/paths.rs
+++ b/crates/core/tests/relay/paths.rs
@@ -151,6 +151,24 @@
     assert!((24..=60).contains(&probes), "{probes} probes in 10 s");
 }
 
+/// Guards against a target that hangs for a moment and gets no calls for seconds after it, since calls that fail at the
+/// same time count as attempts in a row.
+#[test]
+fn calls_that_fail_at_the_same_time_do_not_delay_the_first_probe() {
+    let mut paths = PathTable::default();
+    let targets = [target(0), target(1)];
+
+    for ms in 10..30 {
+        paths.record_failed(&target(0), TARGET_COUNT, at(ms));
+    }
+
+    assert_eq!(paths.take_due_probes(targets.iter(), at(300)), [target(0)]);
+    paths.record_failed(&target(0), TARGET_COUNT, at(310));
+    paths.record_failed(&target(0), TARGET_COUNT, at(311));
+    assert!(paths.take_due_probes(targets.iter(), at(800)).is_empty(), "the pause has doubled");
+    assert_eq!(paths.take_due_probes(targets.iter(), at(810)), [target(0)]);
+}
+
 /// Guards against paths that count as sound although their calls break: a partition leaves connections open.
 #[test]
 fn a_path_is_probed_after_a_call_has_broken() {
