See the end of a process after its target was out of reach

What callers saw: a server that accepted no connections for a moment, ended and started again while the store was away got its full part of the requests while it was cold, 75 in a second where 11 are allowed (FAILBACK). One that had hung before got none at all.

Cause: a node checked whether the process of a target has ended only when the path to it failed first. If attempts to connect had timed out before, and the process ended before one succeeded, the end was never seen.

Change: each failed attempt to connect asks for a check until the end is known; one runs at a time for a target. Attempts to connect to a target that is out of reach are probes, whose number is bounded. The log says when an end is seen.

Evidence: with a log line of each attempt and check, on an idle machine, attempts timed out in the burst of calls at the start of the test, and the check found the target up.

--- a/crates/core/src/relay/restarts.rs
+++ b/crates/core/src/relay/restarts.rs
@@ -10,6 +10,7 @@
 use crate::clock::Moment;
 use crate::names::{ServiceName, TargetName};
 use crate::relay::board::RelayBoard;
+use crate::relay::refusals::RefusalEvidence;
 use crate::relay::targets::{TargetEntry, TargetView};
 
 /// What this node knows of the process of a target.
@@ -40,11 +41,27 @@
         self.index.services.get(service)?.health_path.clone()
     }
 
-    /// Records that the process that wrote `entry`, or one that has started under it, has ended.
-    pub fn record_process_end(&mut self, entry: &TargetEntry) {
-        if let Some(view) = self.view_of(entry) {
+    /// Begins a check whether the process of a target has ended that this node could not connect to just now, and returns
+    /// whether there is one to make: calls depend on it, the end is not known yet, and no other check of the target runs.
+    /// A target that only did not answer in time may end later, so that each failed attempt asks for a check.
+    #[must_use]
+    pub fn begin_process_check(&mut self, entry: &TargetEntry) -> bool {
+        let is_wanted = !entry.leaving && self.limits_cold_calls(&entry.service);
+        let Some(view) = self.view_of(entry).filter(|_| is_wanted) else { return false };
+        let is_due = !view.is_process_checked && view.process != ProcessState::Ended;
+        view.is_process_checked |= is_due;
+        is_due
+    }
+
+    /// Records what a check has shown that [`Self::begin_process_check`] has begun. Returns whether the process
+    /// has ended.
+    pub fn finish_process_check(&mut self, entry: &TargetEntry, evidence: RefusalEvidence) -> bool {
+        let Some(view) = self.view_of(entry) else { return false };
+        view.is_process_checked = false;
+        if evidence.shows_end() {
             view.process = ProcessState::Ended;
         }
+        evidence.shows_end()
     }
 
     /// Records that a target accepts connections. If its process has ended before, it counts as cold from now on, and the
--- a/crates/core/src/relay/targets.rs
+++ b/crates/core/src/relay/targets.rs
@@ -144,6 +144,8 @@
     pub(super) load: Option<LoadHistory>,
     /// What is known of the target's process beside its entry.
     pub(super) process: ProcessState,
+    /// Whether this node checks now whether the process has ended.
+    pub(super) is_process_checked: bool,
     /// Limit on the calls in flight while the target starts or recovers.
     pub(super) limiter: StartLimiter,
     /// When the target is to be removed, if its entry is gone from the store, and the store version at which it was.
@@ -178,6 +180,7 @@
             has_said_leaving: false,
             load: None,
             process: ProcessState::default(),
+            is_process_checked: false,
             limiter: StartLimiter::default(),
             removal: None,
         }
--- a/crates/core/tests/relay/restarts.rs
+++ b/crates/core/tests/relay/restarts.rs
@@ -26,6 +26,17 @@
     (board, entry)
 }
 
+/// Returns evidence that a process has ended: the target refuses connections, and another one does not.
+fn end_evidence() -> RefusalEvidence {
+    RefusalEvidence { is_refused: true, reaches_others: Some(true), ..RefusalEvidence::default() }
+}
+
+/// Lets a check show that the process of `entry` has ended.
+fn end_process(board: &mut RelayBoard, entry: &TargetEntry) {
+    assert!(board.begin_process_check(entry), "the end is not known");
+    assert!(board.finish_process_check(entry, end_evidence()));
+}
+
 fn is_cold(board: &RelayBoard, ms: u64) -> bool {
     board.targets.get(&TargetName::new("i-1")).expect("the target is known").is_cold(at(ms))
 }
@@ -34,7 +45,7 @@
 #[test]
 fn a_target_whose_process_has_ended_is_cold_once_it_accepts_connections_again() {
     let (mut board, entry) = board_with_target();
-    board.record_process_end(&entry);
+    end_process(&mut board, &entry);
 
     let delay = board.record_accepting(&entry.target, at(2_000));
 
@@ -61,7 +72,7 @@
     let (mut board, entry) = board_with_target();
     board.targets.record_call_start(&entry.target, 0, at(900));
     board.targets.record_call_end(&entry.target, CallResult::Broken, at(1_000));
-    board.record_process_end(&entry);
+    end_process(&mut board, &entry);
 
     board.record_accepting(&entry.target, at(1_100));
 
@@ -73,7 +84,7 @@
 #[test]
 fn only_an_entry_of_the_new_process_tells_how_long_it_stays_cold() {
     let (mut board, entry) = board_with_target();
-    board.record_process_end(&entry);
+    end_process(&mut board, &entry);
     board.record_accepting(&entry.target, at(2_000));
 
     let old = TargetEntry { sequence: Some(9), row_version: version(7), ..entry.clone() };
@@ -89,7 +100,7 @@
 #[test]
 fn a_target_that_tells_that_it_is_warm_gets_calls_again() {
     let (mut board, entry) = board_with_target();
-    board.record_process_end(&entry);
+    end_process(&mut board, &entry);
     board.record_accepting(&entry.target, at(2_000));
 
     board.record_told_cold_time(&entry, Duration::ZERO, at(3_000));
@@ -98,6 +109,33 @@
     assert!(!board.is_restarted(&entry, at(3_000)));
 }
 
+/// Guards against a target that hangs before its process ends, whose end is not seen since a check has shown nothing
+/// before (FAILBACK).
+#[test]
+fn a_process_is_checked_until_its_end_is_known() {
+    let (mut board, entry) = board_with_target();
+
+    assert!(board.begin_process_check(&entry));
+    assert!(!board.begin_process_check(&entry), "one check runs");
+    assert!(!board.finish_process_check(&entry, RefusalEvidence::default()), "it did not answer in time");
+    assert!(board.begin_process_check(&entry));
+    assert!(board.finish_process_check(&entry, end_evidence()));
+    assert!(!board.begin_process_check(&entry), "its end is known");
+    board.record_accepting(&entry.target, at(2_000));
+    assert!(board.begin_process_check(&entry), "the next process may end, too");
+}
+
+#[test]
+fn processes_are_checked_only_if_calls_depend_on_it() {
+    let (mut board, entry) = board_with_target();
+    let leaving = TargetEntry { leaving: true, ..entry.clone() };
+    let other = target_entry("i-2", "unlimited", "khomas-a");
+    board.upsert_target(other.clone(), at(0));
+
+    assert!(!board.begin_process_check(&leaving));
+    assert!(!board.begin_process_check(&other), "its service does not limit calls to cold targets");
+}
+
 /// Guards against a partition of this node, or of all, that is taken for the end of a process.
 #[test]
 fn a_process_has_ended_only_if_another_target_was_reached() {
--- a/crates/relay/src/paths.rs
+++ b/crates/relay/src/paths.rs
@@ -51,8 +51,8 @@
         if !was_failed {
             // A partition can leave idle connections open that nothing passes any more.
             node.pool.close_idle(target);
-            restarts::look_for_end(node, entry);
         }
+        restarts::check_process(node, entry);
         if !was_failed && node.log_limiter.allows(now) {
             let error = error.to_string();
             info!("{TARGETS} target is not reached.", kv: { target = target.as_str(), error = error.as_str() });
--- a/crates/relay/src/restarts.rs
+++ b/crates/relay/src/restarts.rs
@@ -19,15 +19,17 @@
 /// Number of times that a target is asked.
 const MAX_QUESTIONS: usize = 3;
 
-/// Finds out whether the process of a target that this node has not reached has ended, if its calls depend on that.
-pub fn look_for_end(node: &SharedNode, entry: &TargetEntry) {
-    if entry.leaving || !node.board.borrow().limits_cold_calls(&entry.service) {
+/// Checks whether the process of a target has ended that this node could not connect to just now, if its calls depend on
+/// that.
+pub fn check_process(node: &SharedNode, entry: &TargetEntry) {
+    if !node.board.borrow_mut().begin_process_check(entry) {
         return;
     }
     let (node, entry) = (node.clone(), entry.clone());
     spawn_local(async move {
-        if crash_probe::probe_target(&node, &entry).await.evidence().shows_end() {
-            node.board.borrow_mut().record_process_end(&entry);
+        let evidence = crash_probe::probe_target(&node, &entry).await.evidence();
+        if node.board.borrow_mut().finish_process_check(&entry, evidence) {
+            info!("{TARGETS} process of the target has ended.", kv: { target = entry.target.as_str() });
         }
     });
 }
