Apply what a target says of itself to the process that said it

What callers could see: a target that had started again got its full part of the calls while it was cold, or none until its next start.

Cause: nodes applied the notices of an answer (cold time, pause, leaving, load) to whatever process was known under the target's name. An answer of the process before may come after the entry of the next one.

Change: they hold for the incarnation that was called only. The two methods that recorded how long a target stays cold are one.

--- a/crates/core/src/relay/restarts.rs
+++ b/crates/core/src/relay/restarts.rs
@@ -11,7 +11,7 @@
 use crate::names::{ServiceName, TargetName};
 use crate::relay::board::RelayBoard;
 use crate::relay::refusals::RefusalEvidence;
-use crate::relay::targets::{TargetEntry, TargetView};
+use crate::relay::targets::TargetEntry;
 
 /// What this node knows of the process of a target.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -47,7 +47,7 @@
     #[must_use]
     pub fn begin_process_check(&mut self, entry: &TargetEntry) -> bool {
         let is_wanted = !entry.leaving && self.limits_cold_calls(&entry.service);
-        let Some(view) = self.view_of(entry).filter(|_| is_wanted) else { return false };
+        let Some(view) = self.targets.incarnation_mut(entry).filter(|_| is_wanted) else { return false };
         let is_due = !view.is_process_checked && view.process != ProcessState::Ended;
         view.is_process_checked |= is_due;
         is_due
@@ -56,7 +56,7 @@
     /// Records what a check has shown that [`Self::begin_process_check`] has begun. Returns whether the process
     /// has ended.
     pub fn finish_process_check(&mut self, entry: &TargetEntry, evidence: RefusalEvidence) -> bool {
-        let Some(view) = self.view_of(entry) else { return false };
+        let Some(view) = self.targets.incarnation_mut(entry) else { return false };
         view.is_process_checked = false;
         if evidence.shows_end() {
             view.process = ProcessState::Ended;
@@ -82,15 +82,4 @@
         let view = self.targets.get(&entry.target).filter(|view| view.entry.is_same_incarnation(entry));
         view.is_some_and(|view| view.process == ProcessState::Restarted && view.is_cold(now))
     }
-
-    /// Records how long a target that has started again under `entry` stays cold, as it has told.
-    pub fn record_told_cold_time(&mut self, entry: &TargetEntry, cold_time: Duration, now: Moment) {
-        if let Some(view) = self.view_of(entry) {
-            view.cold_until = now + cold_time;
-        }
-    }
-
-    fn view_of(&mut self, entry: &TargetEntry) -> Option<&mut TargetView> {
-        self.targets.get_mut(&entry.target).filter(|view| view.entry.is_same_incarnation(entry))
-    }
 }
--- a/crates/core/src/relay/slow_start/recording.rs
+++ b/crates/core/src/relay/slow_start/recording.rs
@@ -10,7 +10,7 @@
 use crate::relay::rollout_board::CallOrigin;
 use crate::relay::speed::SpeedTable;
 use crate::relay::target_load::{LoadHistory, ReportedLoad};
-use crate::relay::targets::{CallResult, TargetRegistry, TargetView};
+use crate::relay::targets::{CallResult, TargetEntry, TargetRegistry, TargetView};
 
 /// Time of an answer, and the work that it took.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -73,12 +73,13 @@
     /// Age of a stated load from which its target counts as stating none.
     const LOAD_LIFETIME: Duration = Duration::from_mins(1);
 
-    /// Records the load that a target stated at `now`. A target that states no work time has neither a load nor a limit.
-    pub fn record_load(&mut self, target: &TargetName, load: ReportedLoad, now: Moment) {
+    /// Records the load that the target of `entry` stated at `now`. A target that states no work time has neither a load nor
+    /// a limit.
+    pub fn record_load(&mut self, entry: &TargetEntry, load: ReportedLoad, now: Moment) {
+        let Some(view) = self.incarnation_mut(entry) else { return };
         if load.work_time_percent.is_none() {
-            self.forget_load(target, now);
+            return self.forget_load(&entry.target, now);
         }
-        let Some(view) = self.get_mut(target) else { return };
         let own_calls = view.in_flight;
         match &mut view.load {
             Some(history) => history.record(load, own_calls, now),
--- a/crates/core/src/relay/targets.rs
+++ b/crates/core/src/relay/targets.rs
@@ -352,6 +352,12 @@
         self.views.get_mut(target)
     }
 
+    /// Returns the target of `entry` for changes, or `None` if it is unknown or another incarnation of it is known. What
+    /// one process has shown or said does not hold for the next one.
+    pub(super) fn incarnation_mut(&mut self, entry: &TargetEntry) -> Option<&mut TargetView> {
+        self.views.get_mut(&entry.target).filter(|view| view.entry.is_same_incarnation(entry))
+    }
+
     /// Returns the targets that provide `service`.
     pub fn of<'a>(&'a self, service: &ServiceName) -> impl Iterator<Item = &'a TargetView> {
         let names = self.by_service.get(service).into_iter().flatten();
@@ -404,24 +410,24 @@
         self.record_limit_result(target, CallResult::Broken, now);
     }
 
-    /// Records that a target reported at `now` to remain cold for `cold_for`.
-    pub fn record_cold_duration(&mut self, target: &TargetName, cold_time: Duration, now: Moment) {
-        if let Some(view) = self.views.get_mut(target) {
+    /// Records that the target of `entry` reported at `now` to remain cold for `cold_time`.
+    pub fn record_cold_time(&mut self, entry: &TargetEntry, cold_time: Duration, now: Moment) {
+        if let Some(view) = self.incarnation_mut(entry) {
             view.cold_until = now + cold_time;
         }
     }
 
-    /// Records that a target said at `now` that it wants no calls from this node for `pause`. A time that it has named
-    /// before stands if it ends later.
-    pub fn record_decline(&mut self, target: &TargetName, pause: Duration, now: Moment) {
-        if let Some(view) = self.views.get_mut(target) {
+    /// Records that the target of `entry` said at `now` that it wants no calls from this node for `pause`. A time that it
+    /// has named before stands if it ends later.
+    pub fn record_decline(&mut self, entry: &TargetEntry, pause: Duration, now: Moment) {
+        if let Some(view) = self.incarnation_mut(entry) {
             view.declines_until = view.declines_until.max(now + pause.min(Self::MAX_DECLINE_TIME));
         }
     }
 
-    /// Records that a target said in an answer that it leaves. Returns whether that is news.
-    pub fn record_leaving(&mut self, target: &TargetName) -> bool {
-        let Some(view) = self.views.get_mut(target) else { return false };
+    /// Records that the target of `entry` said in an answer that it leaves. Returns whether that is news.
+    pub fn record_leaving(&mut self, entry: &TargetEntry) -> bool {
+        let Some(view) = self.incarnation_mut(entry) else { return false };
         let is_news = !view.entry.leaving;
         (view.entry.leaving, view.has_said_leaving) = (true, true);
         is_news
--- a/crates/core/tests/relay/autoscale.rs
+++ b/crates/core/tests/relay/autoscale.rs
@@ -224,7 +224,7 @@
     for (name, dc) in [("t1", DCS[0]), ("t2", DCS[0]), ("t3", DCS[1])] {
         board.upsert_target(target_entry(name, "model", dc), at(0));
     }
-    board.targets.record_leaving(&TargetName::new("t2"));
+    board.targets.record_leaving(&target_entry("t2", "model", DCS[0]));
     board.targets.record_call_start(&TargetName::new("t1"), 100, at(0));
     let load = TargetLoad { target: TargetName::new("t2"), in_flight: 3, pending_prompt_tokens: 50 };
     board.handle_heartbeat(heartbeat("node-2", 1), at(0));
--- a/crates/core/tests/relay/choice.rs
+++ b/crates/core/tests/relay/choice.rs
@@ -226,7 +226,7 @@
     let entry = target_entry("i-a", "coachmodel", "khomas-a");
     board.upsert_target(entry.clone(), at(0));
 
-    let is_news = [(), ()].map(|()| board.targets.record_leaving(&TargetName::new("i-a")));
+    let is_news = [(), ()].map(|()| board.targets.record_leaving(&entry));
     board.upsert_target(entry.clone(), at(100));
     let chosen = choose_target(&mut board, None, &[], 100);
     board.upsert_target(TargetEntry { incarnation: Some(2), ..entry }, at(200));
@@ -241,14 +241,15 @@
     let mut board = board("edge-1");
     let service = ServiceName::new("coachmodel");
     let [first, second] = ["i-a", "i-b"].map(TargetName::new);
-    for target in ["i-a", "i-b"] {
-        board.upsert_target(target_entry(target, "coachmodel", "khomas-a"), at(0));
+    let entries = ["i-a", "i-b"].map(|target| target_entry(target, "coachmodel", "khomas-a"));
+    for entry in &entries {
+        board.upsert_target(entry.clone(), at(0));
     }
 
-    board.targets.record_decline(&first, millis(2_000), at(0));
-    board.targets.record_decline(&first, millis(500), at(100));
+    board.targets.record_decline(&entries[0], millis(2_000), at(0));
+    board.targets.record_decline(&entries[0], millis(500), at(100));
     let while_one_declines = (choose_target(&mut board, None, &[], 1_900), board.decline_time(&service, at(1_900)));
-    board.targets.record_decline(&second, millis(3_000), at(1_900));
+    board.targets.record_decline(&entries[1], millis(3_000), at(1_900));
     let while_both_decline = choose_target(&mut board, None, &[], 1_950);
     let decline_time = board.decline_time(&service, at(1_950));
 
--- a/crates/core/tests/relay/restarts.rs
+++ b/crates/core/tests/relay/restarts.rs
@@ -103,12 +103,28 @@
     end_process(&mut board, &entry);
     board.record_accepting(&entry.target, at(2_000));
 
-    board.record_told_cold_time(&entry, Duration::ZERO, at(3_000));
+    board.targets.record_cold_time(&entry, Duration::ZERO, at(3_000));
 
     assert!(!is_cold(&board, 3_000));
     assert!(!board.is_restarted(&entry, at(3_000)));
 }
 
+/// Guards against a target that gets too many calls, or none for good, since an answer of the process before comes late.
+#[test]
+fn what_an_earlier_process_says_does_not_hold_for_the_next_one() {
+    let (mut board, entry) = board_with_target();
+    let new = TargetEntry { incarnation: Some(2), cold_time: millis(4_000), row_version: version(8), ..entry.clone() };
+    board.upsert_target(new, at(5_000));
+
+    board.targets.record_cold_time(&entry, Duration::ZERO, at(5_100));
+    board.targets.record_decline(&entry, millis(1_000), at(5_100));
+    let is_news = board.targets.record_leaving(&entry);
+
+    assert!(is_cold(&board, 8_999));
+    let view = board.targets.get(&entry.target).expect("the target is known");
+    assert!(view.takes_calls(at(5_200)) && !is_news);
+}
+
 /// Guards against a target that hangs before its process ends, whose end is not seen since a check has shown nothing
 /// before (FAILBACK).
 #[test]
--- a/crates/core/tests/relay/slow_start.rs
+++ b/crates/core/tests/relay/slow_start.rs
@@ -6,7 +6,7 @@
 use wasabipier_core::relay::board::{OrderChange, RelayBoard};
 use wasabipier_core::relay::slow_start::{LimitCause, LimitStep};
 use wasabipier_core::relay::target_load::{LoadHistory, ReportedLoad};
-use wasabipier_core::relay::targets::CallResult;
+use wasabipier_core::relay::targets::{CallResult, TargetEntry};
 
 use crate::fixtures::{at, board, choose_for_plain_call, millis, target_entry};
 use crate::slow_start_model::{LoadPattern, run, slow_start_rule};
@@ -58,6 +58,11 @@
     ReportedLoad { running, waiting: 0, slots: 6, work_time_percent }
 }
 
+/// Returns the entry of a target of the service pure.
+fn pure_entry(target: &TargetName) -> TargetEntry {
+    target_entry(target.as_str(), "pure", "khomas-a")
+}
+
 /// Returns the state of a node with two targets of the service pure.
 fn board_with_two_targets() -> (RelayBoard, ServiceName, [TargetName; 2]) {
     let mut board = board("edge-1");
@@ -94,7 +99,7 @@
         for board in [&mut silent, &mut stating] {
             board.targets.record_call_start(&chosen, 0, now);
         }
-        stating.targets.record_load(&chosen, load(40, None), now);
+        stating.targets.record_load(&pure_entry(&chosen), load(40, None), now);
         for board in [&mut silent, &mut stating] {
             let result = if call % 7 == 0 { CallResult::Broken } else { CallResult::Good(millis(10 + call % 5)) };
             board.targets.record_call_end(&chosen, result, now);
@@ -110,11 +115,10 @@
 fn a_restarted_target_gets_few_calls_but_is_chosen_if_there_is_no_other() {
     let (mut board, service, [first, second]) = board_with_two_targets();
     for target in [&first, &second] {
-        board.targets.record_load(target, load(0, Some(100)), at(0));
+        board.targets.record_load(&pure_entry(target), load(0, Some(100)), at(0));
     }
-    let mut restarted = target_entry("i-1", "pure", "khomas-a");
-    restarted.incarnation = Some(2);
-    board.upsert_target(restarted, at(10));
+    let restarted = TargetEntry { incarnation: Some(2), ..pure_entry(&first) };
+    board.upsert_target(restarted.clone(), at(10));
     let changes = board.targets.take_limit_changes();
     assert_eq!((changes[0].step, changes[0].cause), (LimitStep::Started, LimitCause::NewTarget));
 
@@ -126,10 +130,10 @@
     }
     assert!(counts[0] <= 2, "{counts:?}");
 
-    board.targets.record_decline(&second, Duration::from_secs(1), at(40));
+    board.targets.record_decline(&pure_entry(&second), Duration::from_secs(1), at(40));
     assert_eq!(choose_for_plain_call(&mut board, &service, at(50)).map(|entry| entry.target), Some(first.clone()));
 
-    board.targets.record_load(&first, load(0, None), at(60));
+    board.targets.record_load(&restarted, load(0, None), at(60));
     assert_eq!(board.targets.limited_count(), 0, "a target that states no work time has no limit");
 }
 
@@ -137,7 +141,7 @@
 #[test]
 fn targets_of_a_data_centre_that_is_opened_have_a_limit() {
     let (mut board, _, [first, _]) = board_with_two_targets();
-    board.targets.record_load(&first, load(0, Some(100)), at(0));
+    board.targets.record_load(&pure_entry(&first), load(0, Some(100)), at(0));
     board.apply_order(OrderChange::Close(DcName::new("khomas-a")), at(10));
     board.apply_order(OrderChange::Open(DcName::new("khomas-a")), at(20));
     assert_eq!(board.targets.limited_count(), 1, "only the first target has stated its work time");
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -383,7 +383,7 @@
     }
     // Another target has the address, and its notices are not about this one.
     if head.claim != RunClaim::Misdirected {
-        notices::record_answer(node, &entry.target, &head);
+        notices::record_answer(node, entry, &head);
     }
     let (target, service) = (entry.target.clone(), entry.service.clone());
     OpenAnswer { status: parts.status, headers: parts.headers, head, body, connection, target, service }
--- a/crates/relay/src/notices.rs
+++ b/crates/relay/src/notices.rs
@@ -1,9 +1,9 @@
 //! Handles what targets say of themselves in their answers.
 
 use spdlog::info;
-use wasabipier_core::names::TargetName;
 use wasabipier_core::relay::slow_start::LimitChange;
 use wasabipier_core::relay::target_load::LoadNotice;
+use wasabipier_core::relay::targets::TargetEntry;
 
 use crate::clock;
 use crate::log_prefixes::TARGETS;
@@ -11,21 +11,22 @@
 use crate::ports::AnswerHead;
 use crate::state::SharedNode;
 
-/// Records the notices in the head of an answer of `target`.
-pub fn record_answer(node: &SharedNode, target: &TargetName, head: &AnswerHead) {
+/// Records the notices in the head of an answer of the target of `entry`.
+pub fn record_answer(node: &SharedNode, entry: &TargetEntry, head: &AnswerHead) {
+    let target = &entry.target;
     match head.load {
         LoadNotice::Absent => {}
-        LoadNotice::Stated(load) => node.board.borrow_mut().targets.record_load(target, load, clock::now()),
+        LoadNotice::Stated(load) => node.board.borrow_mut().targets.record_load(entry, load, clock::now()),
         LoadNotice::Malformed => metering::record_malformed_load(),
     }
     if let Some(pause) = head.declined_time {
-        node.board.borrow_mut().targets.record_decline(target, pause, clock::now());
+        node.board.borrow_mut().targets.record_decline(entry, pause, clock::now());
         if node.log_limiter.allows(clock::now()) {
             let pause_ms = pause.as_millis() as u64;
             info!("{TARGETS} target wants no calls for a time.", kv: { target = target.as_str(), pause_ms });
         }
     }
-    if head.is_leaving && node.board.borrow_mut().targets.record_leaving(target) {
+    if head.is_leaving && node.board.borrow_mut().targets.record_leaving(entry) {
         info!("{TARGETS} target says that it leaves.", kv: { target = target.as_str() });
         node.piece_waiters.wake_queues();
     }
--- a/crates/relay/src/request/target_attempt.rs
+++ b/crates/relay/src/request/target_attempt.rs
@@ -97,7 +97,7 @@
             }
         };
         if let Some(cold_time) = answer.head.cold_time {
-            self.node.board.borrow_mut().targets.record_cold_duration(&self.entry.target, cold_time, clock::now());
+            self.node.board.borrow_mut().targets.record_cold_time(&self.entry, cold_time, clock::now());
         }
         match attempt::classify_head(answer.status, &answer.head, &self.id, answer.connection.is_reused) {
             HeadVerdict::Ended(end) => {
--- a/crates/relay/src/restarts.rs
+++ b/crates/relay/src/restarts.rs
@@ -49,7 +49,7 @@
             return;
         }
         if let Ok(Some(cold_time)) = timeout(HEALTH_TIMEOUT, ask(&node, &entry)).await {
-            node.board.borrow_mut().record_told_cold_time(&entry, cold_time, clock::now());
+            node.board.borrow_mut().targets.record_cold_time(&entry, cold_time, clock::now());
             let (target, cold_ms) = (entry.target.as_str(), cold_time.as_millis() as u64);
             info!("{TARGETS} target that has started again told how long it stays cold.", kv: { target, cold_ms });
             return;
