Count a target as down only if a peer with paths misses it

What callers saw: nodes that had lost their paths refused requests with 503, although one of their peers reached the servers.

Cause: a target that one peer did not reach either counted as down for 500 ms and was not tried. Peers that were partitioned themselves, and did not know it yet, said so of every target.

Change: the peer is asked for another target, too, and the target counts as down only if the peer reaches that one. Peers that missed a target within 500 ms are asked last. Calls between nodes are as before.

New tests of the decisions: what a check of peers shows, which peers are asked last, and for which targets they are asked.

--- a/crates/core/src/relay/paths.rs
+++ b/crates/core/src/relay/paths.rs
@@ -78,8 +78,12 @@
     failed_in_row: BTreeSet<TargetName>,
     /// Targets to be probed although no attempt to connect has failed, since a call to them broke or they are silent.
     doubted: BTreeSet<TargetName>,
-    /// Times until which targets count as down, since a peer has not reached them either.
+    /// Times until which targets count as down, since a peer with paths has not reached them either.
     down_until: BTreeMap<TargetName, Moment>,
+    /// Targets of which is checked whether a peer that does not reach them has paths.
+    down_checked: BTreeSet<TargetName>,
+    /// When peers did not reach a target for which they were asked last.
+    missed_at: BTreeMap<NodeName, Moment>,
     /// When a connection succeeded last.
     last_connected_at: Moment,
     is_cut_off: bool,
@@ -95,6 +99,8 @@
     const MAX_PROBE_PAUSE: Duration = Duration::from_secs(2);
     /// Time for which a target counts as down after a peer has not reached it either.
     const DOWN_TIME: Duration = Duration::from_millis(500);
+    /// Time for which other peers are asked first after one has not reached a target. Heartbeats tell more by then.
+    const MISS_TIME: Duration = Duration::from_millis(500);
     /// Maximum number of probes of one round, and of a node that is cut off.
     const MAX_PROBES: usize = 3;
     const MAX_CUT_OFF_PROBES: usize = 1;
@@ -163,8 +169,33 @@
         (is_cut_off && !std::mem::replace(&mut self.is_cut_off, is_cut_off)).then_some(ReachChange::CutOff)
     }
 
-    /// Records that a peer does not reach `target` either.
-    pub fn record_down(&mut self, target: &TargetName, now: Moment) {
+    /// Records that `peer` does not reach a target for which it was asked: the target may be down, or the peer without
+    /// paths.
+    pub fn record_miss(&mut self, peer: &NodeName, now: Moment) {
+        self.missed_at.retain(|_, missed_at| now.since(*missed_at) < Self::MISS_TIME);
+        self.missed_at.insert(peer.clone(), now);
+    }
+
+    fn has_missed(&self, peer: &NodeName, now: Moment) -> bool {
+        self.missed_at.get(peer).is_some_and(|missed_at| now.since(*missed_at) < Self::MISS_TIME)
+    }
+
+    /// Begins a check whether peers that do not reach `target` reach another one, and returns whether there is one to make.
+    /// A peer that is itself partitioned, and may not know it yet, reaches no target.
+    #[must_use]
+    pub fn begin_down_check(&mut self, target: &TargetName, now: Moment) -> bool {
+        !self.is_down(target, now) && self.down_checked.insert(target.clone())
+    }
+
+    /// Records what a check has shown that [`Self::begin_down_check`] has begun.
+    pub fn finish_down_check(&mut self, target: &TargetName, reaches_others: bool, now: Moment) {
+        self.down_checked.remove(target);
+        if reaches_others {
+            self.record_down(target, now);
+        }
+    }
+
+    fn record_down(&mut self, target: &TargetName, now: Moment) {
         self.failed_in_row.remove(target);
         self.down_until.retain(|_, until| *until > now);
         self.down_until.insert(target.clone(), now + Self::DOWN_TIME);
@@ -271,20 +302,20 @@
         if self.paths.is_down(target, now) { PathChoice::Closed } else { PathChoice::Tunnel }
     }
 
-    /// Returns up to `max_count` peers to ask for a tunnel to a target of `service`, in this order: those that miss the fewest targets
-    /// of the service come first, and among equal ones those of this data centre, in random order.
+    /// Returns up to `max_count` peers to ask for a tunnel to a target of `service`, in this order: those that have not missed one
+    /// just now come first, then those that miss the fewest targets of the service, and among equal ones those of this data
+    /// centre, in random order.
     pub fn tunnel_peers(&mut self, service: &ServiceName, max_count: usize, now: Moment) -> Vec<RelayHeartbeat> {
         let is_usable = |view: &&PeerView| view.is_reachable(now) && !view.heartbeat.paths.is_cut_off;
-        let usable = self.members.serving(now).filter(is_usable);
-        let mut peers: Vec<((u32, bool, u64), &RelayHeartbeat)> = usable
-            .map(|view| {
-                let heartbeat = &view.heartbeat;
-                let missed = heartbeat.paths.unreached_count(service);
-                ((missed, heartbeat.dc != self.identity.dc, self.random.u64(..)), heartbeat)
-            })
-            .collect();
-        peers.sort_by_key(|(key, _)| *key);
-        peers.into_iter().take(max_count).map(|(_, heartbeat)| heartbeat.clone()).collect()
+        let Self { members, random, paths, identity, .. } = self;
+        let mut peers: Vec<&RelayHeartbeat> =
+            members.serving(now).filter(is_usable).map(|view| &view.heartbeat).collect();
+        random.shuffle(&mut peers);
+        peers.sort_by_key(|heartbeat| {
+            let has_missed = paths.has_missed(&heartbeat.node, now);
+            (has_missed, heartbeat.paths.unreached_count(service), heartbeat.dc != identity.dc)
+        });
+        peers.into_iter().take(max_count).cloned().collect()
     }
 
     /// Returns whether a tunnel through `peer` may be used further: the peer accepts new work.
--- a/crates/core/src/relay/refusals.rs
+++ b/crates/core/src/relay/refusals.rs
@@ -64,6 +64,15 @@
         controls
     }
 
+    /// Returns up to `max_count` random targets other than `missed` that show whether a peer which does not reach it has any
+    /// paths: those that this node reaches and those of other data centres first, since all of one may be down.
+    pub fn path_controls(&mut self, missed: &TargetEntry, max_count: usize, now: Moment) -> Vec<TargetEntry> {
+        let mut controls = self.live_targets(missed, now);
+        controls.sort_by_key(|entry| (self.paths.has_failed(&entry.target), entry.dc == missed.dc));
+        controls.truncate(max_count);
+        controls
+    }
+
     /// Returns up to `max_count` random targets in the data centre of `crashed` that tell whether the data centre goes on,
     /// the ones of the same service first.
     pub fn outage_controls(&mut self, crashed: &TargetEntry, max_count: usize, now: Moment) -> Vec<TargetEntry> {
--- a/crates/core/tests/relay/paths.rs
+++ b/crates/core/tests/relay/paths.rs
@@ -7,7 +7,7 @@
 use wasabipier_core::relay::board::RelayBoard;
 use wasabipier_core::relay::document::{BatchSpec, DocumentIndex, RelayDocument, RelayService};
 use wasabipier_core::relay::members::RelayHeartbeat;
-use wasabipier_core::relay::paths::{PathReport, PathTable, ReachChange};
+use wasabipier_core::relay::paths::{PathChoice, PathReport, PathTable, ReachChange};
 use wasabipier_core::relay::pieces::QueueWait;
 
 use crate::fixtures::{address, at, board, heartbeat, millis, target_entry};
@@ -119,7 +119,8 @@
     let mut paths = PathTable::default();
     for number in 0..TARGET_COUNT - 1 {
         assert_eq!(paths.record_failed(&target(number), TARGET_COUNT, at(10)), None);
-        paths.record_down(&target(number), at(11));
+        assert!(paths.begin_down_check(&target(number), at(11)));
+        paths.finish_down_check(&target(number), true, at(11));
     }
 
     assert!(!paths.is_cut_off());
@@ -130,6 +131,47 @@
     assert_eq!(change, Some(ReachChange::CutOff), "peers reach five targets that this node has not reached");
 }
 
+/// Guards against a node without paths that refuses requests since peers do not reach their targets either, which have lost
+/// their paths, too.
+#[test]
+fn a_target_is_down_only_if_a_peer_that_misses_it_reaches_others() {
+    let mut board = board_with_peers(&[PathReport::default(), PathReport::default()]);
+    let missed = target(0);
+    board.record_connect_failure(&missed, at(10));
+
+    assert!(board.paths.begin_down_check(&missed, at(11)));
+    assert!(!board.paths.begin_down_check(&missed, at(11)), "one check runs");
+    board.paths.finish_down_check(&missed, false, at(12));
+    assert_eq!(board.choose_path(&missed, at(13)), PathChoice::Tunnel);
+
+    assert!(board.paths.begin_down_check(&missed, at(14)));
+    board.paths.finish_down_check(&missed, true, at(15));
+    assert_eq!(board.choose_path(&missed, at(16)), PathChoice::Closed);
+    assert!(!board.paths.begin_down_check(&missed, at(16)), "it is known");
+    assert_eq!(board.choose_path(&missed, at(515)), PathChoice::Tunnel);
+}
+
+/// Guards against requests of a node without paths that are all passed to peers without paths.
+#[test]
+fn peers_that_missed_a_target_just_now_are_asked_last() {
+    let mut board = board_with_peers(&[PathReport::default(), PathReport::default(), PathReport::default()]);
+    let service = ServiceName::new("coaches");
+    let [first, second] = ["edge-1", "edge-3"].map(NodeName::new);
+
+    board.paths.record_miss(&first, at(10));
+    board.paths.record_miss(&second, at(20));
+
+    for _ in 0..20 {
+        let asked = board.tunnel_peers(&service, 1, at(400));
+        assert_eq!(asked[0].node, NodeName::new("edge-2"));
+    }
+    let may_be_asked = |ms: u64, board: &mut RelayBoard| {
+        let mut asked = (0..100).flat_map(|_| board.tunnel_peers(&service, 1, at(ms)));
+        asked.any(|heartbeat| heartbeat.node == first)
+    };
+    assert!(may_be_asked(510, &mut board), "heartbeats tell more by then");
+}
+
 /// Guards against attempts to connect that pile up at targets which a node does not reach, and against paths that are
 /// never tried again.
 #[test]
--- a/crates/core/tests/relay/refusals.rs
+++ b/crates/core/tests/relay/refusals.rs
@@ -106,3 +106,20 @@
     let names: Vec<&str> = controls.iter().map(|entry| entry.target.as_str()).collect();
     assert_eq!(names, ["i-2", "i-3"], "the same service first");
 }
+
+/// Guards against a whole data centre that is down and makes its nodes' peers look as if they had no paths.
+#[test]
+fn peers_are_asked_for_targets_that_are_reached_here_and_elsewhere_first() {
+    let mut board = board("edge-0");
+    let targets = [("i-0", "khomas-a"), ("i-1", "khomas-a"), ("i-2", "khomas-b"), ("i-3", "khomas-b")];
+    for (name, dc) in targets {
+        board.upsert_target(target_entry(name, "coaches", dc), at(0));
+    }
+    board.record_connect_failure(&TargetName::new("i-0"), at(1));
+    board.record_connect_failure(&TargetName::new("i-2"), at(1));
+
+    let controls = board.path_controls(&target_entry("i-0", "coaches", "khomas-a"), 8, at(2));
+
+    let names: Vec<&str> = controls.iter().map(|entry| entry.target.as_str()).collect();
+    assert_eq!(names, ["i-3", "i-1", "i-2"]);
+}
--- a/crates/relay/src/tunnels.rs
+++ b/crates/relay/src/tunnels.rs
@@ -15,6 +15,7 @@
 use spdlog::{debug, info};
 use tokio::io::{AsyncReadExt, AsyncWriteExt, copy, sink};
 use tokio::net::TcpStream;
+use tokio::task::spawn_local;
 use tokio::time::timeout;
 use wasabipier_core::message::NodeState;
 use wasabipier_core::names::{NodeName, TargetName};
@@ -35,6 +36,9 @@
 const REPLY_MARGIN: Duration = Duration::from_millis(150);
 /// Maximum number of peers that are asked whether they reach a target.
 const MAX_WITNESSES: usize = 2;
+/// Maximum number of other targets for which a peer is asked that does not reach one, and the timeout of its answers.
+const MAX_CONTROLS: usize = 2;
+const CONTROL_TIMEOUT: Duration = Duration::from_millis(100);
 /// Maximum number of tunnels that a node holds open for its peers.
 const MAX_TUNNELS: usize = 1_000;
 
@@ -45,13 +49,16 @@
 /// Returns an error if no peer that was asked reaches the target. Nothing has been sent to the target.
 pub async fn open(node: &SharedNode, entry: &TargetEntry, max_peers: usize) -> io::Result<(TcpStream, NodeName)> {
     let peers = node.board.borrow_mut().tunnel_peers(&entry.service, max_peers, clock::now());
-    let mut is_unreached = false;
+    let mut missing = Vec::new();
     for peer in peers {
         let (name, started) = (peer.node, clock::now());
         let (stream, outcome) = match request(node, peer.peer_address, entry).await {
             Ok((stream, TunnelReply::Open)) => (Some(stream), TunnelReply::Open.to_string()),
             Ok((_, reply)) => {
-                is_unreached |= reply == TunnelReply::Unreached;
+                if reply == TunnelReply::Unreached {
+                    node.board.borrow_mut().paths.record_miss(&name, clock::now());
+                    missing.push(peer.peer_address);
+                }
                 (None, reply.to_string())
             }
             Err(error) => (None, error.to_string()),
@@ -69,12 +76,31 @@
             return Ok((stream, name));
         }
     }
-    if is_unreached {
-        node.board.borrow_mut().paths.record_down(&entry.target, clock::now());
+    if !missing.is_empty() {
+        check_down(node, entry, missing);
     }
     Err(io::ErrorKind::HostUnreachable.into())
 }
 
+/// Checks whether one of the peers at `missing`, which do not reach a target, reaches another one. If so, the target counts
+/// as down.
+fn check_down(node: &SharedNode, entry: &TargetEntry, missing: Vec<SocketAddr>) {
+    let controls = {
+        let (mut board, now) = (node.board.borrow_mut(), clock::now());
+        if !board.paths.begin_down_check(&entry.target, now) {
+            return;
+        }
+        board.path_controls(entry, MAX_CONTROLS, now)
+    };
+    let (node, target) = (node.clone(), entry.target.clone());
+    spawn_local(async move {
+        let pairs = missing.iter().flat_map(|address| controls.iter().map(move |control| (*address, control)));
+        let asked = pairs.map(|(address, control)| reaches(&node, address, control, CONTROL_TIMEOUT));
+        let reaches_others = join_all(asked).await.contains(&Some(true));
+        node.board.borrow_mut().paths.finish_down_check(&target, reaches_others, clock::now());
+    });
+}
+
 /// What peers tell of a target.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct PeerReport {
