--- a/crates/core/src/relay/paths.rs
+++ b/crates/core/src/relay/paths.rs
@@ -97,7 +97,7 @@
     /// Time from a failed attempt to the first probe. It doubles with each further failure, up to `MAX_PROBE_PAUSE`.
     const MIN_PROBE_PAUSE: Duration = Duration::from_millis(250);
     const MAX_PROBE_PAUSE: Duration = Duration::from_secs(2);
-    /// Time for which a target counts as down after a peer has not reached it either.
+    /// Time for which a target counts as down after a peer with paths has not reached it either.
     const DOWN_TIME: Duration = Duration::from_millis(500);
     /// Time for which other peers are asked first after one has not reached a target. Heartbeats tell more by then.
     const MISS_TIME: Duration = Duration::from_millis(500);
