--- a/review/stand_in_3/deadly.rs
+++ b/review/stand_in_3/deadly.rs
@@ -91,11 +91,14 @@
     let sound: Vec<_> = (0..SOUND_CALLERS)
         .map(|number| {
             let (is_over, served, addresses) = (is_over.clone(), served.clone(), addresses.clone());
+            let record = record.clone();
             thread::spawn(move || {
                 let mut turn = number;
                 while !is_over.load(Ordering::Relaxed) {
                     turn += 1;
-                    let (_, status) = send_generation(addresses[turn % addresses.len()], &format!("a{}", turn % 4));
+                    let node = turn % addresses.len();
+                    let (id, status) = send_generation(addresses[node], &format!("a{}", turn % 4));
+                    record.note(&format!("sound request {id} to {} was answered {status}", nodes_name(node)));
                     served.fetch_add(u64::from(status == 200), Ordering::Relaxed);
                     thread::sleep(Duration::from_millis(100));
                 }
--- a/review/stand_in_3/platform.rs
+++ b/review/stand_in_3/platform.rs
@@ -434,8 +434,9 @@
                 continue;
             }
             let is_deadly = head.get("x-wasabipier-prompt-prefix").contains(self.deadly_part);
+            let kind = if is_deadly { "deadly" } else { "sound" };
+            self.record.note(&format!("{kind} request {id} reaches {} and runs", engine.id));
             if is_deadly {
-                self.record.note(&format!("deadly request {id} reaches {}", engine.id));
                 let arrival = Arrival { at: self.record.now(), id: id.clone(), engine: engine.id.clone() };
                 self.arrivals.lock().unwrap().push(arrival);
             }
