--- a/review/stand_in_3/cold.rs
+++ b/review/stand_in_3/cold.rs
@@ -20,17 +20,17 @@
 const NODE_COUNT: usize = 3;
 const ZONES: [&str; 3] = ["khomas-a", "khomas-b", "khomas-c"];
 /// `coldPerS` of the service, and the rule's bound: `coldPerS` x `coldOver` + `coldSlack`, with 1.5 and 5.
-const COLD_PER_SECOND: usize = 4;
-const MAX_PER_SECOND: usize = 11;
+const COLD_PER_SECOND: f64 = 6.6;
+const MAX_PER_SECOND: usize = 14;
 /// Requests in one second at which a cold server crashes.
-const CRASH_PER_SECOND: usize = 16;
+const CRASH_PER_SECOND: usize = 20;
 /// Callers, each of which sends a request at this interval: 75 bookings a second.
 const CALLER_COUNT: usize = 15;
 const CALL_INTERVAL: Duration = Duration::from_millis(200);
 const WORK_TIME: Duration = Duration::from_millis(15);
 /// Time from the loss of the store until a server becomes cold, and for how long it is.
 const LOSS_TO_COLD: Duration = Duration::from_secs(1);
-const COLD_TIME: Duration = Duration::from_secs(6);
+const COLD_TIME: Duration = Duration::from_secs(3);
 /// Time for which callers go on after that.
 const TIME_AFTER: Duration = Duration::from_millis(3_500);
 
@@ -153,7 +153,7 @@
 
 fn config() -> String {
     format!(
-        r#"{{"version":1,"routes":[{{"name":"book","host":"shop.example","prefix":"/book/","kind":"non_idempotent","timeoutMs":1500,"sloMs":100,"priority":2,"service":"bookings","maxAttempts":1,"public":false}}],"services":[{{"name":"bookings","healthPath":"/healthz","maxConns":100,"warmupS":3.0,"coldPerS":{COLD_PER_SECOND}.0}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{{"name":"lions","apiKeys":["key-1"]}}]}}"#
+        r#"{{"version":1,"routes":[{{"name":"book","host":"shop.example","prefix":"/book/","kind":"non_idempotent","timeoutMs":1500,"sloMs":100,"priority":2,"service":"bookings","maxAttempts":1,"public":false}}],"services":[{{"name":"bookings","healthPath":"/healthz","maxConns":100,"warmupS":3.0,"coldPerS":{COLD_PER_SECOND}}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{{"name":"lions","apiKeys":["key-1"]}}]}}"#
     )
 }
 
