Refuse keys at nodes that start before an era of the store is settled

Cause: a node noted a return of the store only if it had a copy from before. What the store has lost was in the memory of processes alone, so that a starting node took the restored state for proven.

Change: a node that starts in an era after 0 refuses keys, as not run and with the time that is left as Retry-After, until the era is settled: until what was lost has been written again. It learns that from a row that nodes write into the store once an era, from a peer, or by waiting 1.9 s and reading. The row lies in the table of addresses, which a starting node reads anyway, and copies are trusted from its version on. Requests without keys are served meanwhile. Nodes of earlier releases skip the row, and the field in heartbeats. On the same path: the time for writing again must have passed when the copy was up to date, and a document that was never proven lets no key in after one that cannot be decoded.

a_node_that_starts_with_a_document_older_than_its_peers_is_not_complete started in era 1 and expected to serve at once, which was the fault. It records the era as settled first now; what it checks is unchanged.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -7,8 +7,8 @@
 //! [`choice`], [`placement`]) and connected to ([`paths`], [`restarts`]), and the answer is passed on or the request is retried ([`steps`], [`budget`], [`events`]). Content that
 //! crashes targets is refused ([`suspects`]), and targets get no more requests than they say they take
 //! ([`rate_limits`]) and no more than fit while they are brittle ([`brittle`]). [`members`], [`fleet`], [`rosters`] and [`rows`] hold what nodes know of each other and of the store, whose
-//! versions ([`store_version`]) count anew when it is restored from an older copy ([`store_restoration`]),
-//! [`chunks`] transfers it, [`read_attempts`] and [`answer_timeout`] tell when to call the store. [`rollout`],
+//! versions ([`store_version`]) count anew when it is restored from an older copy ([`store_restoration`]), and are complete again
+//! after a while ([`settled_eras`]). [`chunks`] transfers it, [`read_attempts`] and [`answer_timeout`] tell when to call the store. [`rollout`],
 //! [`rollout_board`] and [`speed`] move a service to another version. [`target_load`] holds what targets say of their load,
 //! and [`slow_start`] limits the calls to those that start or recover. [`caller_addresses`] tells callers which nodes to
 //! use. [`duties`] are calls that one node makes for all: the reports of [`usage`] and the orders of [`autoscale`]. [`board`]
@@ -46,6 +46,7 @@
 pub mod rollout_board;
 pub mod rosters;
 pub mod rows;
+pub mod settled_eras;
 pub mod slow_start;
 pub mod speed;
 pub mod steps;
--- a/crates/core/src/relay/board.rs
+++ b/crates/core/src/relay/board.rs
@@ -110,6 +110,13 @@
     Harmful(HarmfulContent),
 }
 
+/// A document in the store that a node cannot decode.
+#[derive(Clone, Copy, Debug)]
+struct UndecodableDocument {
+    /// When the document in force was last proven to be the newest before.
+    proven_before: Option<Moment>,
+}
+
 /// The whole state of a relay node.
 #[derive(Debug)]
 pub struct RelayBoard {
@@ -176,8 +183,8 @@
     pub(super) restoration: StoreRestoration,
     /// When the document was last proven to be the newest before the latest rows of its table were read.
     pub(super) document_proven_before: Option<Moment>,
-    /// When the document in force was last proven to be the newest, if the store holds one that this node cannot decode.
-    proven_before_undecodable: Option<Moment>,
+    /// Set while the store holds a document that this node cannot decode.
+    undecodable_document: Option<UndecodableDocument>,
     heartbeat_count: u64,
 }
 
@@ -220,7 +227,7 @@
             is_store_unreachable: false,
             restoration: StoreRestoration::default(),
             document_proven_before: None,
-            proven_before_undecodable: None,
+            undecodable_document: None,
             heartbeat_count: 0,
         }
     }
@@ -228,24 +235,28 @@
     /// Returns the time since the document was last known to be the newest, or `None` if this node has no document.
     #[must_use]
     pub fn document_age(&self, now: Moment) -> Option<Duration> {
-        self.document_proven_at(now).filter(|_| self.index.version > 0).map(|proven_at| now.since(proven_at))
+        self.document_proven_at().filter(|_| self.index.version > 0).map(|proven_at| now.since(proven_at))
     }
 
     /// Returns the latest time at which the document was proven to be the newest. A store that may have lost a newer one
     /// proves nothing, and neither does one that holds a document that this node cannot decode: it may revoke keys.
-    pub(super) fn document_proven_at(&self, now: Moment) -> Option<Moment> {
-        let rewrite_time = self.tuning.reregistration_timeout;
-        if !self.restoration.is_settled(self.index.version, rewrite_time, now) {
+    pub(super) fn document_proven_at(&self) -> Option<Moment> {
+        let copy = self.copies.get(&TableId::Orders)?;
+        if !self.restoration.is_proof(copy, self.index.version, self.tuning.reregistration_timeout) {
             return self.restoration.proven_before();
         }
-        let confirmed_at = self.copies.get(&TableId::Orders)?.confirmed_at()?;
-        Some(self.proven_before_undecodable.map_or(confirmed_at, |proven_at| proven_at.min(confirmed_at)))
+        let confirmed_at = copy.confirmed_at()?;
+        match self.undecodable_document {
+            None => Some(confirmed_at),
+            Some(undecodable) => undecodable.proven_before.map(|proven_at| proven_at.min(confirmed_at)),
+        }
     }
 
     /// Records that the rows read last hold a document that this node cannot decode. The document in force then ages until
     /// one that can be decoded follows.
     pub fn record_undecodable_document(&mut self) {
-        self.proven_before_undecodable.get_or_insert(self.document_proven_before.unwrap_or_default());
+        let undecodable = UndecodableDocument { proven_before: self.document_proven_before };
+        self.undecodable_document.get_or_insert(undecodable);
     }
 
     /// Checks whether a request may be served. A node that has known for long that its document or another order is not
@@ -261,7 +272,7 @@
         if outdated_since.is_some_and(|since| now.since(since) > self.tuning.freshness_limits.max_outdated_time) {
             return Err(AccessDenial::StaleDocument);
         }
-        check_access(&self.index, self.document_age(now), &self.tuning.freshness_limits, claim)
+        check_access(&self.index, self.access_age(now), &self.tuning.freshness_limits, claim)
     }
 
     /// Checks whether the size of a request is within the limits in force.
@@ -270,7 +281,7 @@
     ///
     /// Returns the reason for the denial.
     pub fn check_size(&self, size: RequestSize, now: Moment) -> Result<(), AccessDenial> {
-        check_size(&self.index, self.document_age(now), &self.tuning.freshness_limits, size)
+        check_size(&self.index, self.access_age(now), &self.tuning.freshness_limits, size)
     }
 
     /// Draws the service for a request of `route` at random by weight. Returns `None` if all weights are 0.
@@ -379,7 +390,7 @@
     /// Applies a change by an operator, whether it was written or is withheld no longer.
     pub(super) fn put_in_force(&mut self, change: OrderChange, now: Moment) -> bool {
         if matches!(change, OrderChange::Document(_)) {
-            self.proven_before_undecodable = None;
+            self.undecodable_document = None;
         }
         match change {
             // The document version never decreases within one run of the process.
--- a/crates/core/src/relay/board/heartbeats.rs
+++ b/crates/core/src/relay/board/heartbeats.rs
@@ -38,6 +38,7 @@
             state: self.state,
             proofs: proofs.collect(),
             document_version: self.index.version,
+            settled_from: self.restoration.settled_eras.newest(),
             loads: self.targets.own_loads(),
             prompts: self.prompts.own_updates(now),
             waits: self.own_queue_waits(now),
@@ -95,6 +96,7 @@
         self.brittle.merge_reports(&heartbeat.brittle, now);
         self.handle_rollout_reports(&heartbeat, now, now);
         self.record_peer_document(&heartbeat, now);
+        self.record_peer_settlement(heartbeat.settled_from);
         let is_new = self.members.handle_heartbeat(heartbeat, now);
         let loads = if self.counts_loads_of(&node, now) { loads } else { Vec::new() };
         self.targets.set_peer_loads(&node, loads);
--- a/crates/core/src/relay/fleet.rs
+++ b/crates/core/src/relay/fleet.rs
@@ -358,7 +358,9 @@
         let confirmed_at = self.copies.get(&table).and_then(TableCopy::confirmed_at);
         let is_copy_old =
             confirmed_at.is_none_or(|confirmed_at| now.since(confirmed_at) >= self.tuning.max_hub_copy_age);
-        is_copy_old || self.state == NodeState::Starting || self.is_store_reader(now)
+        // In a large fleet, nodes that start together and only wait for a proof learn it from the hub.
+        let is_loading = self.state == NodeState::Starting && self.restoration_wait(now).is_none();
+        is_copy_old || is_loading || self.is_store_reader(now)
     }
 
     /// Returns whether this node reads the store whatever the age of its copies, as hubs and the nodes of small fleets
@@ -369,12 +371,13 @@
     }
 }
 
-/// Returns a heartbeat without proofs, loads, prompts, suspects and limits. A fleet report carries loads and prompts
+/// Returns a heartbeat without proofs, settled era, loads, prompts, suspects and limits. A fleet report carries loads and prompts
 /// separately, and each node reports the suspects and limits of its peers with its own.
 fn summarize_heartbeat(heartbeat: &RelayHeartbeat) -> RelayHeartbeat {
     let (loads, prompts, suspects) = (Vec::new(), Vec::new(), Vec::new());
     let (limits, brittle) = (Vec::new(), Vec::new());
-    RelayHeartbeat { proofs: Vec::new(), loads, prompts, suspects, limits, brittle, ..heartbeat.clone() }
+    let proofs = Vec::new();
+    RelayHeartbeat { proofs, settled_from: None, loads, prompts, suspects, limits, brittle, ..heartbeat.clone() }
 }
 
 /// Returns the sums of `loads` by target.
--- a/crates/core/src/relay/members.rs
+++ b/crates/core/src/relay/members.rs
@@ -57,8 +57,10 @@
     pub const DUTIES: Self = Self(8);
     /// Version from which on nodes read which crashes are isolated.
     pub const ISOLATION: Self = Self(9);
+    /// Version from which on nodes record settled eras of the store, and tell them.
+    pub const SETTLED_ERAS: Self = Self(10);
     /// Highest version that this release reads.
-    pub const CURRENT: Self = Self::ISOLATION;
+    pub const CURRENT: Self = Self::SETTLED_ERAS;
 }
 
 impl Default for CallVersion {
@@ -92,6 +94,8 @@
     pub proofs: Vec<TableProof>,
     /// Version of the document that the node has in force; 0 if it has none. The store may have lost that document.
     pub document_version: u64,
+    /// Version of the store from which on its newest settled era is settled, if the node knows one.
+    pub settled_from: Option<StoreVersion>,
     /// Calls that the node has in flight, by target.
     pub loads: Vec<TargetLoad>,
     /// Prompts that the node recently sent to engines.
--- a/crates/core/src/relay/store_restoration.rs
+++ b/crates/core/src/relay/store_restoration.rs
@@ -4,6 +4,10 @@
 //! then a node keeps what it knows: the newest document that it has had, orders that the store no longer has, and what
 //! targets last said of themselves. A document is not proven to be the newest by a store that has lost it, so keys and the
 //! absence of routes are decided by the age of the last proof from before.
+//!
+//! An era of the store is settled once that has been written again. A node that starts knows neither what was lost nor when
+//! the era began: it waits like one that has just seen the store's return, unless a peer or a row in the store tells that
+//! the era is settled, see [`crate::relay::settled_eras`].
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -15,6 +19,7 @@
 use crate::relay::members::RelayHeartbeat;
 use crate::relay::rollout::RolloutWatch;
 use crate::relay::rows::{RowBatch, SharedRow, TableCopy, TableId};
+use crate::relay::settled_eras::SettledEras;
 use crate::relay::store_version::StoreVersion;
 
 /// What an order is about.
@@ -40,10 +45,10 @@
     }
 }
 
-/// The last return of the store from an older copy, as far as a node knows of it.
+/// The beginning of the store's present era, as far as a node knows of it. A node that starts may see it much later.
 #[derive(Clone, Copy, Debug)]
-struct StoreReturn {
-    /// When the node learned of it.
+struct EraStart {
+    /// When the node learned of the era.
     seen_at: Moment,
     /// Latest time before it at which the document was proven to be the newest.
     proven_before: Option<Moment>,
@@ -64,7 +69,9 @@
 /// What the store has lost, as far as a node knows.
 #[derive(Clone, Debug, Default)]
 pub struct StoreRestoration {
-    last_return: Option<StoreReturn>,
+    /// `None` in an era in which the store cannot have lost anything.
+    era_start: Option<EraStart>,
+    pub(super) settled_eras: SettledEras,
     /// Version of the document that the store has.
     stored_document: u64,
     /// Version of the newest document that the store is known to have lost.
@@ -78,18 +85,18 @@
     /// Time for which orders that the store has lost remain in force if they are not written again.
     const LOST_ORDER_RETENTION: Duration = Duration::from_secs(10);
 
-    /// Records that the store was restored. `proven_at` is the latest time at which the document was proven to be the
-    /// newest, if it was.
-    fn record_return(&mut self, proven_at: Option<Moment>, now: Moment) {
-        self.last_return = Some(StoreReturn { seen_at: now, proven_before: proven_at, is_document_written: false });
+    /// Records that the store is in a later era than it was, or than this node knew when it started. `proven_at` is the
+    /// latest time at which the document was proven to be the newest, if it was.
+    fn record_era(&mut self, proven_at: Option<Moment>, now: Moment) {
+        self.era_start = Some(EraStart { seen_at: now, proven_before: proven_at, is_document_written: false });
     }
 
     /// Records the version of the document that the store has. `is_written` says whether it was written since the store's
     /// last return, rather than read with the restored state.
     pub(super) fn record_stored_document(&mut self, version: u64, is_written: bool) {
         self.stored_document = version;
-        if let Some(last) = &mut self.last_return {
-            last.is_document_written |= is_written;
+        if let Some(start) = &mut self.era_start {
+            start.is_document_written |= is_written;
         }
     }
 
@@ -113,21 +120,29 @@
         self.peer_document.filter(|peer| peer.version > own_version).map(|peer| peer.known_since)
     }
 
-    /// Returns whether the state of the store proves which document is the newest: it has no older one than
-    /// `newest_document` or a peer's, and what was lost unseen has been written again, which takes at most `rewrite_time`.
-    pub(super) fn is_settled(&self, newest_document: u64, rewrite_time: Duration, now: Moment) -> bool {
+    /// Returns whether `copy` proves which document is the newest: the store has no older one than `newest_document` or a
+    /// peer's, and what was lost unseen had been written again when the copy was up to date, which takes at most
+    /// `rewrite_time`.
+    pub(super) fn is_proof(&self, copy: &TableCopy, newest_document: u64, rewrite_time: Duration) -> bool {
         if self.stored_document < self.lost_document {
             return false;
         }
-        self.last_return.is_none_or(|last| {
-            let is_rewritten = last.is_document_written || now.since(last.seen_at) >= rewrite_time;
+        self.era_start.is_none_or(|start| {
+            let is_rewritten = start.is_document_written
+                || self.settled_eras.is_settled(copy.version())
+                || has_outlived_rewriting(start, copy, rewrite_time);
             self.stored_document >= newest_document && is_rewritten
         })
     }
 
-    /// Returns the latest time before the store's last return at which the document was proven to be the newest.
+    /// Returns whether the store is known to lack a document that was acknowledged, `newest_document` or a peer's.
+    fn lacks_document(&self, newest_document: u64) -> bool {
+        self.stored_document < self.lost_document.max(newest_document)
+    }
+
+    /// Returns the latest time before the store's present era at which the document was proven to be the newest.
     pub(super) fn proven_before(&self) -> Option<Moment> {
-        self.last_return?.proven_before
+        self.era_start?.proven_before
     }
 
     /// Keeps a change from taking effect until the retention of lost orders ends.
@@ -148,19 +163,24 @@
     }
 }
 
+/// Returns whether `copy` was up to date when `rewrite_time` had passed since the start of the era.
+fn has_outlived_rewriting(start: EraStart, copy: &TableCopy, rewrite_time: Duration) -> bool {
+    copy.confirmed_at().is_some_and(|confirmed_at| confirmed_at >= start.seen_at + rewrite_time)
+}
+
 /// The effect of a batch of rows on a table.
 #[derive(Clone, Debug, Default)]
 pub struct AppliedBatch {
     /// Changed rows in order. A row may be among them several times.
     pub changed: Vec<SharedRow>,
-    /// The copy before, if the batch is the first one since the store was restored.
+    /// The copy before, if the rows may be those of a restored store.
     pub replaced: Option<ReplacedCopy>,
 }
 
 /// A copy that was replaced since the store was restored.
 #[derive(Clone, Debug)]
 pub struct ReplacedCopy {
-    /// Store version of the copy.
+    /// Store version of the copy. [`StoreVersion::NONE`] if the node has just started and knows nothing of before.
     pub version: StoreVersion,
     /// Keys of rows that have the same content as before under another number. They have been written again already.
     pub rewritten: BTreeSet<Arc<str>>,
@@ -178,6 +198,8 @@
 impl RelayBoard {
     /// Time after its start for which a node waits for the first heartbeat of a peer before it serves.
     const FIRST_PEER_TIMEOUT: Duration = Duration::from_millis(500);
+    /// Age of a document that has never been proven to be the newest. It is above all limits.
+    const UNPROVEN_AGE: Duration = Duration::from_secs(u32::MAX as u64);
 
     /// Applies rows to the copy of a table, see [`TableCopy::apply`]. The changed rows are still to be applied one by one.
     pub fn apply_batch(
@@ -187,9 +209,10 @@
         up_to_date_at: Moment,
         now: Moment,
     ) -> AppliedBatch {
-        let proven_at = self.document_proven_at(now);
+        let proven_at = self.document_proven_at();
         let copy = self.copies.entry(table).or_default();
         let before = copy.version();
+        let is_start = before == StoreVersion::NONE && batch.version.era > 0;
         let is_return = before != StoreVersion::NONE && batch.whole && batch.version.era > before.era;
         let rewritten = if is_return { rewritten_keys(copy, batch) } else { BTreeSet::new() };
         let changed = copy.apply(batch, up_to_date_at);
@@ -199,12 +222,14 @@
             // If the document is among the changed rows, it is recorded as stored next.
             self.restoration.record_orders_read(copy_version);
         }
-        if !is_return {
+        // A node that has just started has no targets to keep.
+        let is_order_start = is_start && table == TableId::Orders;
+        if !is_return && !is_order_start {
             return AppliedBatch { changed, replaced: None };
         }
         match table {
             TableId::Orders => {
-                self.restoration.record_return(proven_at, now);
+                self.restoration.record_era(proven_at, now);
                 self.rollouts.forget_records();
             }
             // Targets whose entries were lost register again, as after an outage.
@@ -264,11 +289,38 @@
     }
 
     /// Returns whether this node, which started at `started_at`, can serve: it has read all tables, and has heard from a
-    /// peer what the store may have lost, unless no peer answers.
+    /// peer what the store may have lost, unless no peer answers. If requests need keys, the document must have been proven.
     #[must_use]
     pub fn can_serve(&self, started_at: Moment, now: Moment) -> bool {
         let has_targets = self.copies.get(&TableId::Targets).is_some_and(|copy| copy.version() != StoreVersion::NONE);
         let has_peer = self.members.known().next().is_some() || now.since(started_at) >= Self::FIRST_PEER_TIMEOUT;
-        has_targets && has_peer && self.document_age(now).is_some()
+        let age = if self.index.requires_keys() { self.document_age(now) } else { self.access_age(now) };
+        has_targets && has_peer && age.is_some()
+    }
+
+    /// Returns the age of the document that decides about requests. A document that was read at the start and is not
+    /// proven yet is older than any limit allows. `None` if there is no document, or a newer one is known.
+    pub(super) fn access_age(&self, now: Moment) -> Option<Duration> {
+        let is_usable = self.index.version > 0 && !self.restoration.lacks_document(self.index.version);
+        self.document_age(now).or_else(|| is_usable.then_some(Self::UNPROVEN_AGE))
+    }
+
+    /// Returns the time after which a read of the orders proves the document, or `None` if it is proven, or if more than
+    /// time is needed.
+    #[must_use]
+    pub fn restoration_wait(&self, now: Moment) -> Option<Duration> {
+        let rewrite_time = self.tuning.reregistration_timeout;
+        let (start, copy) = (self.restoration.era_start?, self.copies.get(&TableId::Orders)?);
+        let is_waiting = !self.restoration.lacks_document(self.index.version)
+            && !self.restoration.is_proof(copy, self.index.version, rewrite_time);
+        is_waiting.then(|| now.until(start.seen_at + rewrite_time))
+    }
+
+    /// Returns the store version from which on the present era is settled, as this node's copy of the orders shows, if it
+    /// does.
+    pub(super) fn observed_settlement(&self) -> Option<StoreVersion> {
+        let (start, copy) = (self.restoration.era_start?, self.copies.get(&TableId::Orders)?);
+        let is_rewritten = has_outlived_rewriting(start, copy, self.tuning.reregistration_timeout);
+        (is_rewritten && !self.restoration.lacks_document(self.index.version)).then(|| copy.version())
     }
 }
--- a/crates/core/tests/relay/fixtures.rs
+++ b/crates/core/tests/relay/fixtures.rs
@@ -95,6 +95,7 @@
         state: NodeState::Serving,
         proofs: Vec::new(),
         document_version: 0,
+        settled_from: None,
         loads: Vec::new(),
         prompts: Vec::new(),
         waits: Vec::new(),
--- a/crates/core/tests/relay/store_restoration.rs
+++ b/crates/core/tests/relay/store_restoration.rs
@@ -8,10 +8,11 @@
 use wasabipier_core::names::{DcName, ServiceName, TargetName, VersionName};
 use wasabipier_core::relay::access::{AccessClaim, AccessDenial};
 use wasabipier_core::relay::board::{OrderChange, RelayBoard};
-use wasabipier_core::relay::document::{DocumentIndex, KeyHolder, RelayDocument};
-use wasabipier_core::relay::members::TableProof;
+use wasabipier_core::relay::document::{DocumentIndex, KeyHolder, RelayDocument, RelayRoute};
+use wasabipier_core::relay::members::{CallVersion, RelayHeartbeat, TableProof};
 use wasabipier_core::relay::rollout::{RecordedState, RolloutOrder, RolloutPhase, RolloutWatch};
 use wasabipier_core::relay::rows::{BatchFit, RowBatch, SharedRow, TableCopy, TableId};
+use wasabipier_core::relay::settled_eras::{EraSettlement, SettlementBasis};
 use wasabipier_core::relay::store_version::StoreVersion;
 use wasabipier_core::relay::targets::{EntryEffect, TargetEntry};
 
@@ -220,6 +221,7 @@
     let mut board = board("edge-2");
     board.apply_batch(TableId::Targets, &empty_batch(version(1, 7), true), at(0), at(0));
     read_order(&mut board, version(1, 7), document(1, "key-1"), 0);
+    board.record_settled_row(version(1, 7));
     let proof = TableProof {
         table: TableId::Orders,
         version: version(0, 9),
@@ -382,3 +384,248 @@
     assert_eq!(while_lost, Some(VersionName::new("v3")));
     assert_eq!(candidate(&board), Some(VersionName::new("v4")));
 }
+
+/// Returns the state of a node that has read the targets, and a document with `key-1` in era 1, at the start of a test.
+fn started_board(node: &str) -> RelayBoard {
+    let mut board = board(node);
+    board.apply_batch(TableId::Targets, &empty_batch(version(1, 7), true), at(0), at(0));
+    read_order(&mut board, version(1, 7), document(1, "key-1"), 0);
+    board
+}
+
+/// Guards against keys whose revocation the store has lost, at a node that starts and knows nothing of before.
+#[test]
+fn a_node_that_starts_in_a_later_era_waits_for_what_may_be_lost() {
+    let mut board = started_board("edge-1");
+
+    let at_start = (access(&board, "key-1", 600), access(&board, "key-2", 600), board.can_serve(at(0), at(600)));
+    let wait = board.restoration_wait(at(600));
+    confirm_orders(&mut board, version(1, 7), 1_899);
+    let before_end = access(&board, "key-1", 3_000);
+    confirm_orders(&mut board, version(1, 7), 1_900);
+
+    assert_eq!(at_start, (Err(AccessDenial::StaleDocument), Err(AccessDenial::StaleDocument), false));
+    assert_eq!(wait, Some(millis(1_300)));
+    assert_eq!(
+        before_end,
+        Err(AccessDenial::StaleDocument),
+        "the copy is from before the time for writing again ended"
+    );
+    assert_eq!((access(&board, "key-1", 3_000), board.restoration_wait(at(3_000))), (Ok(()), None));
+    assert!(board.can_serve(at(0), at(3_000)));
+}
+
+/// Guards against a wait that refuses requests whose access no key decides, and against 404 for what may have been lost.
+#[test]
+fn a_node_that_waits_serves_requests_without_a_key_and_reports_no_route_as_absent() {
+    let mut board = board("edge-1");
+    let routes = vec![RelayRoute { public: true, ..route("/open/", "bookings") }, route("/check/", "bookings")];
+    let holder = KeyHolder { org: "lions".into(), keys: vec![Arc::from("key-1")], rank: None };
+    let document = RelayDocument { version: 1, routes, holders: Some(vec![holder]), ..RelayDocument::default() };
+
+    read_order(&mut board, version(1, 7), OrderChange::Document(DocumentIndex::new(document)), 0);
+
+    let check = |path| board.check_access(AccessClaim { host: "nets.example", path, key: None }, at(10)).map(|_| ());
+    let expected = [Ok(()), Err(AccessDenial::StaleDocument), Err(AccessDenial::StaleDocument)];
+    assert_eq!(["/open/x", "/check/x", "/none/x"].map(check), expected);
+}
+
+/// Guards against a deployment that waits although no key is to be checked.
+#[test]
+fn a_node_without_keys_to_check_serves_in_a_later_era_at_once() {
+    let mut board = board("edge-1");
+    board.apply_batch(TableId::Targets, &empty_batch(version(1, 7), true), at(0), at(0));
+    let document = RelayDocument {
+        version: 1,
+        routes: vec![route("/check/", "bookings")],
+        holders: None,
+        ..RelayDocument::default()
+    };
+
+    read_order(&mut board, version(1, 7), OrderChange::Document(DocumentIndex::new(document)), 0);
+
+    assert!(board.can_serve(at(0), at(510)));
+}
+
+/// Guards against starts that wait for the life of a deployment, and against a proof from before the era was settled.
+#[test]
+fn a_node_that_starts_in_a_settled_era_trusts_copies_from_the_settled_version_on() {
+    let (mut recorded, mut told, mut early) =
+        (started_board("edge-1"), started_board("edge-1"), started_board("edge-1"));
+    let mut peer = heartbeat("edge-2", 1);
+    peer.settled_from = Some(version(1, 6));
+
+    recorded.record_settled_row(version(1, 7));
+    told.handle_heartbeat(peer, at(20));
+    early.record_settled_row(version(1, 8));
+    let early_before = access(&early, "key-1", 20);
+    confirm_orders(&mut early, version(1, 8), 30);
+
+    assert_eq!([&recorded, &told].map(|board| access(board, "key-1", 20)), [Ok(()), Ok(())]);
+    assert_eq!(early_before, Err(AccessDenial::StaleDocument), "the copy was read before the row was written");
+    assert_eq!(access(&early, "key-1", 40), Ok(()));
+}
+
+/// Guards against rows of earlier eras, which a copy of the store holds or a late write has brought into a later one.
+#[test]
+fn a_row_of_another_era_settles_nothing() {
+    let mut board = started_board("edge-1");
+
+    board.record_settled_row(version(0, 3));
+    board.record_settled_row(version(2, 1));
+
+    assert_eq!(access(&board, "key-1", 20), Err(AccessDenial::StaleDocument));
+}
+
+/// Guards against a start that waits although the document has been written before its eyes.
+#[test]
+fn a_node_that_starts_trusts_a_document_that_is_written_while_it_waits() {
+    let mut board = started_board("edge-1");
+
+    read_order(&mut board, version(1, 8), document(2, "key-2"), 500);
+
+    assert_eq!([access(&board, "key-1", 510), access(&board, "key-2", 510)], [Err(AccessDenial::UnknownKey), Ok(())]);
+}
+
+/// Guards against keys that a proof from before the rewriting lets in, at a node that reads nothing after the return.
+#[test]
+fn a_store_that_returns_and_is_away_again_proves_nothing_once_the_rewriting_time_is_over() {
+    let mut board = board("edge-1");
+    read_order(&mut board, version(0, 7), document(1, "key-1"), 0);
+
+    read_order(&mut board, version(1, 7), document(1, "key-1"), 6_000);
+
+    assert_eq!(
+        access(&board, "key-1", 8_000),
+        Err(AccessDenial::StaleDocument),
+        "its revocation may have been written"
+    );
+}
+
+/// Guards against keys that a document lets in which was never proven, when a later one cannot be decoded.
+#[test]
+fn a_document_that_was_never_proven_lets_no_key_in_after_one_that_cannot_be_decoded() {
+    let mut board = started_board("edge-1");
+
+    board.apply_batch(TableId::Orders, &empty_batch(version(1, 8), false), at(2_000), at(2_000));
+    let proven = access(&board, "key-1", 2_010);
+    let mut never_proven = started_board("edge-1");
+    never_proven.apply_batch(TableId::Orders, &empty_batch(version(1, 8), false), at(500), at(500));
+    never_proven.record_undecodable_document();
+    confirm_orders(&mut never_proven, version(1, 8), 2_500);
+
+    assert_eq!(proven, Ok(()));
+    assert_eq!(access(&never_proven, "key-1", 2_510), Err(AccessDenial::StaleDocument));
+}
+
+/// Returns a serving node among `peers`, whose copy shows since 1,900 ms that era 1 is settled.
+fn settled_board(node: &str, peers: &[&str]) -> RelayBoard {
+    let mut board = started_board(node);
+    confirm_orders(&mut board, version(1, 9), 1_900);
+    board.state = NodeState::Serving;
+    for peer in peers {
+        board.handle_heartbeat(heartbeat(peer, 1), at(1_900));
+    }
+    board.update_settlement();
+    board
+}
+
+/// Guards against a row that each node of a large fleet writes, and against one that nobody writes since the node that is
+/// to write it does not reach the store.
+#[test]
+fn a_few_nodes_write_that_an_era_is_settled_one_after_the_other() {
+    let names: Vec<String> = (0..20).map(|number| format!("edge-{number}")).collect();
+    let mut boards: Vec<RelayBoard> = names
+        .iter()
+        .map(|name| {
+            let peers: Vec<&str> = names.iter().filter(|peer| *peer != name).map(String::as_str).collect();
+            settled_board(name, &peers)
+        })
+        .collect();
+    let mut writers_at = |ms: u64| -> Vec<usize> {
+        for (board, own) in boards.iter_mut().zip(&names) {
+            for peer in names.iter().filter(|peer| *peer != own) {
+                board.handle_heartbeat(heartbeat(peer, ms), at(ms));
+            }
+        }
+        let due = boards
+            .iter_mut()
+            .enumerate()
+            .filter_map(|(index, board)| (board.take_era_to_record(at(ms)) == Some(1)).then_some(index));
+        due.collect()
+    };
+
+    let [first, at_once, after_pause, second, third, late] =
+        [1_900, 2_000, 2_900, 3_900, 5_900, 30_000].map(&mut writers_at);
+
+    assert_eq!((first.len(), at_once.len()), (1, 0));
+    assert_eq!(after_pause, first, "it has got no answer");
+    assert_eq!((second.len(), third.len(), late.len()), (2, 3, 3));
+    assert!(second.contains(&first[0]) && second.iter().all(|writer| third.contains(writer)));
+    assert_eq!(late, third);
+}
+
+/// Guards against a row that is written again and again, or for an era that is not settled, or for the first era.
+#[test]
+fn a_settled_era_is_recorded_once() {
+    let (mut settled, mut unsettled, mut first_era) =
+        (settled_board("edge-1", &[]), started_board("edge-1"), board("edge-1"));
+    for board in [&mut unsettled, &mut first_era] {
+        board.state = NodeState::Serving;
+    }
+    read_order(&mut first_era, version(0, 9), document(1, "key-1"), 0);
+    confirm_orders(&mut first_era, version(0, 9), 5_000);
+
+    let first = settled.take_era_to_record(at(2_000));
+    settled.record_settled_row_written(1);
+    let again = settled.take_era_to_record(at(20_000));
+
+    assert_eq!((first, again), (Some(1), None));
+    assert_eq!(unsettled.take_era_to_record(at(20_000)), None);
+    assert_eq!((first_era.update_settlement(), first_era.take_era_to_record(at(20_000))), (Vec::new(), None));
+}
+
+/// Guards against nodes of earlier releases that are left to write a row of which they do not know.
+#[test]
+fn a_node_of_an_earlier_release_is_not_waited_for_to_record_an_era() {
+    let mut board = settled_board("edge-1", &[]);
+    for number in 0..20 {
+        let mut peer = heartbeat(&format!("old-{number}"), 1);
+        peer.call_version = CallVersion::ISOLATION;
+        board.handle_heartbeat(peer, at(1_900));
+    }
+
+    assert_eq!(board.take_era_to_record(at(2_000)), Some(1));
+}
+
+/// Guards against a node that tells an era to be settled although the store still lacks the document that the node has.
+#[test]
+fn an_era_in_which_the_store_lacks_a_document_is_not_settled() {
+    let mut board = board("edge-1");
+    read_order(&mut board, version(0, 9), document(2, "key-2"), 0);
+    read_order(&mut board, version(1, 7), document(1, "key-1"), 1_000);
+    confirm_orders(&mut board, version(1, 7), 9_000);
+    board.state = NodeState::Serving;
+
+    let before = (board.update_settlement(), board.next_heartbeat(at(9_000)).settled_from);
+    read_order(&mut board, version(1, 8), document(2, "key-2"), 9_100);
+    let after = board.update_settlement();
+
+    assert_eq!(before, (Vec::new(), None));
+    assert_eq!(after, [EraSettlement { settled_from: version(1, 8), basis: SettlementBasis::Wait }]);
+    assert_eq!(board.next_heartbeat(at(9_200)).settled_from, Some(version(1, 8)));
+}
+
+/// Guards against hundreds of nodes that start together and call the store until the era is settled, where a hub reads it
+/// for them.
+#[test]
+fn a_node_of_a_large_fleet_that_waits_for_a_settled_era_follows_its_hub() {
+    let mut board = started_board("edge-0");
+    for number in 1..20 {
+        let peer = RelayHeartbeat { dc: DcName::new("khomas-a"), ..heartbeat(&format!("edge-{number}"), 1) };
+        board.handle_heartbeat(peer, at(100));
+    }
+
+    assert!(board.restoration_wait(at(200)).is_some() && !board.reads_store(TableId::Orders, at(200)));
+    assert!(board.reads_store(TableId::Orders, at(1_500)), "the hub has not confirmed the copy in time");
+}
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -91,11 +91,12 @@
 ) -> Result<AdmittedRequest, Rejection> {
     let started = clock::now();
     let size = RequestSize { head: head_bytes(parts), body: 0 };
-    node.board.borrow().check_size(size, started).map_err(rejection_from_denial)?;
+    check_size(node, size, started)?;
     let body = read_body(node, head, body).await?;
     let claim = AccessClaim { host: &head.host, path: parts.uri.path(), key: head.key.as_deref() };
     let mut board = node.board.borrow_mut();
-    let grant = board.check_access(claim, clock::now()).map_err(rejection_from_denial)?;
+    let access = board.check_access(claim, clock::now());
+    let grant = access.map_err(|denial| rejection_from_denial(denial, &board))?;
     let service = board.draw_service(&grant.route).ok_or(Rejection::not_run("route without service", RETRY_AFTER))?;
     let time_left = head.time_left.map_or(grant.route.timeout, |left| left.min(grant.route.timeout));
     check_departure(node, &board, &head.request, &grant.route, started + time_left)?;
@@ -199,10 +200,18 @@
     }
 }
 
-fn rejection_from_denial(denial: AccessDenial) -> Rejection {
+fn check_size(node: &SharedNode, size: RequestSize, now: Moment) -> Result<(), Rejection> {
+    let board = node.board.borrow();
+    board.check_size(size, now).map_err(|denial| rejection_from_denial(denial, &board))
+}
+
+fn rejection_from_denial(denial: AccessDenial, board: &RelayBoard) -> Rejection {
     match denial {
         AccessDenial::NoDocument => Rejection::not_run("no document yet", RETRY_AFTER),
-        AccessDenial::StaleDocument => Rejection::not_run("document may be old", RETRY_AFTER),
+        AccessDenial::StaleDocument => {
+            let restoration_wait = board.restoration_wait(clock::now()).unwrap_or_default();
+            Rejection::not_run("document may be old", restoration_wait.max(RETRY_AFTER))
+        }
         AccessDenial::NoRoute => Rejection::new(RefusalKind::NoRoute, "no route"),
         AccessDenial::UnknownKey => Rejection::new(RefusalKind::UnknownKey, "unknown key"),
         AccessDenial::HeadTooLarge => Rejection::new(RefusalKind::HeadTooLarge, "head too large"),
@@ -227,7 +236,7 @@
     }
     let (limits, now) = (node.board.borrow().index.caller_limits, clock::now());
     let least = RequestSize { body: usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX), head: 0 };
-    node.board.borrow().check_size(least, now).map_err(rejection_from_denial)?;
+    check_size(node, least, now)?;
     let body_timeout = head.time_left.unwrap_or(limits.idle_timeout);
     let buffer = BodyBuffer::new(&node.request_memory, limits.max_body_bytes);
     let read = timeout(body_timeout, collect_body(node, body, buffer));
@@ -250,8 +259,7 @@
 /// Returns the rejection of a request whose body has exceeded its maximum with its first `body_bytes` bytes.
 fn reject_body(node: &SharedNode, body_bytes: usize) -> Rejection {
     let size = RequestSize { body: body_bytes, head: 0 };
-    let denial = node.board.borrow().check_size(size, clock::now()).err();
     // The limit has been raised while the body arrived.
-    let raised = || Rejection::not_run("limit on bodies has changed", RETRY_AFTER);
-    denial.map_or_else(raised, rejection_from_denial)
+    let raised = Rejection::not_run("limit on bodies has changed", RETRY_AFTER);
+    check_size(node, size, clock::now()).err().unwrap_or(raised)
 }
--- a/crates/relay/src/heartbeats.rs
+++ b/crates/relay/src/heartbeats.rs
@@ -18,6 +18,7 @@
 use crate::clock;
 use crate::log_prefixes::PEERS;
 use crate::peers;
+use crate::settled_eras;
 use crate::state::SharedNode;
 use crate::store_link::StoreLink;
 use crate::table_transfers;
@@ -197,7 +198,7 @@
         };
         let call = WireCall::Heartbeat(Box::new((&heartbeat).into()), (&report).into());
         let extension = HeartbeatExtension::of_call(CallVersion::CURRENT, &board.rosters.known());
-        (call, extension.with_suspects(&heartbeat.suspects))
+        (call, extension.with_suspects(&heartbeat.suspects).with_settled_era(heartbeat.settled_from))
     };
     let reply = node.peers.call_heartbeat(address, &call, &extension, HEARTBEAT_TIMEOUT).await;
     let has_answered = match reply {
@@ -276,6 +277,7 @@
             for address in node.platform.read_announced_addresses(response.body()) {
                 node.contacts.add(node.addresses.peers, address);
             }
+            settled_eras::learn_from_store(&node, response);
             node.heartbeat_now.notify_one();
         }
         let is_reader = node.board.borrow().is_store_reader(clock::now());
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -54,6 +54,7 @@
 mod peers;
 mod placement;
 mod rollouts;
+mod settled_eras;
 mod store;
 mod store_link;
 mod table_reader;
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -37,6 +37,7 @@
 use crate::ports::{ListenKind, PlatformPort};
 use crate::rollouts;
 use crate::settings::{RelaySettings, SettingsSource};
+use crate::settled_eras;
 use crate::sockets;
 use crate::state::{RelayNode, SharedNode};
 use crate::table_reader;
@@ -154,6 +155,7 @@
     spawn_local(placement::run(node.clone()));
     spawn_local(placement::run_load_reports(node.clone()));
     spawn_local(rollouts::run(node.clone()));
+    spawn_local(settled_eras::run(node.clone()));
     spawn_local(maintenance::run(node.clone()));
     duties::start(&node);
     usage::start(&node);
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -402,6 +402,6 @@
     let members = if reads_rosters { std::mem::take(&mut report.members) } else { Vec::new() };
     let extension = HeartbeatExtension::of_reply(CallVersion::CURRENT, &report.rosters, &members);
     let heartbeat = board.next_heartbeat_to(&caller.node, &caller.dc, now);
-    let extension = extension.with_suspects(&heartbeat.suspects);
+    let extension = extension.with_suspects(&heartbeat.suspects).with_settled_era(heartbeat.settled_from);
     (WireReply::Heartbeat(Box::new((&heartbeat).into()), known_addresses, (&report).into()), extension)
 }
--- a/crates/relay/src/ports.rs
+++ b/crates/relay/src/ports.rs
@@ -327,6 +327,13 @@
     /// Decodes the addresses that nodes have written into the store. Returns none if the body is malformed.
     fn read_announced_addresses(&self, body: &[u8]) -> Vec<SocketAddr>;
 
+    /// Returns a request that writes into the store that an era of it is settled, unless it holds that already.
+    /// [`Self::read_row_reply`] decodes the reply.
+    fn settled_era_request(&self, era: u64) -> Request<Bytes>;
+    /// Decodes from the response that lists the addresses of nodes whether the store's present era is settled. Returns the
+    /// version at which that was written.
+    fn read_settled_era(&self, response: &Response<Bytes>) -> Option<StoreVersion>;
+
     /// Encodes the content of the row of a duty's lease.
     fn encode_lease(&self, row: &FencedRow) -> Arc<[u8]>;
     /// Decodes the content of the row of a duty's lease.
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -19,10 +19,14 @@
 /// the rows are known to have been the current state of the store; `source` is logged.
 pub fn apply_rows(node: &SharedNode, table: TableId, batch: &RowBatch, confirmed_at: Moment, source: &str) {
     let applied = node.board.borrow_mut().apply_batch(table, batch, confirmed_at, clock::now());
-    if let Some(replaced) = &applied.replaced {
-        log_restoration(table, replaced.version, batch.version, source);
-        metering::record_store_restoration(&table.to_string());
-        node.store_restored.notify_one();
+    match &applied.replaced {
+        Some(replaced) if replaced.version == StoreVersion::NONE => log_unsettled_start(node, batch.version, source),
+        Some(replaced) => {
+            log_restoration(table, replaced.version, batch.version, source);
+            metering::record_store_restoration(&table.to_string());
+            node.store_restored.notify_one();
+        }
+        None => {}
     }
     for row in &applied.changed {
         match table {
@@ -55,6 +59,13 @@
     warn!("{STORE} the store was restored from an older copy.", kv: { table, from, version, source });
 }
 
+/// Logs that a node which has just started does not know whether the store holds what it had lost before its era.
+fn log_unsettled_start(node: &SharedNode, version: StoreVersion, source: &str) {
+    let is_settled = node.board.borrow().restoration_wait(clock::now()).is_none();
+    let version = version.to_string();
+    info!("{STORE} orders read at the start.", kv: { version = version.as_str(), source, settled = is_settled });
+}
+
 /// Describes an order for the log.
 pub fn describe_order(change: &OrderChange) -> String {
     match change {
--- a/crates/relay/src/table_reader.rs
+++ b/crates/relay/src/table_reader.rs
@@ -125,8 +125,11 @@
         if self.attempts.is_overdue(now) {
             self.record_failed_call(self.last_called_at, &StoreError::Link(LinkError::Timeout));
         }
-        let wait =
-            if self.needs_whole_table { Duration::ZERO } else { self.attempts.next_wait(change_wait(&self.node)) };
+        let wait = if self.needs_whole_table {
+            Duration::ZERO
+        } else {
+            self.attempts.next_wait(change_wait(&self.node, self.table))
+        };
         let mode = if self.needs_whole_table { ReadMode::Whole } else { ReadMode::Changes { wait } };
         let answer_timeout = self.attempts.record_start(wait, now);
         self.last_called_at = now;
@@ -252,11 +255,14 @@
 }
 
 /// Returns the time for which the store may hold a call for changes. It is shorter in a large fleet, where other nodes
-/// depend on a hub's copies, which are as old as its last call.
-fn change_wait(node: &SharedNode) -> Duration {
+/// depend on a hub's copies, which are as old as its last call. A call that may prove the document ends as soon as it does.
+fn change_wait(node: &SharedNode, table: TableId) -> Duration {
     let board = node.board.borrow();
     let hub_wait = board.tuning.max_hub_copy_age / HUB_WAIT_DIVISOR;
-    if board.is_small_fleet() { node.times.store_poll_wait } else { node.times.store_poll_wait.min(hub_wait) }
+    let wait =
+        if board.is_small_fleet() { node.times.store_poll_wait } else { node.times.store_poll_wait.min(hub_wait) };
+    let restoration_wait = board.restoration_wait(clock::now()).filter(|_| table == TableId::Orders);
+    restoration_wait.map_or(wait, |restoration_wait| restoration_wait.min(wait))
 }
 
 /// Reads the changes of a table since the version of this node's copy.
--- a/crates/wire/src/relay.rs
+++ b/crates/wire/src/relay.rs
@@ -345,6 +345,7 @@
             },
             proofs: proofs.collect(),
             document_version: heartbeat.document_version,
+            settled_from: None,
             loads: loads_from_wire(heartbeat.loads),
             prompts: prompts_from_wire(heartbeat.prompts),
             waits: waits.collect(),
--- a/crates/wire/src/relay/extension.rs
+++ b/crates/wire/src/relay/extension.rs
@@ -11,6 +11,7 @@
 use wasabipier_core::names::NodeName;
 use wasabipier_core::relay::members::{CallVersion, RelayHeartbeat};
 use wasabipier_core::relay::rosters::{KnownRoster, RosterId, RosterUpdate};
+use wasabipier_core::relay::store_version::StoreVersion;
 use wasabipier_core::relay::suspects::SuspectReport;
 
 use super::{WireCall, WireHeartbeat, WireReply, decode_with_rest, encode};
@@ -34,6 +35,18 @@
     /// Isolated crashes among those of the heartbeat's suspects.
     #[prost(fixed64, repeated, tag = "5")]
     isolated_crashes: Vec<u64>,
+    /// Version of the store from which on its newest settled era is settled, if the node knows one.
+    #[prost(message, optional, tag = "6")]
+    settled_from: Option<WireStoreVersion>,
+}
+
+/// Encoded form of [`StoreVersion`].
+#[derive(Clone, Copy, PartialEq, Message)]
+struct WireStoreVersion {
+    #[prost(uint64, tag = "1")]
+    era: u64,
+    #[prost(uint64, tag = "2")]
+    number: u64,
 }
 
 /// Encoded form of [`KnownRoster`].
@@ -155,10 +168,18 @@
         Self { isolated_crashes: isolated.into_iter().collect(), ..self }
     }
 
+    /// Adds from which version on the store's newest settled era is settled.
+    #[must_use]
+    pub fn with_settled_era(self, settled_from: Option<StoreVersion>) -> Self {
+        let settled_from = settled_from.map(|StoreVersion { era, number }| WireStoreVersion { era, number });
+        Self { settled_from, ..self }
+    }
+
     /// Returns the heartbeat that this message follows, with what it tells of the sender itself.
     #[must_use]
     pub fn complete(&self, heartbeat: WireHeartbeat) -> RelayHeartbeat {
-        let mut heartbeat = RelayHeartbeat { call_version: self.call_version(), ..heartbeat.into() };
+        let settled_from = self.settled_from.map(|settled| StoreVersion::new(settled.era, settled.number));
+        let mut heartbeat = RelayHeartbeat { call_version: self.call_version(), settled_from, ..heartbeat.into() };
         for report in heartbeat.suspects.iter_mut().flat_map(|suspect| &mut suspect.crashes) {
             report.is_isolated = self.isolated_crashes.contains(&report.crash.0);
         }
--- a/crates/wire/tests/call_versions.rs
+++ b/crates/wire/tests/call_versions.rs
@@ -15,6 +15,7 @@
 use wasabipier_core::relay::placement::{GrantEnd, GrantEvent, GrantId, PlacementGrant, PlacementRequest};
 use wasabipier_core::relay::rollout::VersionLane;
 use wasabipier_core::relay::rosters::{KnownRoster, RosterId, RosterUpdate};
+use wasabipier_core::relay::store_version::StoreVersion;
 use wasabipier_core::relay::suspects::{CrashId, CrashReport, SuspectKey, SuspectReport};
 use wasabipier_core::relay::usage::{RunCounts, UsageUpdate};
 use wasabipier_wire::frame::FrameError;
@@ -116,6 +117,24 @@
     assert!(from_earlier.suspects[0].crashes.iter().all(|crash| !crash.is_isolated));
 }
 
+/// Guards against heartbeats that the earlier release cannot read, and against an era that counts as settled since a node
+/// of that release tells nothing of it.
+#[test]
+fn a_settled_era_follows_the_heartbeat_of_the_earlier_release() {
+    let heartbeat = RelayHeartbeat { settled_from: Some(StoreVersion::new(2, 41)), ..member("edge-1") };
+    let call = WireCall::Heartbeat(Box::new((&heartbeat).into()), WireFleetReport::default());
+    let extension = HeartbeatExtension::of_call(CallVersion::CURRENT, &[]).with_settled_era(heartbeat.settled_from);
+
+    let bytes = encode_heartbeat(&call, &extension);
+
+    assert!(bytes.starts_with(&encode(&call)));
+    let (WireCall::Heartbeat(wire, _), extension) = decode_extended(&bytes).expect("it decodes") else {
+        panic!("a heartbeat")
+    };
+    assert_eq!(extension.complete(*wire.clone()), heartbeat);
+    assert_eq!(HeartbeatExtension::default().complete(*wire).settled_from, None);
+}
+
 #[test]
 fn a_node_that_tells_no_version_reads_the_base_version() {
     let (_, extension) = decode_extended::<WireCall>(&encode(&recorded_heartbeat())).expect("it decodes");
--- a/crates/wire/tests/relay.rs
+++ b/crates/wire/tests/relay.rs
@@ -183,6 +183,7 @@
             age_ms: 30,
         }],
         document_version: 12,
+        settled_from: None,
         loads: vec![TargetLoad { target: TargetName::new("i-1"), in_flight: 2, pending_prompt_tokens: 5 }],
         prompts: vec![PromptCacheUpdate { target: TargetName::new("i-1"), keys: vec![1, 2] }],
         waits: Vec::new(),
