Keep a target cold when the store returns with its earlier entry

Callers saw: after the store came back from an older copy, a target that had started again in between got its full part of the requests while it was cold (rule FAILBACK), and may crash under it.

Cause: the restored entry names an earlier start. It was taken for a new incarnation, which is warm, since only entries of the same incarnation were recognised as restored.

Change: an entry of a later era whose process started before the known one says nothing.

--- a/crates/core/src/relay/targets.rs
+++ b/crates/core/src/relay/targets.rs
@@ -71,14 +71,22 @@
 }
 
 /// Returns whether `entry` is only what the store was restored with, where `known` was read before and its row was gone
-/// at `removed_in`, if it was. What the target has said since in the same incarnation has a higher sequence number.
+/// at `removed_in`, if it was. What the target has said since in the same incarnation has a higher sequence number, and
+/// later incarnations have started later.
 fn is_restored_entry(entry: &TargetEntry, known: &TargetEntry, removed_in: Option<StoreVersion>) -> bool {
     let last_version = removed_in.map_or(known.row_version, |removed_in| removed_in.max(known.row_version));
+    if entry.row_version.era <= last_version.era {
+        return false;
+    }
+    let incarnations = entry.incarnation.zip(known.incarnation);
+    if incarnations.is_some_and(|(restored, known)| restored < known) {
+        return true;
+    }
     let is_later_statement = match (entry.sequence, known.sequence) {
         (Some(sequence), Some(known_sequence)) => sequence > known_sequence,
         _ => !known.leaving && removed_in.is_none(),
     };
-    entry.is_same_incarnation(known) && entry.row_version.era > last_version.era && !is_later_statement
+    entry.is_same_incarnation(known) && !is_later_statement
 }
 
 /// Outcome of a call, as evidence about its target.
--- a/crates/core/tests/relay/store_restoration.rs
+++ b/crates/core/tests/relay/store_restoration.rs
@@ -308,6 +308,27 @@
     assert_eq!((restarted, written_again), (EntryEffect::NewTarget, EntryEffect::Updated));
 }
 
+/// Guards against a cold target that counts as warm, since the store was restored with the entry of its process before.
+#[test]
+fn an_entry_of_an_earlier_incarnation_with_which_the_store_was_restored_says_nothing() {
+    let (mut running, mut gone) = (board("edge-1"), board("edge-1"));
+    let restarted = TargetEntry { incarnation: Some(2), cold_time: millis(8_000), ..entry(0, 1, false) };
+    for board in [&mut running, &mut gone] {
+        board.upsert_target(entry(0, 3, false), at(0));
+        board.upsert_target(restarted.clone(), at(1_000));
+    }
+    gone.handle_target_removed(&TargetName::new("i-1"), version(0, 9), at(1_100));
+    gone.remove_expired(at(1_100));
+
+    let effects = [&mut running, &mut gone].map(|board| board.upsert_target(entry(1, 3, false), at(2_000)));
+    let is_cold = running.targets.get(&TargetName::new("i-1")).is_some_and(|view| view.is_cold(at(8_999)));
+    let rewritten = TargetEntry { row_version: version(1, 9), sequence: Some(2), ..restarted };
+
+    assert_eq!((effects, is_cold), ([EntryEffect::Outdated; 2], true));
+    assert_eq!(running.upsert_target(rewritten.clone(), at(3_000)), EntryEffect::Updated);
+    assert_eq!(gone.upsert_target(rewritten, at(3_000)), EntryEffect::NewTarget);
+}
+
 /// Guards against targets that are dropped because the store has lost their entries.
 #[test]
 fn targets_whose_entries_were_lost_are_kept_until_they_register_again() {
