Count targets as cold at a starting node until their entries are proven

Callers saw: all nodes lose power as the store comes back from an older copy, in which a cold target still has the entry of its process before. The target gets its full part of the requests that need no key (rule FAILBACK).

Cause: as for revoked keys, a node that starts takes the restored state for the last word. It has no entry from before to compare with.

Change: entries that are read first in an era after 0 leave their targets cold until the era is settled, until a target writes again, or for the longest time for which a process can be cold.

--- a/crates/core/src/relay/board.rs
+++ b/crates/core/src/relay/board.rs
@@ -439,6 +439,9 @@
         let (target, recorded) = (entry.target.clone(), entry.clone());
         let effect = self.targets.upsert(entry, now);
         if effect == EntryEffect::NewTarget {
+            if self.are_entries_unproven() {
+                self.targets.doubt_entry(&target);
+            }
             self.forget_limits(&target);
             self.prompts.remove_target(&target);
             self.paths.remove_target(&target);
--- a/crates/core/src/relay/settled_eras.rs
+++ b/crates/core/src/relay/settled_eras.rs
@@ -134,10 +134,11 @@
     }
 
     /// Notes whether the present era has become settled, and returns the eras that have since the last call.
-    pub fn update_settlement(&mut self) -> Vec<EraSettlement> {
+    pub fn update_settlement(&mut self, now: Moment) -> Vec<EraSettlement> {
         if let Some(settled_from) = self.observed_settlement() {
             self.restoration.settled_eras.record(EraSettlement { settled_from, basis: SettlementBasis::Wait });
         }
+        self.trust_proven_entries(now);
         self.restoration.settled_eras.take_news()
     }
 
--- a/crates/core/src/relay/store_restoration.rs
+++ b/crates/core/src/relay/store_restoration.rs
@@ -72,6 +72,8 @@
     /// `None` in an era in which the store cannot have lost anything.
     era_start: Option<EraStart>,
     pub(super) settled_eras: SettledEras,
+    /// When this node first read the targets' entries, until it is known that no older ones have been restored.
+    entries_read_at: Option<Moment>,
     /// Version of the document that the store has.
     stored_document: u64,
     /// Version of the newest document that the store is known to have lost.
@@ -130,7 +132,7 @@
         self.era_start.is_none_or(|start| {
             let is_rewritten = start.is_document_written
                 || self.settled_eras.is_settled(copy.version())
-                || has_outlived_rewriting(start, copy, rewrite_time);
+                || has_outlived_rewriting(start.seen_at, copy, rewrite_time);
             self.stored_document >= newest_document && is_rewritten
         })
     }
@@ -163,9 +165,9 @@
     }
 }
 
-/// Returns whether `copy` was up to date when `rewrite_time` had passed since the start of the era.
-fn has_outlived_rewriting(start: EraStart, copy: &TableCopy, rewrite_time: Duration) -> bool {
-    copy.confirmed_at().is_some_and(|confirmed_at| confirmed_at >= start.seen_at + rewrite_time)
+/// Returns whether `copy` was up to date when `rewrite_time` had passed since the era was first seen.
+fn has_outlived_rewriting(seen_at: Moment, copy: &TableCopy, rewrite_time: Duration) -> bool {
+    copy.confirmed_at().is_some_and(|confirmed_at| confirmed_at >= seen_at + rewrite_time)
 }
 
 /// The effect of a batch of rows on a table.
@@ -222,6 +224,9 @@
             // If the document is among the changed rows, it is recorded as stored next.
             self.restoration.record_orders_read(copy_version);
         }
+        if is_start && table == TableId::Targets {
+            self.restoration.entries_read_at = Some(now);
+        }
         // A node that has just started has no targets to keep.
         let is_order_start = is_start && table == TableId::Orders;
         if !is_return && !is_order_start {
@@ -305,6 +310,43 @@
         self.document_age(now).or_else(|| is_usable.then_some(Self::UNPROVEN_AGE))
     }
 
+    /// Returns whether the targets' entries may be older than those that the targets wrote last, since the store was
+    /// restored with them before this node started.
+    pub(super) fn are_entries_unproven(&self) -> bool {
+        let Some(read_at) = self.restoration.entries_read_at else { return false };
+        let copy = self.copies.get(&TableId::Targets);
+        copy.is_some_and(|copy| {
+            !self.restoration.settled_eras.is_settled(copy.version())
+                && !has_outlived_rewriting(read_at, copy, self.tuning.reregistration_timeout)
+        })
+    }
+
+    /// Counts targets by their entries alone once these are proven, or once no process that started before they were read
+    /// can be cold any more.
+    pub(super) fn trust_proven_entries(&mut self, now: Moment) {
+        let Some(read_at) = self.restoration.entries_read_at else { return };
+        let services = self.index.services.values().filter(|service| service.cold_rate > 0.0);
+        let longest_warm_up = services.map(|service| service.warm_up).max().unwrap_or_default();
+        let is_document_known = self.index.version > 0;
+        if !self.are_entries_unproven() || (is_document_known && now >= read_at + longest_warm_up) {
+            self.restoration.entries_read_at = None;
+            self.targets.trust_entries();
+        }
+    }
+
+    /// Returns the time after which a read of `table` proves the document, or the entries of targets, or `None` if they are
+    /// proven, or if more than time is needed.
+    #[must_use]
+    pub fn proof_wait(&self, table: TableId, now: Moment) -> Option<Duration> {
+        match table {
+            TableId::Orders => self.restoration_wait(now),
+            TableId::Targets => {
+                let proven_from = self.restoration.entries_read_at? + self.tuning.reregistration_timeout;
+                self.are_entries_unproven().then(|| now.until(proven_from))
+            }
+        }
+    }
+
     /// Returns the time after which a read of the orders proves the document, or `None` if it is proven, or if more than
     /// time is needed.
     #[must_use]
@@ -320,7 +362,7 @@
     /// does.
     pub(super) fn observed_settlement(&self) -> Option<StoreVersion> {
         let (start, copy) = (self.restoration.era_start?, self.copies.get(&TableId::Orders)?);
-        let is_rewritten = has_outlived_rewriting(start, copy, self.tuning.reregistration_timeout);
+        let is_rewritten = has_outlived_rewriting(start.seen_at, copy, self.tuning.reregistration_timeout);
         (is_rewritten && !self.restoration.lacks_document(self.index.version)).then(|| copy.version())
     }
 }
--- a/crates/core/src/relay/targets.rs
+++ b/crates/core/src/relay/targets.rs
@@ -141,6 +141,8 @@
     pub backoff_until: Moment,
     /// Time until which the target is cold.
     pub cold_until: Moment,
+    /// Whether the target may have started again since it wrote the entry, and counts as cold.
+    is_entry_unproven: bool,
     /// When this node last called the target while it was cold.
     pub last_cold_call: Option<Moment>,
     consecutive_failures: u32,
@@ -171,6 +173,7 @@
     fn new(entry: TargetEntry, now: Moment) -> Self {
         Self {
             cold_until: now + entry.cold_time,
+            is_entry_unproven: false,
             entry,
             in_flight: 0,
             pending_prompt_tokens: 0,
@@ -203,7 +206,7 @@
     /// Returns whether the target is cold at `now`.
     #[must_use]
     pub fn is_cold(&self, now: Moment) -> bool {
-        now < self.cold_until
+        self.is_entry_unproven || now < self.cold_until
     }
 
     /// Forgets what calls to an earlier process of the target have shown, and counts the new one as cold for `warm_up`.
@@ -293,7 +296,7 @@
                 let is_stale = old.process != ProcessState::Registered;
                 let cold_until = if is_stale { stated.max(old.cold_until) } else { stated };
                 let entry = TargetEntry { leaving: entry.leaving || old.has_said_leaving, ..entry };
-                TargetView { entry, cold_until, removal: None, ..old }
+                TargetView { entry, cold_until, is_entry_unproven: false, removal: None, ..old }
             }
             None => TargetView::new(entry, now),
         };
@@ -305,6 +308,18 @@
         effect
     }
 
+    /// Records that a target may have started again since it wrote its entry, until it writes another one.
+    pub(super) fn doubt_entry(&mut self, target: &TargetName) {
+        if let Some(view) = self.views.get_mut(target) {
+            view.is_entry_unproven = true;
+        }
+    }
+
+    /// Records that all entries are those that the targets wrote last.
+    pub(super) fn trust_entries(&mut self) {
+        self.views.values_mut().for_each(|view| view.is_entry_unproven = false);
+    }
+
     /// Returns whether an entry is one of before the store was restored, and says nothing new.
     fn is_outdated(&self, entry: &TargetEntry) -> bool {
         if let Some(view) = self.views.get(&entry.target) {
--- a/crates/core/tests/relay/store_restoration.rs
+++ b/crates/core/tests/relay/store_restoration.rs
@@ -8,7 +8,7 @@
 use wasabipier_core::names::{DcName, ServiceName, TargetName, VersionName};
 use wasabipier_core::relay::access::{AccessClaim, AccessDenial};
 use wasabipier_core::relay::board::{OrderChange, RelayBoard};
-use wasabipier_core::relay::document::{DocumentIndex, KeyHolder, RelayDocument, RelayRoute};
+use wasabipier_core::relay::document::{DocumentIndex, KeyHolder, RelayDocument, RelayRoute, RelayService};
 use wasabipier_core::relay::members::{CallVersion, RelayHeartbeat, TableProof};
 use wasabipier_core::relay::rollout::{RecordedState, RolloutOrder, RolloutPhase, RolloutWatch};
 use wasabipier_core::relay::rows::{BatchFit, RowBatch, SharedRow, TableCopy, TableId};
@@ -547,7 +547,7 @@
     for peer in peers {
         board.handle_heartbeat(heartbeat(peer, 1), at(1_900));
     }
-    board.update_settlement();
+    board.update_settlement(at(9_000));
     board
 }
 
@@ -603,7 +603,7 @@
 
     assert_eq!((first, again), (Some(1), None));
     assert_eq!(unsettled.take_era_to_record(at(20_000)), None);
-    assert_eq!((first_era.update_settlement(), first_era.take_era_to_record(at(20_000))), (Vec::new(), None));
+    assert_eq!((first_era.update_settlement(at(9_000)), first_era.take_era_to_record(at(20_000))), (Vec::new(), None));
 }
 
 /// Guards against nodes of earlier releases that are left to write a row of which they do not know.
@@ -628,9 +628,9 @@
     confirm_orders(&mut board, version(1, 7), 9_000);
     board.state = NodeState::Serving;
 
-    let before = (board.update_settlement(), board.next_heartbeat(at(9_000)).settled_from);
+    let before = (board.update_settlement(at(9_000)), board.next_heartbeat(at(9_000)).settled_from);
     read_order(&mut board, version(1, 8), document(2, "key-2"), 9_100);
-    let after = board.update_settlement();
+    let after = board.update_settlement(at(9_000));
 
     assert_eq!(before, (Vec::new(), None));
     assert_eq!(after, [EraSettlement { settled_from: version(1, 8), basis: SettlementBasis::Wait }]);
@@ -650,3 +650,43 @@
     assert!(board.restoration_wait(at(200)).is_some() && !board.reads_store(TableId::Orders, at(200)));
     assert!(board.reads_store(TableId::Orders, at(1_500)), "the hub has not confirmed the copy in time");
 }
+
+/// Returns a node that has started in era 1 with the entry of a target of a service that limits the calls to cold ones.
+fn board_with_restored_entry() -> RelayBoard {
+    let mut board = started_board("edge-1");
+    let service = RelayService { cold_rate: 4.0, warm_up: millis(8_000), ..RelayService::default() };
+    let services = [(ServiceName::new("bookings"), service)].into();
+    let document = RelayDocument { version: 2, routes: Vec::new(), services, ..RelayDocument::default() };
+    read_order(&mut board, version(1, 7), OrderChange::Document(DocumentIndex::new(document)), 0);
+    board.upsert_target(entry(1, 3, false), at(0));
+    board
+}
+
+fn is_cold(board: &RelayBoard, ms: u64) -> bool {
+    board.targets.get(&TargetName::new("i-1")).is_some_and(|view| view.is_cold(at(ms)))
+}
+
+/// Guards against a cold target that counts as warm at a node that starts, since the store was restored with the entry of
+/// its process before.
+#[test]
+fn targets_count_as_cold_at_a_node_that_starts_until_their_entries_are_proven() {
+    let [mut settled, mut rewritten, mut waiting, mut cut_off] = std::array::from_fn(|_| board_with_restored_entry());
+    let boards = [&settled, &rewritten, &waiting, &cut_off];
+    let at_start = boards.map(|board| is_cold(board, 10));
+
+    settled.record_settled_row(version(1, 7));
+    settled.update_settlement(at(20));
+    rewritten.upsert_target(entry(1, 4, false), at(20));
+    waiting.update_settlement(at(1_900));
+    let before_proof = is_cold(&waiting, 1_900);
+    waiting.apply_batch(TableId::Targets, &empty_batch(version(1, 7), false), at(1_900), at(1_950));
+    waiting.update_settlement(at(1_950));
+    cut_off.update_settlement(at(7_999));
+    let before_warm_up = is_cold(&cut_off, 7_999);
+    cut_off.update_settlement(at(8_000));
+
+    assert_eq!(at_start, [true; 4]);
+    assert_eq!((is_cold(&settled, 20), is_cold(&rewritten, 20)), (false, false));
+    assert_eq!((before_proof, is_cold(&waiting, 1_950)), (true, false));
+    assert_eq!((before_warm_up, is_cold(&cut_off, 8_000)), (true, false), "no process can be cold for longer");
+}
--- a/crates/relay/src/settled_eras.rs
+++ b/crates/relay/src/settled_eras.rs
@@ -41,7 +41,7 @@
 
 /// Notes and logs the eras that have become settled.
 fn update_settlement(node: &SharedNode) {
-    let news = node.board.borrow_mut().update_settlement();
+    let news = node.board.borrow_mut().update_settlement(clock::now());
     for settlement in news {
         let (settled_from, basis) = (settlement.settled_from.to_string(), settlement.basis.to_string());
         let age_ms = clock::now().since(node.started_at).as_millis() as u64;
--- a/crates/relay/src/table_reader.rs
+++ b/crates/relay/src/table_reader.rs
@@ -255,14 +255,13 @@
 }
 
 /// Returns the time for which the store may hold a call for changes. It is shorter in a large fleet, where other nodes
-/// depend on a hub's copies, which are as old as its last call. A call that may prove the document ends as soon as it does.
+/// depend on a hub's copies, which are as old as its last call. A call that may prove what was read at the start ends as soon as it does.
 fn change_wait(node: &SharedNode, table: TableId) -> Duration {
     let board = node.board.borrow();
     let hub_wait = board.tuning.max_hub_copy_age / HUB_WAIT_DIVISOR;
     let wait =
         if board.is_small_fleet() { node.times.store_poll_wait } else { node.times.store_poll_wait.min(hub_wait) };
-    let restoration_wait = board.restoration_wait(clock::now()).filter(|_| table == TableId::Orders);
-    restoration_wait.map_or(wait, |restoration_wait| restoration_wait.min(wait))
+    board.proof_wait(table, clock::now()).map_or(wait, |proof_wait| proof_wait.min(wait))
 }
 
 /// Reads the changes of a table since the version of this node's copy.
