Refuse content that crashes targets after all nodes have ended

Cause: what is known of such content was in the memory of the nodes alone.

Change: when harmful content changes, one of the nodes writes it into a row of the store, on condition; two others find it written. A starting node reads the row beside the addresses of its peers and merges it like a peer's report. Nothing is called while nothing changes, and releases that do not know the row skip it.

--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -5,7 +5,7 @@
 //! accepts or refuses it ([`overload`], [`rank_guard`], [`departure`]). Its preparation stages run ([`graph`], [`pieces`],
 //! [`piece_nodes`]), a target is chosen ([`targets`], [`prompts`],
 //! [`choice`], [`placement`]) and connected to ([`paths`], [`restarts`]), and the answer is passed on or the request is retried ([`steps`], [`budget`], [`events`]). Content that
-//! crashes targets is refused ([`suspects`]), and targets get no more requests than they say they take
+//! crashes targets is refused ([`suspects`], [`suspect_row`]), and targets get no more requests than they say they take
 //! ([`rate_limits`]) and no more than fit while they are brittle ([`brittle`]). [`members`], [`fleet`], [`rosters`] and [`rows`] hold what nodes know of each other and of the store, whose
 //! versions ([`store_version`]) count anew when it is restored from an older copy ([`store_restoration`]), and are complete again
 //! after a while ([`settled_eras`]). [`chunks`] transfers it, [`read_attempts`] and [`answer_timeout`] tell when to call the store. [`rollout`],
@@ -52,6 +52,7 @@
 pub mod steps;
 pub mod store_restoration;
 pub mod store_version;
+pub mod suspect_row;
 pub mod suspects;
 pub mod target_load;
 pub mod targets;
--- a/crates/core/src/relay/board.rs
+++ b/crates/core/src/relay/board.rs
@@ -36,6 +36,7 @@
 use crate::relay::steps::SilenceTimeouts;
 use crate::relay::store_restoration::StoreRestoration;
 use crate::relay::store_version::StoreVersion;
+use crate::relay::suspect_row::SuspectRowState;
 use crate::relay::suspects::{HarmfulContent, SuspectKey, SuspectLimits, SuspectTable};
 use crate::relay::targets::{EntryEffect, TargetEntry, TargetRegistry};
 use crate::relay::usage::UsageTable;
@@ -166,6 +167,8 @@
     pub rank_guard: RankGuard,
     /// Content that may have crashed targets.
     pub suspects: SuspectTable,
+    /// The row of the store that names content which crashes targets.
+    pub(super) suspect_row: SuspectRowState,
     /// Limits that targets name on their requests per second.
     pub rate_limits: RateLimitTable,
     /// Rejections that brittle targets withstand.
@@ -218,6 +221,7 @@
             pieces: PieceTable::default(),
             rank_guard: RankGuard::default(),
             suspects,
+            suspect_row: SuspectRowState::default(),
             rate_limits: RateLimitTable::default(),
             brittle: BrittleTable::default(),
             rooms: RoomLedger::default(),
--- a/crates/core/src/relay/settled_eras.rs
+++ b/crates/core/src/relay/settled_eras.rs
@@ -110,9 +110,9 @@
     /// Number of nodes that try to write the row of an era. It is small so that not every node sends calls to the store.
     const MAX_RECORDERS: usize = 3;
     /// Time for which a node leaves the row of an era to the one before it.
-    const RECORD_DELAY: Duration = Duration::from_secs(2);
+    pub(super) const RECORD_DELAY: Duration = Duration::from_secs(2);
     /// Pause after a write of the row without an answer.
-    const RECORD_RETRY_PAUSE: Duration = Duration::from_secs(1);
+    pub(super) const RECORD_RETRY_PAUSE: Duration = Duration::from_secs(1);
 
     /// Records that the store holds the row of a settled era, which was written at version `written_in`.
     pub fn record_settled_row(&mut self, written_in: StoreVersion) {
@@ -148,20 +148,19 @@
         if version.era == 0 || !self.restoration.settled_eras.is_settled(version) {
             return None;
         }
-        let position = self.recorder_position(version.era, now)?;
+        let position = self.recorder_position(&format!("settled-era/{}", version.era), now)?;
         let delay = Self::RECORD_DELAY * position as u32;
         let is_turn = self.restoration.settled_eras.take_turn(version.era, delay, Self::RECORD_RETRY_PAUSE, now);
         is_turn.then_some(version.era)
     }
 
-    /// Returns this node's position among those that try to write the row of `era`: the first live, serving nodes in
-    /// rendezvous order that know of such rows.
-    fn recorder_position(&self, era: u64, now: Moment) -> Option<usize> {
-        let key = format!("settled-era/{era}");
+    /// Returns this node's position among those that try to write the row about `subject` for all: the first live, serving
+    /// nodes in rendezvous order that know of such rows. `None` if it is not among them.
+    pub(super) fn recorder_position(&self, subject: &str, now: Moment) -> Option<usize> {
         let own = (self.state == NodeState::Serving).then_some(&self.identity.node);
         let peers = self.members.serving(now).filter(|view| view.heartbeat.call_version >= CallVersion::SETTLED_ERAS);
         let mut nodes: Vec<&NodeName> = own.into_iter().chain(peers.map(|view| &view.heartbeat.node)).collect();
-        nodes.sort_by_cached_key(|node| (Reverse(rendezvous_weight(&key, node.as_str())), (*node).clone()));
+        nodes.sort_by_cached_key(|node| (Reverse(rendezvous_weight(subject, node.as_str())), (*node).clone()));
         nodes.into_iter().take(Self::MAX_RECORDERS).position(|node| *node == self.identity.node)
     }
 }
--- a/crates/core/src/relay/store_restoration.rs
+++ b/crates/core/src/relay/store_restoration.rs
@@ -236,6 +236,7 @@
             TableId::Orders => {
                 self.restoration.record_era(proven_at, now);
                 self.rollouts.forget_records();
+                self.forget_suspect_row(batch.version.era);
             }
             // Targets whose entries were lost register again, as after an outage.
             TableId::Targets => self.store_recovered_at = Some(now),
--- a/crates/core/src/relay/suspects.rs
+++ b/crates/core/src/relay/suspects.rs
@@ -177,6 +177,16 @@
         open
     }
 
+    fn report(&self, key: SuspectKey, now: Moment) -> SuspectReport {
+        let crashes = self.crashes.iter().map(|(crash, known)| CrashReport {
+            crash: *crash,
+            age: now.since(known.at),
+            is_exonerated: known.is_exonerated,
+            is_isolated: known.is_isolated,
+        });
+        SuspectReport { key, crashes: crashes.collect() }
+    }
+
     fn last_crash_at(&self) -> Moment {
         self.crashes.values().map(|record| record.at).max().unwrap_or_default()
     }
@@ -358,21 +368,15 @@
             std::cmp::Reverse((self.is_part_of_harmful(key), open_count, record.changed_at))
         });
         let reports = announced.into_iter().take(Self::MAX_REPORTS);
-        reports
-            .map(|(key, record)| SuspectReport {
-                key: *key,
-                crashes: record
-                    .crashes
-                    .iter()
-                    .map(|(crash, known)| CrashReport {
-                        crash: *crash,
-                        age: now.since(known.at),
-                        is_exonerated: known.is_exonerated,
-                        is_isolated: known.is_isolated,
-                    })
-                    .collect(),
-            })
-            .collect()
+        reports.map(|(key, record)| record.report(*key, now)).collect()
+    }
+
+    /// Returns the reports from which a node that knows nothing finds the same content to be harmful.
+    #[must_use]
+    pub fn harmful_reports(&self, now: Moment) -> Vec<SuspectReport> {
+        let keys = self.harmful.iter().flat_map(|content| &content.keys);
+        let records = keys.filter_map(|key| Some((key, self.records.get(key)?)));
+        records.map(|(key, record)| record.report(*key, now)).collect()
     }
 
     /// Forgets suspects whose last crash is long ago.
--- a/crates/core/tests/relay.rs
+++ b/crates/core/tests/relay.rs
@@ -70,6 +70,8 @@
 mod steps;
 #[path = "relay/store_restoration.rs"]
 mod store_restoration;
+#[path = "relay/suspect_row.rs"]
+mod suspect_row;
 #[path = "relay/suspects.rs"]
 mod suspects;
 #[path = "relay/usage.rs"]
--- a/crates/relay/src/blame.rs
+++ b/crates/relay/src/blame.rs
@@ -1,10 +1,15 @@
 //! Finds out whether a target crashed while it held a call, blames the content of the call, and tells peers. Content that
 //! a run has proven sound is exonerated.
 
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Response;
 use spdlog::{info, warn};
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 use wasabipier_core::names::NodeName;
+use wasabipier_core::relay::suspect_row::{SuspectRow, SuspectRowWrite};
 use wasabipier_core::relay::suspects::{CrashId, HarmfulContent, RunStage, SuspectChange, SuspectKey, SuspectReport};
 use wasabipier_core::relay::targets::TargetEntry;
 
@@ -13,8 +18,12 @@
 use crate::heartbeats;
 use crate::log_prefixes::REQUEST;
 use crate::metering;
+use crate::ports::SuspectRowReply;
 use crate::state::SharedNode;
+use crate::store_link::StoreLink;
 
+/// Interval at which a node checks whether it has to write the harmful content into the store.
+const RECORD_INTERVAL: Duration = Duration::from_millis(100);
 /// Maximum number of other targets of a data centre that are connected to, one after the other, to find out whether it is
 /// the data centre that has failed.
 const MAX_OUTAGE_CONTROLS: usize = 4;
@@ -153,6 +162,52 @@
     }
 }
 
+/// Merges the suspects that the store's row names, if the page of the nodes' announcements has it.
+pub fn learn_from_store(node: &SharedNode, response: &Response<Bytes>) {
+    if let Some(row) = node.platform.read_suspect_row(response) {
+        merge_row(node, &row);
+    }
+}
+
+fn merge_row(node: &SharedNode, row: &SuspectRow) {
+    let change = node.board.borrow_mut().record_suspect_row(row, clock::now());
+    handle_change(node, &change, "store");
+}
+
+/// Writes the harmful content into the store when it has changed, if it is this node's turn, until the node ends.
+pub async fn record_suspects(node: SharedNode) {
+    let mut link = StoreLink::new(&node);
+    loop {
+        sleep(RECORD_INTERVAL).await;
+        let due = node.board.borrow_mut().take_suspect_row_write(clock::now());
+        if let Some(write) = due {
+            write_row(&node, &mut link, &write).await;
+        }
+    }
+}
+
+async fn write_row(node: &SharedNode, link: &mut StoreLink, write: &SuspectRowWrite) {
+    let answer = link.call(node.platform.suspect_row_request(write)).await;
+    let reply = answer.and_then(|response| Ok(node.platform.read_suspect_row_reply(&response)?));
+    let suspects = write.reports.len();
+    match reply {
+        Ok(SuspectRowReply::Written(version)) => {
+            let text = version.to_string();
+            info!("{REQUEST} harmful content recorded.", kv: { suspects, version = text.as_str() });
+            node.board.borrow_mut().record_suspect_row_written(write, version);
+        }
+        Ok(SuspectRowReply::Conflict(row)) => {
+            let (version, found) = (row.version.to_string(), row.reports.len());
+            info!("{REQUEST} harmful content not recorded; the row has changed.", kv: { suspects, found, version = version.as_str() });
+            merge_row(node, &row);
+        }
+        Err(error) => {
+            let error = error.to_string();
+            warn!("{REQUEST} harmful content not recorded; trying again.", kv: { suspects, error = error.as_str() });
+        }
+    }
+}
+
 /// Forgets suspects whose last crash is long ago.
 pub fn forget_old_suspects(node: &SharedNode) {
     let change = node.board.borrow_mut().suspects.remove_expired(clock::now());
--- a/crates/relay/src/heartbeats.rs
+++ b/crates/relay/src/heartbeats.rs
@@ -15,6 +15,7 @@
 use wasabipier_wire::relay::extension::HeartbeatExtension;
 use wasabipier_wire::relay::{WireCall, WireReply};
 
+use crate::blame;
 use crate::clock;
 use crate::log_prefixes::PEERS;
 use crate::peers;
@@ -278,6 +279,7 @@
                 node.contacts.add(node.addresses.peers, address);
             }
             settled_eras::learn_from_store(&node, response);
+            blame::learn_from_store(&node, response);
             node.heartbeat_now.notify_one();
         }
         let is_reader = node.board.borrow().is_store_reader(clock::now());
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -19,6 +19,7 @@
 
 use crate::autoscale;
 use crate::batching::{self, PieceWaiters};
+use crate::blame;
 use crate::buffer_memory::BufferMemory;
 use crate::clock;
 use crate::duties;
@@ -156,6 +157,7 @@
     spawn_local(placement::run_load_reports(node.clone()));
     spawn_local(rollouts::run(node.clone()));
     spawn_local(settled_eras::run(node.clone()));
+    spawn_local(blame::record_suspects(node.clone()));
     spawn_local(maintenance::run(node.clone()));
     duties::start(&node);
     usage::start(&node);
--- a/crates/relay/src/ports.rs
+++ b/crates/relay/src/ports.rs
@@ -19,6 +19,7 @@
 use wasabipier_core::relay::rollout::{RolloutRecord, RolloutWrite};
 use wasabipier_core::relay::rows::{OwnTable, RowBatch, RowWrite, SharedRow, TableId};
 use wasabipier_core::relay::store_version::StoreVersion;
+use wasabipier_core::relay::suspect_row::{SuspectRow, SuspectRowWrite};
 use wasabipier_core::relay::target_load::LoadNotice;
 use wasabipier_core::relay::targets::TargetEntry;
 
@@ -222,6 +223,15 @@
     },
 }
 
+/// The store's reply to the write of the row of content which crashes targets.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SuspectRowReply {
+    /// The write took effect and gave the row this store version.
+    Written(StoreVersion),
+    /// The row has another version than the write requires, and this content.
+    Conflict(SuspectRow),
+}
+
 /// The holder of a duty, as it names itself in a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct DutyHolder<'a> {
@@ -334,6 +344,19 @@
     /// version at which that was written.
     fn read_settled_era(&self, response: &Response<Bytes>) -> Option<StoreVersion>;
 
+    /// Returns a request that writes the row of content which crashes targets. [`Self::read_suspect_row_reply`] decodes the
+    /// reply.
+    fn suspect_row_request(&self, write: &SuspectRowWrite) -> Request<Bytes>;
+    /// Decodes the row of content which crashes targets from the response that lists the addresses of nodes. `None` if there
+    /// is none, or none that can be decoded.
+    fn read_suspect_row(&self, response: &Response<Bytes>) -> Option<SuspectRow>;
+    /// Decodes the reply to a write of that row.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the store's answer cannot be used.
+    fn read_suspect_row_reply(&self, response: &Response<Bytes>) -> Result<SuspectRowReply, StoreFault>;
+
     /// Encodes the content of the row of a duty's lease.
     fn encode_lease(&self, row: &FencedRow) -> Arc<[u8]>;
     /// Decodes the content of the row of a duty's lease.
--- a/crates/relay/src/prelude.rs
+++ b/crates/relay/src/prelude.rs
@@ -2,6 +2,6 @@
 
 pub use crate::ports::{
     AnswerHead, DutyHolder, DutyReply, ListenKind, ListenerRequest, PlatformPort, RefusalKind, RefusalNotice,
-    RequestHead, RolloutReply, RowPage, RowReply, RunClaim, StoreFault, TargetRequest,
+    RequestHead, RolloutReply, RowPage, RowReply, RunClaim, StoreFault, SuspectRowReply, TargetRequest,
 };
 pub use crate::settings::{DutySettings, RelayAddresses, RelaySettings, RelayTimes, SettingsSource};
