Keep what a starting node has read of the row of harmful content

A node that reads the row before the orders forgot it when these came in an era after 0, and tried to write the row again, which the store refused. The row is forgotten only when the node has seen the store return from an older copy.

Names and comments beside it.

--- a/crates/core/src/relay/settled_eras.rs
+++ b/crates/core/src/relay/settled_eras.rs
@@ -107,11 +107,11 @@
 }
 
 impl RelayBoard {
-    /// Number of nodes that try to write the row of an era. It is small so that not every node sends calls to the store.
+    /// Number of nodes that try to write a row for all. It is small so that not every node sends calls to the store.
     const MAX_RECORDERS: usize = 3;
-    /// Time for which a node leaves the row of an era to the one before it.
+    /// Time for which a node leaves a row to the one before it.
     pub(super) const RECORD_DELAY: Duration = Duration::from_secs(2);
-    /// Pause after a write of the row without an answer.
+    /// Pause after a write of a row without an answer.
     pub(super) const RECORD_RETRY_PAUSE: Duration = Duration::from_secs(1);
 
     /// Records that the store holds the row of a settled era, which was written at version `written_in`.
--- a/crates/core/src/relay/store_restoration.rs
+++ b/crates/core/src/relay/store_restoration.rs
@@ -71,6 +71,7 @@
 pub struct StoreRestoration {
     /// `None` in an era in which the store cannot have lost anything.
     era_start: Option<EraStart>,
+    /// Eras that are known to be settled.
     pub(super) settled_eras: SettledEras,
     /// When this node first read the targets' entries, until it is known that no older ones have been restored.
     entries_read_at: Option<Moment>,
@@ -236,7 +237,9 @@
             TableId::Orders => {
                 self.restoration.record_era(proven_at, now);
                 self.rollouts.forget_records();
-                self.forget_suspect_row(batch.version.era);
+                if is_return {
+                    self.forget_suspect_row(batch.version.era);
+                }
             }
             // Targets whose entries were lost register again, as after an outage.
             TableId::Targets => self.store_recovered_at = Some(now),
--- a/crates/core/tests/relay/suspect_row.rs
+++ b/crates/core/tests/relay/suspect_row.rs
@@ -122,3 +122,18 @@
     let again = board.take_suspect_row_write(at(3_100)).expect("the row may be lost");
     assert_eq!((again.expected_version, keys(&again)), (0, [DEADLY_PART].into()));
 }
+
+/// Guards against needless calls at each start: the row is read before the orders.
+#[test]
+fn a_node_that_starts_does_not_write_the_row_that_it_has_read() {
+    let mut writer = board_with_harmful_part("edge-1", &[]);
+    let write = writer.take_suspect_row_write(at(2_000)).expect("the content has become harmful");
+    let mut started = board("edge-2");
+    started.state = NodeState::Serving;
+
+    started.record_suspect_row(&row(StoreVersion::new(1, 5), write.reports), at(9_000));
+    let batch = RowBatch { rows: Vec::new(), version: StoreVersion::new(1, 9), whole: true };
+    started.apply_batch(TableId::Orders, &batch, at(9_010), at(9_010));
+
+    assert_eq!(started.take_suspect_row_write(at(9_100)), None);
+}
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -20,7 +20,7 @@
 pub fn apply_rows(node: &SharedNode, table: TableId, batch: &RowBatch, confirmed_at: Moment, source: &str) {
     let applied = node.board.borrow_mut().apply_batch(table, batch, confirmed_at, clock::now());
     match &applied.replaced {
-        Some(replaced) if replaced.version == StoreVersion::NONE => log_unsettled_start(node, batch.version, source),
+        Some(replaced) if replaced.version == StoreVersion::NONE => log_first_orders(node, batch.version, source),
         Some(replaced) => {
             log_restoration(table, replaced.version, batch.version, source);
             metering::record_store_restoration(&table.to_string());
@@ -59,8 +59,8 @@
     warn!("{STORE} the store was restored from an older copy.", kv: { table, from, version, source });
 }
 
-/// Logs that a node which has just started does not know whether the store holds what it had lost before its era.
-fn log_unsettled_start(node: &SharedNode, version: StoreVersion, source: &str) {
+/// Logs the first read of the orders in an era in which the store may have lost some, and whether it is known to be settled.
+fn log_first_orders(node: &SharedNode, version: StoreVersion, source: &str) {
     let is_settled = node.board.borrow().restoration_wait(clock::now()).is_none();
     let version = version.to_string();
     info!("{STORE} orders read at the start.", kv: { version = version.as_str(), source, settled = is_settled });
