Look for rows to write once a second, not on each node every 100 ms

Nothing changes for callers. Two tasks woke each node every 100 ms, and a node of a large fleet sorted all its peers each time to find out whether it is its turn to write a settled era, also long after that was recorded.

--- a/crates/core/src/relay/settled_eras.rs
+++ b/crates/core/src/relay/settled_eras.rs
@@ -93,12 +93,9 @@
         std::mem::take(&mut self.news)
     }
 
-    /// Returns whether it is this node's turn to write the row of `era`, where `delay` lies between the turns of nodes and
-    /// `position` is this node's. After a turn the next one comes `retry_pause` later.
+    /// Returns whether it is this node's turn to write the row of `era`. The first turn comes after `delay`, and each further
+    /// one `retry_pause` after the one before.
     fn take_turn(&mut self, era: u64, delay: Duration, retry_pause: Duration, now: Moment) -> bool {
-        if self.recorded_era >= era {
-            return false;
-        }
         let due_at = self.turn.filter(|(turn_era, _)| *turn_era == era).map_or(now + delay, |(_, due_at)| due_at);
         let is_due = due_at <= now;
         self.turn = Some((era, if is_due { now + retry_pause } else { due_at }));
@@ -145,7 +142,8 @@
     /// Returns the era whose row this node is to write into the store now, if there is one.
     pub fn take_era_to_record(&mut self, now: Moment) -> Option<u64> {
         let version = self.copies.get(&TableId::Orders).map(TableCopy::version)?;
-        if version.era == 0 || !self.restoration.settled_eras.is_settled(version) {
+        let settled_eras = &self.restoration.settled_eras;
+        if version.era == 0 || settled_eras.recorded_era >= version.era || !settled_eras.is_settled(version) {
             return None;
         }
         let position = self.recorder_position(&format!("settled-era/{}", version.era), now)?;
--- a/crates/relay/src/blame.rs
+++ b/crates/relay/src/blame.rs
@@ -22,8 +22,8 @@
 use crate::state::SharedNode;
 use crate::store_link::StoreLink;
 
-/// Interval at which a node checks whether it has to write the harmful content into the store.
-const RECORD_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval at which a node checks whether it has to write the harmful content into the store, if that has not changed.
+const RECORD_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum number of other targets of a data centre that are connected to, one after the other, to find out whether it is
 /// the data centre that has failed.
 const MAX_OUTAGE_CONTROLS: usize = 4;
@@ -178,7 +178,10 @@
 pub async fn record_suspects(node: SharedNode) {
     let mut link = StoreLink::new(&node);
     loop {
-        sleep(RECORD_INTERVAL).await;
+        tokio::select! {
+            () = sleep(RECORD_INTERVAL) => {}
+            () = node.verdicts_changed.notified() => {}
+        }
         let due = node.board.borrow_mut().take_suspect_row_write(clock::now());
         if let Some(write) = due {
             write_row(&node, &mut link, &write).await;
@@ -230,6 +233,7 @@
         warn!("{REQUEST} content is cleared.", kv: { content = content.as_str(), source });
     }
     if !change.blamed.is_empty() || !change.cleared.is_empty() {
+        node.verdicts_changed.notify_one();
         heartbeats::notify_followers(node);
     }
 }
--- a/crates/relay/src/maintenance.rs
+++ b/crates/relay/src/maintenance.rs
@@ -13,6 +13,7 @@
 use crate::log_prefixes::{STORE, TARGETS};
 use crate::metering;
 use crate::notices;
+use crate::settled_eras;
 use crate::state::SharedNode;
 use crate::store;
 
@@ -38,6 +39,7 @@
 
     fn remove_expired(&mut self, cx: CX![]) {
         blame::forget_old_suspects(&self.node);
+        settled_eras::update_settlement(&self.node);
         let expired = self.node.board.borrow_mut().remove_expired(clock::now());
         for target in expired {
             self.node.pool.close_idle(&target);
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -198,6 +198,7 @@
         cut_streams: Cell::default(),
         heartbeat_now: Notify::new(),
         store_restored: Notify::new(),
+        verdicts_changed: Notify::new(),
         load_changed: Notify::new(),
         grants_changed: Notify::new(),
         log_limiter: LogLimiter::default(),
--- a/crates/relay/src/settled_eras.rs
+++ b/crates/relay/src/settled_eras.rs
@@ -14,15 +14,14 @@
 use crate::store;
 use crate::store_link::{StoreError, StoreLink};
 
-/// Interval at which a node checks whether the era is settled, and whether it has to write that.
-const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval at which a node checks whether it has to write that the era is settled.
+const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Notes when the store's era is settled, and writes it into the store if it is this node's turn, until the node ends.
+/// Writes into the store that its era is settled if it is this node's turn, until the node ends.
 pub async fn run(node: SharedNode) {
     let mut link = StoreLink::new(&node);
     loop {
         sleep(CHECK_INTERVAL).await;
-        update_settlement(&node);
         let due = node.board.borrow_mut().take_era_to_record(clock::now());
         if let Some(era) = due {
             write_row(&node, &mut link, era).await;
@@ -40,7 +39,7 @@
 }
 
 /// Notes and logs the eras that have become settled.
-fn update_settlement(node: &SharedNode) {
+pub fn update_settlement(node: &SharedNode) {
     let news = node.board.borrow_mut().update_settlement(clock::now());
     for settlement in news {
         let (settled_from, basis) = (settlement.settled_from.to_string(), settlement.basis.to_string());
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -83,6 +83,8 @@
     pub heartbeat_now: Notify,
     /// Notified when the store has been restored from an older copy.
     pub store_restored: Notify,
+    /// Notified when content has become harmful or has been cleared.
+    pub verdicts_changed: Notify,
     /// Notified when a target load has changed that a hub should report to other hubs.
     pub load_changed: Notify,
     /// Notified when a grant of this node has been given, or its call has gone on or ended.
